Add rpc, config and telemetry packages

Cause: the entry process needs its settings, log lines, metrics and calls to other entry processes before it can be wired.

rpc: libjsonrpccpp encodes and decodes while the transport stays outside, so calls to many peers can run on one poll loop. Its own HTTP and socket connectors block a thread per call and were ruled out for that reason. One file is built as C++14, because the library's headers need it. Found on the way: AbstractServer registers its handler in the connector while it is constructed; a connector held as a member was constructed afterwards and lost it, so every call got an empty response. The test 'a call reaches its method and the result comes back' failed before and passes now.

config: yaml-cpp with a schema check of our own; yaml-cpp stops at the first fault and knows no ranges.

telemetry: easylogging++ behind a bounded ring, standard error only; metrics through prometheus-cpp's core library without its own HTTP server, since the entry process already has one.

--- /dev/null
+++ b/packages/config/tests/process_settings_test.cc
@@ -0,0 +1,99 @@
+#include "config/process_settings.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace hickoryusher::config {
+namespace {
+
+constexpr std::string_view kGood = R"(entry: e1
+platform:
+  table_url: http://127.0.0.1:9001
+  object_url: http://127.0.0.1:9002
+  vm_list_url: http://127.0.0.1:9003
+entries:
+  - {name: e1, vm: vm1, failure_domain: dakar-yoff, seat: 0, address: 127.0.0.1, port: 8101}
+services:
+  - name: carnet
+    floors: {latency_critical: 0.5, batch: 0.3}
+    endpoints:
+      - {name: x1, url: "http://127.0.0.1:9101", vm: v1, rack: r1, failure_domain: dakar-yoff}
+)";
+
+std::string Replace(std::string_view from, std::string_view to) {
+  std::string text(kGood);
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+// Guards against a correct file that is refused and against lost defaults.
+TEST_CASE("a correct file is read with its defaults") {
+  Loader loader;
+  const auto settings = loader.LoadText(kGood, "s.yaml");
+  for (const std::string& error : loader.errors()) {
+    UNSCOPED_INFO(error);
+  }
+  REQUIRE(settings.has_value());
+  CHECK(settings->self().port == 8101);
+  CHECK(settings->services[0].endpoints[0].slots == 8);
+  CHECK(settings->services[0].endpoints[0].connections == 64);
+  CHECK(settings->services[0].floors[core::Index(core::WorkClass::kBatch)] ==
+        0.3);
+}
+
+// Guards against faults that are accepted or reported without place and reason.
+TEST_CASE("each fault is reported with path, line, expected and found") {
+  struct Row {
+    std::string_view from;
+    std::string_view to;
+    std::string_view expected;
+  };
+  const Row rows[] = {
+      {"port: 8101", "port: 81010",
+       "s.yaml:7: entries[0].port: expected an integer from 1 to 65535, found "
+       "'81010'"},
+      {"port: 8101", "port: http",
+       "s.yaml:7: entries[0].port: expected an integer from 1 to 65535, found "
+       "'http'"},
+      {"entry: e1", "entry: e9",
+       "s.yaml:1: entry: expected a name listed under entries, found 'e9'"},
+      {"batch: 0.3", "batch: 0.7",
+       "s.yaml:10: services[0].floors: expected a sum of at most 1, found a "
+       "map"},
+      {"batch: 0.3", "batch: many",
+       "s.yaml:10: services[0].floors.batch: expected a number from 0 to 1, "
+       "found "
+       "'many'"},
+      {"rack: r1", "shelf: r1",
+       "s.yaml:12: services[0].endpoints[0].shelf: expected a known key, found "
+       "an "
+       "unknown one"},
+      {"http://127.0.0.1:9001", "table.example:1",
+       "s.yaml:3: platform.table_url: expected http://IP:PORT, found "
+       "'table.example:1'"},
+      {"entry: e1", "entry: e1\ntimeout: 5",
+       "s.yaml:2: timeout: expected a known key, found an unknown one"},
+      {"entry: e1", "entry: [", "s.yaml:3: expected YAML, found: "},
+  };
+  for (const Row& row : rows) {
+    Loader loader;
+    CHECK_FALSE(
+        loader.LoadText(Replace(row.from, row.to), "s.yaml").has_value());
+    const bool found = std::ranges::any_of(
+        loader.errors(),
+        [&row](const std::string& e) { return e.starts_with(row.expected); });
+    INFO(row.expected << " / first: " << loader.errors().front());
+    CHECK(found);
+  }
+}
+
+// Guards against a check that stops at the first fault.
+TEST_CASE("all faults of a file are reported together") {
+  Loader loader;
+  CHECK_FALSE(loader.LoadText("entry: e1\n", "s.yaml").has_value());
+  CHECK(loader.errors().size() >= 3);
+}
+
+}  // namespace
+}  // namespace hickoryusher::config
--- /dev/null
+++ b/packages/telemetry/src/logger.cc
@@ -0,0 +1,67 @@
+#include "telemetry/logger.h"
+
+#include <easylogging++.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace hickoryusher::telemetry {
+namespace {
+
+void Configure() {
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::Format,
+                            "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+  el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+// easylogging++ writes its console output to standard output; log lines belong
+// on standard error, so the formatted line is written by this callback.
+class StandardErrorDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) noexcept override {
+    const std::string line = data->logMessage()->logger()->logBuilder()->build(
+        data->logMessage(), /*appendNewLine=*/true);
+    std::fwrite(line.data(), 1, line.size(), stderr);
+  }
+};
+
+}  // namespace
+
+Logger::Logger(std::size_t capacity) : ring_(capacity) {
+  Configure();
+  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
+      "standard_error");
+  thread_ = runtime::DutyThread("telemetry", [this] { Run(); });
+}
+
+Logger::~Logger() {
+  ring_.Close();
+  thread_.Join();
+  el::Helpers::uninstallLogDispatchCallback<StandardErrorDispatch>(
+      "standard_error");
+}
+
+void Logger::Write(const core::LogLine& line) {
+  if (!ring_.TryPush(std::string(line.text()))) {
+    dropped_.fetch_add(1, std::memory_order_relaxed);
+  }
+}
+
+void Logger::Run() {
+  std::vector<std::string> lines;
+  while (!ring_.finished()) {
+    ring_.WaitDrain(lines);
+    std::ranges::for_each(lines,
+                          [](const std::string& line) { LOG(INFO) << line; });
+    lines.clear();
+  }
+}
+
+}  // namespace hickoryusher::telemetry
