--- /dev/null
+++ b/standins/platform/vm_list_server.cc
@@ -0,0 +1,67 @@
+#include "platform/vm_list_server.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string_view>
+
+#include "platform/json.h"
+
+namespace hickoryusher::standins {
+namespace {
+
+constexpr std::array<std::string_view, 3> kStates = {"live", "leaving", "gone"};
+
+}  // namespace
+
+VmListServer::VmListServer(std::uint16_t port)
+    : history_{{std::chrono::steady_clock::time_point::min(), {}}},
+      server_(
+          port,
+          [](const Request& r) { return r.method == "POST"; },
+          [this](const Request& r) { return Handle(r); }) {}
+
+Reply VmListServer::Handle(const Request& request) {
+  if (request.path != "/v1/vms") {
+    return {.status = 404};
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto lag = std::chrono::milliseconds(server_.faults().lag_ms);
+  const std::lock_guard lock(mutex_);
+  return request.write ? Change(request) : Show(now - lag);
+}
+
+Reply VmListServer::Change(const Request& request) {
+  const std::optional<Json::Value> body = ParseJson(request.body);
+  if (!body || std::ranges::find(kStates, (*body)["state"].asString()) ==
+                   kStates.end()) {
+    return {.status = 400};
+  }
+  const std::string name = (*body)["name"].asString();
+  List list = history_.back().second;
+  list.erase(name);
+  if ((*body)["state"].asString() != "gone") {
+    list[name] = {.address = (*body)["address"].asString(),
+                  .failure_domain = (*body)["failure_domain"].asString(),
+                  .state = (*body)["state"].asString()};
+  }
+  history_.emplace_back(std::chrono::steady_clock::now(), std::move(list));
+  return {};
+}
+
+Reply VmListServer::Show(std::chrono::steady_clock::time_point as_of) const {
+  const auto later = std::ranges::find_if(
+      history_, [as_of](const auto& entry) { return entry.first > as_of; });
+  Json::Value reply;
+  reply["vms"] = Json::Value(Json::arrayValue);
+  for (const auto& [name, vm] : std::prev(later)->second) {
+    Json::Value& entry = reply["vms"].append(Json::Value());
+    entry["name"] = name;
+    entry["address"] = vm.address;
+    entry["failure_domain"] = vm.failure_domain;
+    entry["state"] = vm.state;
+  }
+  return {.body = WriteJson(reply)};
+}
+
+}  // namespace hickoryusher::standins
