--- /dev/null
+++ b/packages/http/include/http/front.h
@@ -0,0 +1,150 @@
+#ifndef HTTP_FRONT_H_
+#define HTTP_FRONT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http/message.h"
+#include "runtime/ring.h"
+
+namespace hickoryusher::http {
+
+/// Receives one log line. Called on the front's or upstream's own threads.
+using LogSink = std::function<void(std::string)>;
+
+/// Settings of a Front.
+struct FrontOptions {
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;  ///< 0 lets the system choose.
+  int threads = 2;
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_connections = 20'000;
+  /// Requests in progress per thread; further ones get `ring_full`.
+  std::size_t max_in_flight_per_thread = 8192;
+  /// Unanswered requests on one connection; the next one is refused and the
+  /// connection is closed.
+  std::size_t max_pipelined = 64;
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds body_timeout{30'000};
+  std::chrono::milliseconds idle_timeout{60'000};
+  /// Longest time without progress while a response is being sent.
+  std::chrono::milliseconds send_timeout{30'000};
+  /// Put before the number in `Hickoryusher-Request-Id`.
+  std::string request_id_prefix;
+};
+
+/// The caller-facing HTTP port.
+///
+/// @remarks Requests go out in the order in which they arrive on each
+/// connection; responses may be handed back from any thread, in any order. The
+/// front sends the responses of one connection in the order of its requests.
+class Front {
+ public:
+  /// Hands one request over. @returns false if there is no room for it.
+  using RequestSink = std::function<bool(IncomingRequest&&)>;
+
+  class Builder;
+
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
+  /// Calls Shutdown().
+  ~Front();
+
+  /// @returns the port in use.
+  std::uint16_t port() const;
+
+  /// Hands the response to a request back. Thread-safe.
+  /// @returns false if the front is shut down or holds too many responses. A
+  /// response to an unknown or already answered request is dropped and
+  /// counted.
+  bool Respond(Response response);
+
+  /// From now on new requests are refused as not run, with reason
+  /// `shutting_down`. Requests in progress are not affected.
+  void StopAccepting();
+
+  /// @returns requests handed over whose response is not yet completely sent.
+  std::size_t in_flight() const;
+
+  /// Waits until no request is in flight.
+  /// @returns false if @p until was reached first.
+  bool WaitIdle(core::TimePoint until) const;
+
+  /// Closes all connections and ends the threads. Call StopAccepting() and
+  /// WaitIdle() first, so that no request is cut off.
+  void Shutdown();
+
+  /// @returns responses dropped because their request was unknown, was already
+  /// answered, or its caller had disconnected.
+  std::uint64_t dropped_responses() const;
+
+  /// @returns open connections.
+  std::size_t connections() const;
+
+ private:
+  struct Impl;
+  explicit Front(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Starts a Front.
+class Front::Builder {
+ public:
+  Builder& options(FrontOptions options) {
+    options_ = std::move(options);
+    return *this;
+  }
+  Builder& address(std::string_view address) {
+    options_.address = address;
+    return *this;
+  }
+  Builder& port(std::uint16_t port) {
+    options_.port = port;
+    return *this;
+  }
+  Builder& threads(int threads) {
+    options_.threads = threads;
+    return *this;
+  }
+  /// @param ring must outlive the front.
+  Builder& requests(runtime::Ring<IncomingRequest>& ring) {
+    sink_ = [&ring](IncomingRequest&& request) {
+      return ring.TryPush(std::move(request));
+    };
+    return *this;
+  }
+  /// Alternative to requests() for a ring with another element type.
+  Builder& on_request(RequestSink sink) {
+    sink_ = std::move(sink);
+    return *this;
+  }
+  Builder& log(LogSink log) {
+    log_ = std::move(log);
+    return *this;
+  }
+
+  /// Binds the port and starts the threads.
+  /// @returns the running front, or nothing; see last_error().
+  std::unique_ptr<Front> Start();
+
+  const std::string& last_error() const { return last_error_; }
+
+ private:
+  FrontOptions options_;
+  RequestSink sink_;
+  LogSink log_;
+  std::string last_error_;
+};
+
+}  // namespace hickoryusher::http
+
+#endif  // HTTP_FRONT_H_
--- /dev/null
+++ b/packages/http/src/connection_p.h
@@ -0,0 +1,54 @@
+#ifndef HTTP_CONNECTION_P_H_
+#define HTTP_CONNECTION_P_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "http/request_parser.h"
+
+namespace hickoryusher::http {
+
+/// One request of a connection, in the order of arrival, until its response is
+/// sent.
+struct ResponseSlot {
+  core::RequestId id;
+  bool handed_over = false;  ///< Counted in FrontShared::in_flight.
+  bool head = false;         ///< The response has no body.
+  bool close_after = false;
+  bool ready = false;
+  std::string bytes;
+  std::size_t sent = 0;
+};
+
+/// One caller's connection, used by one thread only.
+struct Connection {
+  Connection(int fd, ParseLimits limits) : fd(fd), parser(limits) {}
+
+  int fd;
+  RequestParser parser;
+  std::deque<ResponseSlot> slots;
+  /// No further request is read; input is discarded until the peer closes.
+  bool input_closed = false;
+  bool output_closed = false;
+  bool write_blocked = false;
+  std::uint64_t discarded_bytes = 0;
+  core::TimePoint deadline = core::TimePoint::max();
+};
+
+/// @returns the bytes of a response on the wire.
+std::string EncodeResponse(const Response& response,
+                           std::string_view request_id,
+                           bool head,
+                           bool close);
+
+/// @returns a refusal: the request was not run, for this reason.
+Response MakeRefusal(core::RequestId id, int status, std::string_view reason);
+
+}  // namespace hickoryusher::http
+
+#endif  // HTTP_CONNECTION_P_H_
--- /dev/null
+++ b/packages/http/src/front_shared_p.h
@@ -0,0 +1,64 @@
+#ifndef HTTP_FRONT_SHARED_P_H_
+#define HTTP_FRONT_SHARED_P_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "core/log_line.h"
+#include "http/front.h"
+#include "runtime/ring.h"
+
+namespace hickoryusher::http {
+
+/// Responses on their way to one of the front's threads. Request identifiers
+/// carry the thread's index, so that each thread keeps its own table.
+struct ResponseInbox {
+  explicit ResponseInbox(std::size_t capacity) : responses(capacity) {}
+  ResponseInbox(const ResponseInbox&) = delete;
+  ResponseInbox& operator=(const ResponseInbox&) = delete;
+  ~ResponseInbox();
+
+  runtime::Ring<Response> responses;
+  /// Wakes the thread; written once until the thread has read it.
+  int wake_fd = -1;
+  std::atomic<bool> woken = false;
+};
+
+/// State shared by a Front and its threads.
+struct FrontShared {
+  FrontOptions options;
+  Front::RequestSink sink;
+  LogSink log;
+  std::vector<std::unique_ptr<ResponseInbox>> inboxes;
+  std::atomic<std::size_t> next_inbox = 0;
+  std::atomic<bool> stopping = false;
+  std::atomic<std::size_t> in_flight = 0;
+  std::atomic<std::size_t> connections = 0;
+  std::atomic<std::uint64_t> dropped = 0;
+  std::mutex idle_mutex;
+  std::condition_variable idle;
+
+  void Log(core::LogLine&& line) const {
+    if (log) {
+      log(std::move(line).Take());
+    }
+  }
+
+  /// Counts one request as finished.
+  void Finished() {
+    if (in_flight.fetch_sub(1) == 1) {
+      const std::lock_guard lock(idle_mutex);
+      idle.notify_all();
+    }
+  }
+};
+
+}  // namespace hickoryusher::http
+
+#endif  // HTTP_FRONT_SHARED_P_H_
