Serve requests from end to end through separate processes

Cause: the packages existed, but nothing joined them.

Ruled out: admission and routing on the front's threads (their state would need locks), and signals handled in a handler (sigwait in the main thread lets the drain run as ordinary code).

--- a/packages/core/include/core/log_line.h
+++ b/packages/core/include/core/log_line.h
@@ -33,6 +33,9 @@
   /// @returns the line so far, without a line end.
   std::string_view text() const { return text_; }
 
+  /// @returns the line, moved out.
+  std::string Take() && { return std::move(text_); }
+
  private:
   LogLine& Append(std::string_view key, std::string_view value);
 
--- /dev/null
+++ b/packages/entry/src/process.cc
@@ -0,0 +1,253 @@
+#include "entry/process.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "charts_p.h"
+#include "directory_p.h"
+#include "http/front.h"
+#include "lifecycle_p.h"
+#include "router_duty_p.h"
+#include "telemetry/logger.h"
+
+namespace hickoryusher::entry {
+namespace {
+
+constexpr std::size_t kLogRingSlots = 16'384;
+
+http::FrontOptions MakeFrontOptions(const config::ProcessSettings& settings) {
+  const auto millis = [](core::Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  };
+  http::FrontOptions options;
+  options.address = settings.self().address;
+  options.port = settings.self().port;
+  options.threads = settings.http_threads;
+  options.max_header_bytes = settings.limits.header_bytes;
+  options.max_body_bytes = settings.limits.body_bytes;
+  options.header_timeout = millis(settings.limits.header_timeout);
+  options.body_timeout = millis(settings.limits.body_timeout);
+  options.request_id_prefix = settings.entry + "-";
+  return options;
+}
+
+/// Number of slots of a service that this process may use.
+std::size_t OwnSlots(const routing::Router& router, core::ServiceId service) {
+  std::size_t total = 0;
+  for (std::size_t i = 0; i < router.endpoints().size(); ++i) {
+    if (router.endpoints()[i].service == service) {
+      total += static_cast<std::size_t>(router.slots().entries()[i].slots);
+    }
+  }
+  return total;
+}
+
+}  // namespace
+
+struct Process::Impl {
+  config::ProcessSettings settings;
+  Charts charts;
+  Directory directory;
+  telemetry::Logger logger{kLogRingSlots};
+  telemetry::Metrics metrics;
+  std::unique_ptr<RouterDuty> router;
+  std::unique_ptr<http::Upstream> upstream;
+  std::unique_ptr<http::Front> front;
+  std::optional<Lifecycle> lifecycle;
+
+  Impl(config::ProcessSettings settings_in, Charts charts_in)
+      : settings(std::move(settings_in)),
+        charts(std::move(charts_in)),
+        directory(settings) {}
+
+  bool Start(std::vector<std::string>& errors) {
+    return MakeRouter(errors) && MakeUpstream(errors) &&
+           MakeLifecycle(errors) && MakeFront(errors);
+  }
+
+  bool MakeRouter(std::vector<std::string>& errors);
+  bool MakeUpstream(std::vector<std::string>& errors);
+  bool MakeLifecycle(std::vector<std::string>& errors);
+  bool MakeFront(std::vector<std::string>& errors);
+  std::optional<std::vector<admission::Controller>> MakeAdmission(
+      const routing::Router& routes,
+      std::vector<std::string>& errors) const;
+  void Stop();
+};
+
+std::optional<std::vector<admission::Controller>> Process::Impl::MakeAdmission(
+    const routing::Router& routes,
+    std::vector<std::string>& errors) const {
+  std::vector<admission::Controller> controllers;
+  for (const config::ServiceSettings& service : settings.services) {
+    admission::ControllerBuilder builder;
+    builder.Slots(OwnSlots(routes, directory.FindService(service.name)));
+    for (const core::WorkClass work_class : core::kWorkClasses) {
+      builder.Class(work_class,
+                    {.floor_share = service.floors[core::Index(work_class)]});
+    }
+    auto controller = builder.Build();
+    if (!controller) {
+      errors.push_back("service '" + service.name +
+                       "': " + std::string(builder.last_error()));
+      return std::nullopt;
+    }
+    controllers.push_back(*std::move(controller));
+  }
+  return controllers;
+}
+
+bool Process::Impl::MakeRouter(std::vector<std::string>& errors) {
+  routing::Router::Builder routes;
+  routes.HealthChart(charts.endpoint_health)
+      .Seat(directory.own_domain(), directory.own_seat(), directory.seats())
+      .StartWithOwnShare();
+  std::ranges::for_each(
+      directory.endpoints(),
+      [&routes](const routing::EndpointSpec& e) { routes.AddEndpoint(e); });
+  auto router_decisions = routes.Build();
+  if (!router_decisions) {
+    std::ranges::copy(routes.problems(), std::back_inserter(errors));
+    return false;
+  }
+  auto admission = MakeAdmission(*router_decisions, errors);
+  if (!admission) {
+    return false;
+  }
+  retry::RequestTableBuilder requests(charts.request_attempt);
+  auto table = requests.Build();
+  if (!table) {
+    std::ranges::transform(requests.problems(), std::back_inserter(errors),
+                           &chart::Problem::text);
+    return false;
+  }
+  auto path = std::make_unique<RequestPath>(RequestPath::Parts{
+      .directory = directory,
+      .requests = *std::move(table),
+      .admission = *std::move(admission),
+      .router = *std::move(router_decisions),
+      .metrics = metrics,
+      .log = [this](const core::LogLine& line) { logger.Write(line); },
+      .longest_deadline = settings.limits.longest_deadline,
+      .max_response_bytes = settings.limits.response_bytes});
+  router = std::make_unique<RouterDuty>(std::move(path), metrics,
+                                        settings.limits.ring_slots);
+  metrics.AddGauge(
+      "hickoryusher_ring_depth", "Elements waiting in a ring", "router",
+      [this] { return static_cast<double>(router->inputs().size()); });
+  return true;
+}
+
+bool Process::Impl::MakeUpstream(std::vector<std::string>& errors) {
+  http::Upstream::Builder builder;
+  builder.on_event([this](http::UpstreamEvent&& event) {
+    RouterInput input(std::move(event));
+    if (router->inputs().TryPush(std::move(input))) {
+      return true;
+    }
+    // A refused push leaves the input with its producer, so the event can be
+    // offered again.
+    event = std::move(std::get<http::UpstreamEvent>(input));
+    return false;
+  });
+  upstream = builder.Start();
+  if (!upstream) {
+    errors.push_back(builder.last_error());
+  }
+  return upstream != nullptr;
+}
+
+bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
+  std::vector<chart::Problem> problems;
+  lifecycle = Lifecycle::Create(
+      charts.entry_lifecycle,
+      {.set_health = [this](bool passing) { router->SetHealthy(passing); },
+       .refuse_new_requests =
+           [this] {
+             front->StopAccepting();
+             router->inputs().TryPush(RouterInput(StopRequested{}));
+           }},
+      settings.limits.longest_deadline, problems);
+  std::ranges::transform(problems, std::back_inserter(errors),
+                         &chart::Problem::text);
+  return lifecycle.has_value();
+}
+
+bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
+  http::Front::Builder builder;
+  builder.options(MakeFrontOptions(settings))
+      .on_request([this](http::IncomingRequest&& request) {
+        return router->inputs().TryPush(RouterInput(std::move(request)));
+      })
+      .log([this](std::string line) { logger.WriteText(std::move(line)); });
+  front = builder.Start();
+  if (!front) {
+    errors.push_back(builder.last_error());
+    return false;
+  }
+  router->Start(
+      {.respond =
+           [this](http::Response r) { return front->Respond(std::move(r)); },
+       .send =
+           [this](http::UpstreamCommand&& c) {
+             return upstream->TrySend(std::move(c));
+           }});
+  lifecycle->Dispatch("ready");
+  logger.Write(core::LogLine("entry_ready")
+                   .Add("entry", settings.entry)
+                   .Add("failure_domain", settings.self().failure_domain)
+                   .Add("port", front->port()));
+  return true;
+}
+
+void Process::Impl::Stop() {
+  if (front) {
+    front->Shutdown();
+  }
+  if (upstream) {
+    upstream->Shutdown();
+  }
+  if (router) {
+    router->Stop();
+  }
+}
+
+Process::Process(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Process::~Process() {
+  impl_->Stop();
+}
+
+bool Process::Drain() {
+  Lifecycle& lifecycle = *impl_->lifecycle;
+  lifecycle.Dispatch("stop_requested");
+  impl_->logger.Write(core::LogLine("entry_draining")
+                          .Add("in_flight", impl_->front->in_flight()));
+  const core::TimePoint until = std::chrono::steady_clock::now() +
+                                lifecycle.limit().value_or(core::Duration());
+  const bool idle = impl_->front->WaitIdle(until);
+  lifecycle.Dispatch(idle ? "idle" : "drain_expired");
+  impl_->logger.Write(core::LogLine("entry_stopped")
+                          .Add("state", lifecycle.state())
+                          .Add("in_flight", impl_->front->in_flight()));
+  impl_->Stop();
+  return idle;
+}
+
+std::unique_ptr<Process> Process::Builder::Start() {
+  errors_.clear();
+  auto charts = LoadCharts(settings_.chart_folder, errors_);
+  if (!charts) {
+    return nullptr;
+  }
+  auto impl = std::make_unique<Impl>(settings_, *std::move(charts));
+  if (!impl->Start(errors_)) {
+    impl->Stop();
+    return nullptr;
+  }
+  return std::unique_ptr<Process>(new Process(std::move(impl)));
+}
+
+}  // namespace hickoryusher::entry
--- /dev/null
+++ b/packages/entry/src/request_path_p.h
@@ -0,0 +1,127 @@
+#ifndef ENTRY_SRC_REQUEST_PATH_P_H_
+#define ENTRY_SRC_REQUEST_PATH_P_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "admission/controller.h"
+#include "core/ids.h"
+#include "core/log_line.h"
+#include "core/time.h"
+#include "directory_p.h"
+#include "http/message.h"
+#include "http/upstream.h"
+#include "request_codec_p.h"
+#include "retry/request_table.h"
+#include "routing/router.h"
+#include "telemetry/metrics.h"
+#include "timer_queue_p.h"
+
+namespace hickoryusher::entry {
+
+/// What the request path asks its threads to do.
+using PathCommand = std::variant<http::Response, http::UpstreamCommand>;
+
+/// Joins admission, retry and routing into the path of a request. Runs on the
+/// router thread; its outputs are carried out by the caller.
+class RequestPath {
+ public:
+  struct Parts {
+    const Directory& directory;
+    retry::RequestTable requests;
+    std::vector<admission::Controller> admission;  ///< By service.
+    routing::Router router;
+    telemetry::Metrics& metrics;
+    std::function<void(const core::LogLine&)> log;
+    core::Duration longest_deadline;
+    std::size_t max_response_bytes;
+  };
+
+  explicit RequestPath(Parts parts);
+
+  /// Takes one request of a caller to a service.
+  void Arrive(http::IncomingRequest&& request, core::TimePoint now);
+
+  /// Takes the progress of an exchange with an endpoint.
+  void Handle(http::UpstreamEvent&& event, core::TimePoint now);
+
+  /// Applies a change of the fleet.
+  void Handle(const routing::MembershipEvent& event, core::TimePoint now);
+
+  /// Runs the timers that are due.
+  void RunTimers(core::TimePoint now);
+
+  /// Refuses what waits; requests in progress go on.
+  void StartShutdown(core::TimePoint now);
+
+  /// @returns when RunTimers has to be called again.
+  std::optional<core::TimePoint> next_timer() const { return timers_.next(); }
+
+  /// Moves the commands collected so far to @p out.
+  void TakeCommands(std::vector<PathCommand>& out);
+
+  /// @returns requests without an outcome.
+  std::size_t in_progress() const { return callers_.size(); }
+
+ private:
+  struct Caller {
+    http::IncomingRequest request;
+    core::ServiceId service;
+    core::WorkClass work_class = core::WorkClass::kBatch;
+    core::TimePoint deadline;
+    bool idempotent = false;
+    std::optional<http::Completed> answer;
+  };
+
+  struct Attempt {
+    core::RequestId request;
+    routing::Slot slot;
+  };
+
+  void Dispatch(const retry::RequestEvent& event, core::TimePoint now);
+  void DispatchQueued(core::TimePoint now);
+  void RunAdmission(core::ServiceId service,
+                    const admission::Event& event,
+                    core::TimePoint now);
+
+  void On(const retry::AskAdmission& command, core::TimePoint now);
+  void On(const retry::ClaimKey& command, core::TimePoint now);
+  void On(const retry::VoidKey& command, core::TimePoint now);
+  void On(const retry::StoreKeyOutcome& command, core::TimePoint now);
+  void On(const retry::ChooseEndpoint& command, core::TimePoint now);
+  void On(const retry::StartExchange& command, core::TimePoint now);
+  void On(const retry::CancelExchange& command, core::TimePoint now);
+  void On(const retry::DeliverOutcome& command, core::TimePoint now);
+  void On(const retry::ReleaseEndpoint& command, core::TimePoint now);
+  void On(const retry::StartTimer& command, core::TimePoint now);
+  void On(const retry::CancelTimer& command, core::TimePoint now);
+
+  void On(http::FirstByte&& event);
+  void On(http::Completed&& event);
+  void On(http::Failed&& event);
+
+  http::Response MakeResponse(const retry::DeliverOutcome& command,
+                              Caller& caller) const;
+  void Reject(const http::IncomingRequest& request, const BadRequest& error);
+  void LogChoice(const retry::ChooseEndpoint& command,
+                 const std::optional<routing::Decision>& decision,
+                 core::AttemptId attempt) const;
+
+  Parts parts_;
+  RequestReader reader_;
+  std::unordered_map<core::RequestId, Caller> callers_;
+  std::unordered_map<core::AttemptId, Attempt> attempts_;
+  TimerQueue<retry::TimerId, retry::TimerExpired> timers_;
+  std::deque<retry::RequestEvent> events_;
+  std::vector<PathCommand> commands_;
+  std::uint64_t next_attempt_ = 1;
+};
+
+}  // namespace hickoryusher::entry
+
+#endif  // ENTRY_SRC_REQUEST_PATH_P_H_
--- /dev/null
+++ b/packages/entry/src/router_duty_p.h
@@ -0,0 +1,71 @@
+#ifndef ENTRY_SRC_ROUTER_DUTY_P_H_
+#define ENTRY_SRC_ROUTER_DUTY_P_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "http/message.h"
+#include "http/upstream.h"
+#include "request_path_p.h"
+#include "routing/types.h"
+#include "runtime/duty_thread.h"
+#include "runtime/ring.h"
+
+namespace hickoryusher::entry {
+
+/// New requests are refused from here on.
+struct StopRequested {};
+
+using RouterInput = std::variant<http::IncomingRequest,
+                                 http::UpstreamEvent,
+                                 routing::MembershipEvent,
+                                 StopRequested>;
+
+/// The router thread: takes inputs from its ring, runs the request path and
+/// hands the commands to the HTTP front and the upstream.
+class RouterDuty {
+ public:
+  struct Outputs {
+    std::function<bool(http::Response)> respond;
+    /// @returns false if the upstream takes no command now.
+    std::function<bool(http::UpstreamCommand&&)> send;
+  };
+
+  RouterDuty(std::unique_ptr<RequestPath> path,
+             telemetry::Metrics& metrics,
+             std::size_t ring_slots);
+  ~RouterDuty();
+  RouterDuty(const RouterDuty&) = delete;
+  RouterDuty& operator=(const RouterDuty&) = delete;
+
+  /// Starts the thread. @param outputs must stay valid until Stop returns.
+  void Start(Outputs outputs);
+
+  /// Ends the thread after the inputs that already wait.
+  void Stop();
+
+  runtime::Ring<RouterInput>& inputs() { return inputs_; }
+
+  /// Sets what the balancer's health check says.
+  void SetHealthy(bool healthy) { healthy_.store(healthy); }
+
+ private:
+  void Run();
+  void Take(RouterInput&& input, core::TimePoint now);
+  void TakeRequest(http::IncomingRequest&& request, core::TimePoint now);
+  void CarryOut(core::TimePoint now);
+
+  std::unique_ptr<RequestPath> path_;
+  telemetry::Metrics& metrics_;
+  runtime::Ring<RouterInput> inputs_;
+  std::atomic<bool> healthy_ = false;
+  Outputs outputs_;
+  runtime::DutyThread thread_;
+};
+
+}  // namespace hickoryusher::entry
+
+#endif  // ENTRY_SRC_ROUTER_DUTY_P_H_
--- a/packages/telemetry/src/logger.cc
+++ b/packages/telemetry/src/logger.cc
@@ -48,8 +48,8 @@
       "standard_error");
 }
 
-void Logger::Write(const core::LogLine& line) {
-  if (!ring_.TryPush(std::string(line.text()))) {
+void Logger::WriteText(std::string line) {
+  if (!ring_.TryPush(std::move(line))) {
     dropped_.fetch_add(1, std::memory_order_relaxed);
   }
 }
