--- a/packages/retry/src/request_scope.cc
+++ b/packages/retry/src/request_scope.cc
@@ -78,6 +78,7 @@
   instance_->rack = chosen.rack;
   instance_->vm = chosen.vm;
   instance_->attempt_began = now_;
+  instance_->attempts_seen.Add(chosen.attempt);
   instance_->tried.Add(chosen.endpoint);
   if (instance_->attempts++ == 0) {
     shared_->budget.CountFirstAttempt(now_);
--- a/packages/retry/src/request_scope_p.h
+++ b/packages/retry/src/request_scope_p.h
@@ -25,6 +25,7 @@
   core::VmId vm;
   core::TimePoint attempt_began;
   core::Duration retry_after{};
+  AttemptList<core::AttemptId> attempts_seen;
   AttemptList<core::EndpointId> tried;
   AttemptList<core::RackId> racks_tried_last;
   std::uint8_t attempts = 0;
--- a/packages/retry/src/request_table.cc
+++ b/packages/retry/src/request_table.cc
@@ -128,22 +128,28 @@
 
   void On(const EndpointChosen& event) {
     const auto found = requests_.find(event.request);
-    const bool duplicate =
-        found != requests_.end() && found->second.attempt == event.attempt;
-    if (found != requests_.end() &&
-        Dispatch(found, events_.endpoint_chosen, {.chosen = &event})) {
-      return;
-    }
-    ++(found == requests_.end() ? shared_.counters.late_dropped
-                                : shared_.counters.stale_dropped);
-    // The slot of a choice that nobody waits for must not stay taken.
-    if (!duplicate) {
-      out_->push_back(ReleaseEndpoint{.request = event.request,
-                                      .attempt = event.attempt,
-                                      .endpoint = event.endpoint});
+    if (found == requests_.end()) {
+      ++shared_.counters.late_dropped;
+      ReleaseUnused(event);
+    } else if (found->second.attempts_seen.Contains(event.attempt)) {
+      // A repeated event; the slot belongs to the attempt that began.
+      ++shared_.counters.stale_dropped;
+    } else if (found->second.tried.Contains(event.endpoint)) {
+      ReleaseUnused(event);
+      Dispatch(found, events_.no_endpoint, {.reason = Reason::kNoEndpoint});
+    } else if (!Dispatch(found, events_.endpoint_chosen, {.chosen = &event})) {
+      ++shared_.counters.stale_dropped;
+      ReleaseUnused(event);
     }
   }
 
+  /// The slot of a choice that nobody waits for must not stay taken.
+  void ReleaseUnused(const EndpointChosen& event) {
+    out_->push_back(ReleaseEndpoint{.request = event.request,
+                                    .attempt = event.attempt,
+                                    .endpoint = event.endpoint});
+  }
+
   void On(const NoEndpoint& event) {
     DispatchTo(event.request, events_.no_endpoint,
                {.reason = event.reason, .retry_after = event.retry_after});
--- a/packages/retry/tests/request_fixture.h
+++ b/packages/retry/tests/request_fixture.h
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
-#include <memory>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -34,14 +33,19 @@
   return *std::move(chart);
 }
 
+/// @returns the chart as it ships, loaded once.
+inline const chart::Chart& ShippedChart() {
+  static const chart::Chart chart = LoadChart(ChartText());
+  return chart;
+}
+
 /// A request table with a manual clock that keeps every command.
 class Fixture {
  public:
-  explicit Fixture(const RetryPolicy& policy = {},
-                   std::uint64_t seed = 1,
-                   const std::string& chart_text = ChartText())
-      : chart(std::make_unique<chart::Chart>(LoadChart(chart_text))) {
-    table = RequestTableBuilder(*chart).Policy(policy).Seed(seed).Build();
+  explicit Fixture(const chart::Chart& chart = ShippedChart(),
+                   const RetryPolicy& policy = {},
+                   std::uint64_t seed = 1) {
+    table = RequestTableBuilder(chart).Policy(policy).Seed(seed).Build();
     REQUIRE(table.has_value());
   }
 
@@ -62,7 +66,6 @@
     return Select<Command>(all);
   }
 
-  std::unique_ptr<chart::Chart> chart;
   std::optional<RequestTable> table;
   core::TimePoint now{std::chrono::seconds(100)};
   std::vector<RequestCommand> fresh;
