--- a/packages/retry/include/retry/ticket_issuer.h
+++ b/packages/retry/include/retry/ticket_issuer.h
@@ -1,7 +1,6 @@
 #ifndef RETRY_TICKET_ISSUER_H_
 #define RETRY_TICKET_ISSUER_H_
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -11,21 +10,12 @@
 
 #include "core/handle.h"
 #include "core/ids.h"
+#include "retry/claim_id.h"
 #include "retry/ticket.h"
 #include "retry/types.h"
 
 namespace hickoryusher::retry {
 
-/// Identifies one request's claim of a key, across entry processes. A repeated
-/// message carries the same id.
-struct ClaimId {
-  core::EntryId entry;
-  core::Incarnation incarnation;
-  core::RequestId request;
-
-  auto operator<=>(const ClaimId&) const = default;
-};
-
 /// A question to the issuer that its answer is matched to.
 using TicketCallId = core::Handle<struct TicketCallTag, std::uint64_t>;
 
