--- a/packages/http/include/http/front.h
+++ b/packages/http/include/http/front.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "http/message.h"
+#include "http/ring_sink.h"
 #include "runtime/ring.h"
 
 namespace hickoryusher::http {
@@ -23,8 +24,8 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  ///< 0 lets the system choose.
   int threads = 2;
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_header_bytes = 16UL * 1024;
+  std::size_t max_body_bytes = 1024UL * 1024;
   std::size_t max_connections = 20'000;
   /// Requests in progress per thread; further ones get `ring_full`.
   std::size_t max_in_flight_per_thread = 8192;
@@ -47,8 +48,8 @@
 /// front sends the responses of one connection in the order of its requests.
 class Front {
  public:
-  /// Hands one request over. @returns false if there is no room for it.
-  using RequestSink = std::function<bool(IncomingRequest&&)>;
+  /// Takes one request. @returns false if there is no room for it.
+  using RequestSink = std::function<bool(IncomingRequest&)>;
 
   class Builder;
 
@@ -115,14 +116,13 @@
     options_.threads = threads;
     return *this;
   }
-  /// @param ring must outlive the front.
-  Builder& requests(runtime::Ring<IncomingRequest>& ring) {
-    sink_ = [&ring](IncomingRequest&& request) {
-      return ring.TryPush(std::move(request));
-    };
-    return *this;
+  /// @param ring of IncomingRequest, or of a std::variant with it; must
+  /// outlive the front.
+  template <typename Element>
+  Builder& requests(runtime::Ring<Element>& ring) {
+    return on_request(
+        [&ring](IncomingRequest& request) { return PushInto(ring, request); });
   }
-  /// Alternative to requests() for a ring with another element type.
   Builder& on_request(RequestSink sink) {
     sink_ = std::move(sink);
     return *this;
--- a/packages/http/include/http/request_parser.h
+++ b/packages/http/include/http/request_parser.h
@@ -12,8 +12,8 @@
 namespace hickoryusher::http {
 
 struct ParseLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_header_bytes = 16UL * 1024;
+  std::size_t max_body_bytes = 1024UL * 1024;
 };
 
 /// More bytes are needed.
--- a/packages/http/include/http/upstream.h
+++ b/packages/http/include/http/upstream.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "http/message.h"
+#include "http/ring_sink.h"
 #include "runtime/ring.h"
 
 namespace hickoryusher::http {
@@ -31,7 +32,7 @@
   std::chrono::milliseconds first_byte_timeout{0};
   std::chrono::milliseconds total_timeout{10'000};
   std::size_t max_connections_per_host = 8;
-  std::size_t max_response_bytes = 8 * 1024 * 1024;
+  std::size_t max_response_bytes = 8UL * 1024 * 1024;
 };
 
 /// Ends an exchange early. No effect if it has already finished.
@@ -90,15 +91,16 @@
   /// Exchanges at once; further ones fail before the connection.
   std::size_t max_exchanges = 16'384;
   std::size_t max_idle_connections = 1024;
-  std::size_t max_response_header_bytes = 64 * 1024;
+  std::size_t max_response_header_bytes = 64UL * 1024;
 };
 
 /// Sends requests to endpoints on one thread of its own.
 class Upstream {
  public:
-  /// Takes one event. @returns false to be offered it again a little later;
-  /// until then no further command is read.
-  using EventSink = std::function<bool(UpstreamEvent&&)>;
+  /// Takes one event; moves from it only if it returns true.
+  /// @returns false to be offered the event again a little later; until then
+  /// no further command is read.
+  using EventSink = std::function<bool(UpstreamEvent&)>;
 
   class Builder;
 
@@ -129,15 +131,13 @@
     options_ = options;
     return *this;
   }
-  /// @param ring must outlive the upstream. A capacity of twice the exchanges
-  /// in flight plus the command capacity keeps it from filling up.
-  Builder& events(runtime::Ring<UpstreamEvent>& ring) {
-    sink_ = [&ring](UpstreamEvent&& event) {
-      return ring.TryPush(std::move(event));
-    };
-    return *this;
+  /// @param ring of UpstreamEvent, or of a std::variant with it; must outlive
+  /// the upstream. While it is full, events wait in the upstream.
+  template <typename Element>
+  Builder& events(runtime::Ring<Element>& ring) {
+    return on_event(
+        [&ring](UpstreamEvent& event) { return PushInto(ring, event); });
   }
-  /// Alternative to events() for a ring with another element type.
   Builder& on_event(EventSink sink) {
     sink_ = std::move(sink);
     return *this;
--- a/packages/http/src/front.cc
+++ b/packages/http/src/front.cc
@@ -85,12 +85,12 @@
     // the others.
     auto inbox =
         std::make_unique<ResponseInbox>(2 * options_.max_in_flight_per_thread);
-    inbox->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    inbox->wake_fd.reset(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
     inbox->responses.SetWaker([target = inbox.get()] {
       if (!target->woken.exchange(true)) {
         const std::uint64_t one = 1;
         [[maybe_unused]] const ssize_t size =
-            write(target->wake_fd, &one, sizeof one);
+            write(target->wake_fd.get(), &one, sizeof one);
       }
     });
     impl->shared->inboxes.push_back(std::move(inbox));
--- a/packages/http/src/front_shared_p.h
+++ b/packages/http/src/front_shared_p.h
@@ -13,6 +13,7 @@
 #include "core/log_line.h"
 #include "http/front.h"
 #include "runtime/ring.h"
+#include "unique_fd_p.h"
 
 namespace hickoryusher::http {
 
@@ -20,13 +21,9 @@
 /// carry the thread's index, so that each thread keeps its own table.
 struct ResponseInbox {
   explicit ResponseInbox(std::size_t capacity) : responses(capacity) {}
-  ResponseInbox(const ResponseInbox&) = delete;
-  ResponseInbox& operator=(const ResponseInbox&) = delete;
-  ~ResponseInbox();
-
   runtime::Ring<Response> responses;
   /// Wakes the thread; written once until the thread has read it.
-  int wake_fd = -1;
+  UniqueFd wake_fd;
   std::atomic<bool> woken = false;
 };
 
--- a/packages/http/src/front_transport.cc
+++ b/packages/http/src/front_transport.cc
@@ -1,6 +1,5 @@
 #include "front_transport_p.h"
 
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
@@ -51,23 +50,11 @@
 
 }  // namespace
 
-ResponseInbox::~ResponseInbox() {
-  if (wake_fd >= 0) {
-    close(wake_fd);
-  }
-}
-
 FrontTransport::FrontTransport(
     const std::shared_ptr<Pistache::Tcp::Handler>& handler,
     std::shared_ptr<FrontShared> shared)
     : Transport(handler), prototype_(handler), shared_(std::move(shared)) {}
 
-FrontTransport::~FrontTransport() {
-  if (timer_fd_ >= 0) {
-    close(timer_fd_);
-  }
-}
-
 std::shared_ptr<Pistache::Aio::Handler> FrontTransport::clone() const {
   return std::make_shared<FrontTransport>(prototype_->clone(), shared_);
 }
@@ -76,8 +63,8 @@
   Transport::registerPoller(poller);
   index_ = shared_->next_inbox.fetch_add(1);
   inbox_ = shared_->inboxes.at(index_).get();
-  timer_fd_ = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
-  for (const int fd : {inbox_->wake_fd, timer_fd_}) {
+  timer_fd_.reset(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC));
+  for (const int fd : {inbox_->wake_fd.get(), timer_fd_.get()}) {
     poller.addFd(fd, Pistache::Flags<NotifyOn>(NotifyOn::Read),
                  Pistache::Polling::Tag(fd));
   }
@@ -90,9 +77,9 @@
   for (std::size_t i = 0; i < fds.size(); ++i) {
     const auto& entry = fds.at(i);
     const int fd = static_cast<int>(entry.getTag().value());
-    wake |= fd == inbox_->wake_fd;
-    tick |= fd == timer_fd_;
-    if (fd == inbox_->wake_fd || fd == timer_fd_) {
+    wake |= fd == inbox_->wake_fd.get();
+    tick |= fd == timer_fd_.get();
+    if (fd == inbox_->wake_fd.get() || fd == timer_fd_.get()) {
       continue;
     }
     // Pistache throws on a writable socket for which it holds no data.
@@ -109,19 +96,19 @@
       event.flags.setFlag(NotifyOn::Hangup);
     }
     if (entry.isReadable() || entry.isHangup()) {
-      rest.push_back(std::move(event));
+      rest.push_back(event);
     }
   }
   if (!rest.empty()) {
     Transport::onReady(Pistache::Aio::FdSet(std::move(rest)));
   }
   if (wake) {
-    ReadCounter(inbox_->wake_fd);
+    ReadCounter(inbox_->wake_fd.get());
     inbox_->woken = false;
     DeliverResponses();
   }
   if (tick) {
-    ReadCounter(timer_fd_);
+    ReadCounter(timer_fd_.get());
     HandleTick();
   }
 }
@@ -230,7 +217,7 @@
   // Counted before the hand-over, because the response may already be on its
   // way when the sink returns.
   shared_->in_flight.fetch_add(1);
-  if (shared_->sink(std::move(parsed.request))) {
+  if (shared_->sink(parsed.request)) {
     return;
   }
   shared_->Finished();
@@ -391,7 +378,7 @@
   const timespec interval =
       armed ? ToTimespec(TickInterval(shared_->options)) : timespec{};
   const itimerspec timer{.it_interval = interval, .it_value = interval};
-  timerfd_settime(timer_fd_, 0, &timer, nullptr);
+  timerfd_settime(timer_fd_.get(), 0, &timer, nullptr);
 }
 
 void FrontHandler::onConnection(
--- a/packages/http/src/front_transport_p.h
+++ b/packages/http/src/front_transport_p.h
@@ -27,7 +27,6 @@
  public:
   FrontTransport(const std::shared_ptr<Pistache::Tcp::Handler>& handler,
                  std::shared_ptr<FrontShared> shared);
-  ~FrontTransport() override;
 
   void registerPoller(Pistache::Polling::Epoll& poller) override;
   void onReady(const Pistache::Aio::FdSet& fds) override;
@@ -60,7 +59,7 @@
   ResponseInbox* inbox_ = nullptr;
   std::uint64_t index_ = 0;
   std::uint64_t sequence_ = 0;
-  int timer_fd_ = -1;
+  UniqueFd timer_fd_;
   std::unordered_map<int, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::RequestId, Connection*> pending_;
   std::vector<Response> drained_;
--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -94,8 +94,7 @@
   while (!rest.empty()) {
     const std::size_t end = rest.find("\r\n");
     const std::string_view line = rest.substr(0, end);
-    const ParseResult result =
-        first ? ParseRequestLine(line) : ParseHeaderLine(line);
+    ParseResult result = first ? ParseRequestLine(line) : ParseHeaderLine(line);
     if (std::holds_alternative<ParseError>(result)) {
       return result;
     }
@@ -244,7 +243,7 @@
       return ParseError{400, "bad_chunk"};
     }
     line_.resize(line_.size() - 2);
-    const ParseResult result = StartChunk();
+    ParseResult result = StartChunk();
     if (!std::holds_alternative<NeedMore>(result)) {
       return result;
     }
--- a/packages/http/src/upstream.cc
+++ b/packages/http/src/upstream.cc
@@ -251,13 +251,13 @@
 }
 
 void Upstream::Impl::Emit(UpstreamEvent&& event) {
-  if (!refused_events.empty() || !sink(std::move(event))) {
+  if (!refused_events.empty() || !sink(event)) {
     refused_events.push_back(std::move(event));
   }
 }
 
 void Upstream::Impl::FlushEvents() {
-  while (!refused_events.empty() && sink(std::move(refused_events.front()))) {
+  while (!refused_events.empty() && sink(refused_events.front())) {
     refused_events.pop_front();
   }
 }
--- a/packages/http/tests/path_test.cc
+++ b/packages/http/tests/path_test.cc
@@ -66,12 +66,9 @@
   const auto endpoint = standin::EndpointStandIn::Start({});
   REQUIRE(endpoint != nullptr);
   runtime::Ring<Message> inbox(256);
-  const auto push = [&inbox](auto&& value) {
-    return inbox.TryPush(Message(std::move(value)));
-  };
-  const auto front = Front::Builder().on_request(push).Start();
+  const auto front = Front::Builder().requests(inbox).Start();
   REQUIRE(front != nullptr);
-  const auto upstream = Upstream::Builder().on_event(push).Start();
+  const auto upstream = Upstream::Builder().events(inbox).Start();
   REQUIRE(upstream != nullptr);
   ForwardingRouter router(
       inbox, "http://127.0.0.1:" + std::to_string(endpoint->port()));
--- a/standins/endpoint/endpoint_standin.cc
+++ b/standins/endpoint/endpoint_standin.cc
@@ -205,7 +205,7 @@
 
 void EndpointStandIn::Serve(int fd, Handler handler) {
   http::RequestParser parser({.max_body_bytes = 64UL * 1024 * 1024});
-  std::array<char, 16 * 1024> buffer;
+  std::array<char, 16UL * 1024> buffer;
   while (true) {
     const ssize_t size = recv(fd, buffer.data(), buffer.size(), 0);
     if (size <= 0) {
