--- a/standins/platform/table_server.cc
+++ b/standins/platform/table_server.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "platform/json.h"
 
@@ -17,16 +19,23 @@
       .count();
 }
 
+TableServer::Options WithClock(TableServer::Options options) {
+  if (!options.now_ms) {
+    options.now_ms = NowMillis;
+  }
+  return options;
+}
+
 }  // namespace
 
-TableServer::TableServer(const Options& options)
-    : options_(options),
-      writes_{.tokens = double(options.writes_per_second),
-              .refilled_ms = NowMillis()},
-      reads_{.tokens = double(options.reads_per_second),
-             .refilled_ms = NowMillis()},
+TableServer::TableServer(Options options)
+    : options_(WithClock(std::move(options))),
+      writes_{.tokens = double(options_.writes_per_second),
+              .refilled_ms = options_.now_ms()},
+      reads_{.tokens = double(options_.reads_per_second),
+             .refilled_ms = options_.now_ms()},
       server_(
-          options.port,
+          options_.port,
           [](const Request& r) { return r.path == "/v1/table/transact"; },
           [this](const Request& r) { return Handle(r); }) {}
 
@@ -55,7 +64,7 @@
 }
 
 bool TableServer::TakeToken(Bucket& bucket, std::uint32_t per_second) {
-  const std::int64_t now = NowMillis();
+  const std::int64_t now = options_.now_ms();
   const double refill =
       double(now - bucket.refilled_ms) * double(per_second) / 1000.0;
   bucket = {.tokens = std::min(double(per_second), bucket.tokens + refill),
--- a/standins/platform/table_server.h
+++ b/standins/platform/table_server.h
@@ -4,6 +4,7 @@
 #include <json/json.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -30,9 +31,11 @@
     std::uint16_t port = 0;
     std::uint32_t writes_per_second = 400;  ///< A transaction is one write.
     std::uint32_t reads_per_second = 2000;
+    /// Clock of the rate limits; the monotonic clock when empty.
+    std::function<std::int64_t()> now_ms;
   };
 
-  explicit TableServer(const Options& options);
+  explicit TableServer(Options options);
 
   FaultServer& server() { return server_; }
 
--- a/standins/platform/vm_list_server.cc
+++ b/standins/platform/vm_list_server.cc
@@ -27,8 +27,11 @@
   }
   const auto now = std::chrono::steady_clock::now();
   const auto lag = std::chrono::milliseconds(server_.faults().lag_ms);
+  if (request.write) {
+    return Change(request);
+  }
   const std::lock_guard lock(mutex_);
-  return request.write ? Change(request) : Show(now - lag);
+  return Show(now - lag);
 }
 
 Reply VmListServer::Change(const Request& request) {
@@ -37,6 +40,7 @@
                    kStates.end()) {
     return {.status = 400};
   }
+  const std::lock_guard lock(mutex_);
   const std::string name = (*body)["name"].asString();
   List list = history_.back().second;
   list.erase(name);
