--- a/packages/retry/src/request_bindings.cc
+++ b/packages/retry/src/request_bindings.cc
@@ -28,7 +28,6 @@
       .Action("release_endpoint", [](Scope& s) { s.Release(); })
       .Action("keep_reason", [](Scope& s) { s.KeepReason(); })
       .Action("note_may_have_run", [](Scope& s) { s.NoteMayHaveRun(); })
-      .Action("note_slow_rack", [](Scope& s) { s.NoteSlowRack(); })
       .Action("spend_retry", [](Scope& s) { s.SpendRetry(); })
       .Action("deliver_answered", [](Scope& s) { s.DeliverAnswered(); })
       .Action("deliver_failed", [](Scope& s) { s.DeliverFailed(); })
--- a/packages/retry/src/request_scope.cc
+++ b/packages/retry/src/request_scope.cc
@@ -106,7 +106,8 @@
 void Scope::Release() {
   const AttemptResult result = ResultOfAttempt();
   if (result != AttemptResult::kAnswered &&
-      result != AttemptResult::kNoFirstByte) {
+      (result != AttemptResult::kNoFirstByte ||
+       shared_->policy.avoid_slow_racks)) {
     instance_->racks_tried_last.Add(instance_->rack);
   }
   out_->push_back(ReleaseEndpoint{.request = request(),
@@ -124,12 +125,6 @@
   instance_->retry_after = details_->retry_after;
 }
 
-void Scope::NoteSlowRack() {
-  if (shared_->policy.avoid_slow_racks) {
-    instance_->racks_tried_last.Add(instance_->rack);
-  }
-}
-
 void Scope::SpendRetry() {
   ++shared_->counters.retries;
   shared_->budget.CountRetry(now_);
--- a/packages/retry/src/request_scope_p.h
+++ b/packages/retry/src/request_scope_p.h
@@ -92,7 +92,6 @@
   void Release();
   void KeepReason();
   void NoteMayHaveRun() { instance_->may_have_run = true; }
-  void NoteSlowRack();
   void SpendRetry();
   void DeliverAnswered();
   void DeliverFailed();
--- a/packages/retry/tests/retry_policy_test.cc
+++ b/packages/retry/tests/retry_policy_test.cc
@@ -89,6 +89,22 @@
   }
 }
 
+// Guards against a timeout of the adapter that escapes the switch.
+TEST_CASE("a first-byte timeout reported by the adapter counts the same") {
+  for (const bool on : {true, false}) {
+    Fixture f(ShippedChart(), {.avoid_slow_racks = on});
+    Begin(f, true);
+    Connect(f, 1);
+    f.Send(ExchangeFailed{kRequest, core::AttemptId(1),
+                          ExchangeStage::kAwaitingFirstByte,
+                          Reason::kFirstByteTimeout});
+    ExpireLastTimer(f);
+    const auto choose = f.Fresh<ChooseEndpoint>();
+    REQUIRE(choose.size() == 1);
+    CHECK(choose[0].racks_tried_last.Contains(core::RackId(1)) == on);
+  }
+}
+
 // Guards against a key whose later submissions never learn the outcome.
 TEST_CASE("the holder of a key stores its outcome") {
   Fixture f;
