Fit KeyClaims to the table service; start the first-byte limit when connecting

Cause: the store package reports only which rows conflicted, with versions, and the upstream adapter does not report connections. So conflicting rows are now read back like those of a lost answer, outcomes are written on the version that the claim got, and the first-byte timer also runs in state connecting. Otherwise an idempotent request at a silent endpoint would wait for its deadline behind an adapter that does not report connections.

Ruled out: asking the adapter for contents with the conflict, which would cost it a second exchange hidden from the limit of one transaction in flight.

The outcome table asks for a retry in connecting x first-byte timeout x idempotent where it asked for nothing before; no other cell changed.

--- a/packages/retry/include/retry/key_claims.h
+++ b/packages/retry/include/retry/key_claims.h
@@ -34,10 +34,14 @@
   auto operator<=>(const KeyName&) const = default;
 };
 
+/// Version of a row, as the table service numbers it.
+using KeyRowVersion = std::uint64_t;
+
 /// What the table service holds for a key.
 struct KeyRow {
   ClaimId claim;
   std::optional<StoredOutcome> outcome;
+  KeyRowVersion version = 0;
 };
 
 // Events.
@@ -55,20 +59,16 @@
   StoredOutcome outcome;
 };
 
-/// Every row of the transaction was written.
+/// Every row of the transaction was written with this version.
 struct KeysWritten {
   KeyTransactionId transaction;
+  KeyRowVersion version = 0;
 };
 
-struct KeyConflict {
-  std::size_t index = 0;  ///< Of the row in the transaction.
-  KeyRow row;             ///< What the table holds instead.
-};
-
-/// Nothing was written, because these rows have other contents.
+/// Nothing was written, because the conditions of some rows did not hold.
 struct KeysConflicted {
   KeyTransactionId transaction;
-  std::vector<KeyConflict> conflicts;
+  std::vector<std::size_t> rows;  ///< Indexes in the transaction.
 };
 
 /// The answer was lost: the rows may have been written, or may be later.
@@ -108,10 +108,11 @@
   ClaimId claim;
 };
 
-/// Takes effect only if the row's claim is @p claim.
+/// Takes effect only if the row still has this version.
 struct UpdateKey {
   KeyName key;
-  ClaimId claim;
+  KeyRowVersion version = 0;
+  ClaimId claim;  ///< Written again with the outcome.
   StoredOutcome outcome;
 };
 
@@ -124,7 +125,8 @@
   std::vector<KeyWrite> writes;
 };
 
-/// Answered by KeysRead or KeysReadFailed.
+/// Asks what rows hold after a conflict or a lost answer. Answered by KeysRead
+/// or KeysReadFailed.
 struct ReadKeys {
   KeyTransactionId transaction;
   std::vector<KeyName> keys;
@@ -147,9 +149,9 @@
 using KeyCommand = std::variant<WriteKeys, ReadKeys, KeyAnswer>;
 
 struct KeyClaimsSettings {
-  std::size_t max_pending = 1024;  ///< Claims and outcomes each.
-  std::size_t max_abandoned = 10'000;
-  int max_tries = 3;  ///< Writes of one claim.
+  std::size_t max_pending = 1024;       ///< Claims and outcomes each.
+  std::size_t max_remembered = 10'000;  ///< Claims granted or given up, each.
+  int max_tries = 3;                    ///< Writes of one claim.
   core::Duration retry_after = std::chrono::seconds(1);
 };
 
@@ -190,10 +192,17 @@
   struct Update {
     ClaimId claim;
     KeyName key;
+    KeyRowVersion version = 0;
     StoredOutcome outcome;
     int tries = 0;
   };
 
+  /// Row behind a granted claim; its claim differs after a takeover.
+  struct GrantedRow {
+    ClaimId claim;
+    KeyRowVersion version = 0;
+  };
+
   using Item = std::variant<Claim, Update>;
 
   enum class Phase : std::uint8_t { kIdle, kWriting, kReading };
@@ -212,7 +221,9 @@
   void StartTransaction();
   void FillGroup();
   bool InGroup(const KeyName& key) const;
-  void Grant(const Claim& claim);
+  void ReadGroup();
+  void PutBack(Item& item);
+  void Grant(const Claim& claim, const GrantedRow& row);
   void Resolve(Claim& claim, const KeyRow& row);
   void Resolve(Update& update, const KeyRow& row);
   void Repeat(Claim& claim);
@@ -221,7 +232,7 @@
   void GiveUpWaiting();
   void Unresolved(const Claim& claim, Reason reason);
   void Abandon(const ClaimId& claim);
-  bool TakeOver(const Claim& claim, const KeyRow& row);
+  bool TakeOver(const KeyRow& row);
   std::optional<StoredOutcome> OutcomeOf(const KeyName& key,
                                          const KeyRow& row) const;
   void AnswerClaim(KeyAnswer answer);
@@ -235,8 +246,7 @@
   std::uint64_t next_transaction_ = 0;
   std::set<ClaimId> abandoned_;
   std::deque<ClaimId> abandoned_order_;
-  /// Claims that took over an abandoned row, with the claim in that row.
-  std::map<ClaimId, ClaimId> taken_over_;
+  std::map<ClaimId, GrantedRow> granted_;
   KeyCounters counters_;
   bool store_down_ = false;
   core::TimePoint now_;
--- a/packages/retry/src/key_claims.cc
+++ b/packages/retry/src/key_claims.cc
@@ -34,13 +34,14 @@
 }
 
 void KeyClaims::On(const ReportKeyOutcome& event) {
-  if (updates_.size() >= settings_.max_pending) {
+  const auto granted = granted_.extract(event.claim);
+  if (granted.empty() || updates_.size() >= settings_.max_pending) {
     ++counters_.outcomes_dropped;
     return;
   }
-  const auto taken = taken_over_.extract(event.claim);
-  updates_.push_back({.claim = taken.empty() ? event.claim : taken.mapped(),
+  updates_.push_back({.claim = granted.mapped().claim,
                       .key = event.key,
+                      .version = granted.mapped().version,
                       .outcome = event.outcome});
 }
 
@@ -50,55 +51,33 @@
   }
   for (const Item& item : std::exchange(group_, {})) {
     if (const auto* claim = std::get_if<Claim>(&item)) {
-      Grant(*claim);
+      Grant(*claim, {.claim = claim->claim, .version = event.version});
     }
   }
 }
 
 void KeyClaims::On(const KeysConflicted& event) {
-  if (event.conflicts.empty()) {
-    // Without a conflicting row the same group would be refused for ever.
-    On(KeysWriteLost{event.transaction});
-    return;
-  }
   if (!Ends(event.transaction, Phase::kWriting)) {
     return;
   }
   std::vector<Item> group = std::exchange(group_, {});
-  std::vector<bool> resolved(group.size(), false);
-  for (const KeyConflict& conflict : event.conflicts) {
-    if (conflict.index < group.size() && !resolved[conflict.index]) {
-      resolved[conflict.index] = true;
-      std::visit([&](auto& item) { Resolve(item, conflict.row); },
-                 group[conflict.index]);
-    }
-  }
+  // Without a conflicting row the same group would be refused for ever, so all
+  // of it is read.
   for (std::size_t i = group.size(); i-- > 0;) {
-    if (!resolved[i]) {
-      std::visit(core::Overloaded{[this](Claim& claim) {
-                                    --claim.tries;
-                                    claims_.push_front(std::move(claim));
-                                  },
-                                  [this](Update& update) {
-                                    --update.tries;
-                                    updates_.push_front(std::move(update));
-                                  }},
-                 group[i]);
+    if (event.rows.empty() ||
+        std::ranges::find(event.rows, i) != event.rows.end()) {
+      group_.push_back(std::move(group[i]));
+    } else {
+      PutBack(group[i]);
     }
   }
+  ReadGroup();
 }
 
 void KeyClaims::On(const KeysWriteLost& event) {
-  if (!Ends(event.transaction, Phase::kWriting)) {
-    return;
+  if (Ends(event.transaction, Phase::kWriting)) {
+    ReadGroup();
   }
-  ReadKeys read{.transaction = event.transaction};
-  std::ranges::transform(
-      group_, std::back_inserter(read.keys), [](const Item& item) {
-        return std::visit([](const auto& typed) { return typed.key; }, item);
-      });
-  phase_ = Phase::kReading;
-  out_->emplace_back(std::move(read));
 }
 
 void KeyClaims::On(const KeyStoreDown& event) {
@@ -156,6 +135,28 @@
   GiveUpWaiting();
 }
 
+void KeyClaims::ReadGroup() {
+  ReadKeys read{.transaction = transaction_};
+  std::ranges::transform(
+      group_, std::back_inserter(read.keys), [](const Item& item) {
+        return std::visit([](const auto& typed) { return typed.key; }, item);
+      });
+  phase_ = Phase::kReading;
+  out_->emplace_back(std::move(read));
+}
+
+void KeyClaims::PutBack(Item& item) {
+  std::visit(core::Overloaded{[this](Claim& claim) {
+                                --claim.tries;
+                                claims_.push_front(std::move(claim));
+                              },
+                              [this](Update& update) {
+                                --update.tries;
+                                updates_.push_front(std::move(update));
+                              }},
+             item);
+}
+
 bool KeyClaims::Ends(KeyTransactionId transaction, Phase phase) {
   if (transaction != transaction_ || phase != phase_) {
     ++counters_.stale_dropped;
@@ -185,6 +186,7 @@
                              [](Update& update) -> KeyWrite {
                                ++update.tries;
                                return UpdateKey{.key = update.key,
+                                                .version = update.version,
                                                 .claim = update.claim,
                                                 .outcome = update.outcome};
                              }},
@@ -223,20 +225,24 @@
   });
 }
 
-void KeyClaims::Grant(const Claim& claim) {
+void KeyClaims::Grant(const Claim& claim, const GrantedRow& row) {
   if (claim.deadline <= now_) {
     // The request was delivered at its deadline and will not run.
-    const auto taken = taken_over_.extract(claim.claim);
-    Abandon(taken.empty() ? claim.claim : taken.mapped());
+    Abandon(row.claim);
     Unresolved(claim, Reason::kDeadline);
     return;
   }
+  if (granted_.size() >= settings_.max_remembered) {
+    // Its outcome will not be stored; the key stays held.
+    granted_.erase(granted_.begin());
+  }
+  granted_[claim.claim] = row;
   AnswerClaim({.claim = claim.claim, .verdict = KeyVerdict::kGranted});
 }
 
 void KeyClaims::Resolve(Claim& claim, const KeyRow& row) {
-  if (row.claim == claim.claim || TakeOver(claim, row)) {
-    Grant(claim);
+  if (row.claim == claim.claim || TakeOver(row)) {
+    Grant(claim, {.claim = row.claim, .version = row.version});
     return;
   }
   AnswerClaim({.claim = claim.claim,
@@ -246,14 +252,12 @@
 }
 
 void KeyClaims::Resolve(Update& update, const KeyRow& row) {
-  if (row.outcome.has_value() && row.claim == update.claim) {
-    return;
-  }
   if (row.claim != update.claim) {
     ++counters_.outcomes_dropped;
-    return;
+  } else if (!row.outcome.has_value()) {
+    update.version = row.version;
+    Repeat(update);
   }
-  Repeat(update);
 }
 
 void KeyClaims::Repeat(Claim& claim) {
@@ -297,7 +301,7 @@
 }
 
 void KeyClaims::Abandon(const ClaimId& claim) {
-  if (abandoned_.size() >= settings_.max_abandoned) {
+  if (abandoned_.size() >= settings_.max_remembered) {
     abandoned_.erase(abandoned_order_.front());
     abandoned_order_.pop_front();
   }
@@ -305,16 +309,11 @@
   abandoned_order_.push_back(claim);
 }
 
-bool KeyClaims::TakeOver(const Claim& claim, const KeyRow& row) {
+bool KeyClaims::TakeOver(const KeyRow& row) {
   if (row.outcome.has_value() || abandoned_.erase(row.claim) == 0) {
     return false;
   }
   std::erase(abandoned_order_, row.claim);
-  if (taken_over_.size() >= settings_.max_abandoned) {
-    // Its outcome will not be stored; the key stays held.
-    taken_over_.erase(taken_over_.begin());
-  }
-  taken_over_[claim.claim] = row.claim;
   return true;
 }
 
--- a/packages/retry/tests/key_claims_test.cc
+++ b/packages/retry/tests/key_claims_test.cc
@@ -32,9 +32,9 @@
       case StoreFault::kNone:
         break;
     }
-    std::vector<KeyConflict> conflicts = Apply(command);
+    std::vector<std::size_t> conflicts = Apply(command);
     if (conflicts.empty()) {
-      return KeysWritten{command.transaction};
+      return KeysWritten{command.transaction, version_};
     }
     return KeysConflicted{command.transaction, std::move(conflicts)};
   }
@@ -56,31 +56,34 @@
   bool unconditional = false;
 
  private:
-  std::vector<KeyConflict> Apply(const WriteKeys& command) {
-    std::vector<KeyConflict> conflicts;
+  std::vector<std::size_t> Apply(const WriteKeys& command) {
+    std::vector<std::size_t> conflicts;
     for (std::size_t i = 0; i < command.writes.size(); ++i) {
-      std::visit(
+      const bool holds = std::visit(
           core::Overloaded{[&](const InsertKey& write) {
-                             const auto found = rows_.find(write.key);
-                             if (found != rows_.end() && !unconditional) {
-                               conflicts.push_back({i, found->second});
-                             }
+                             return !rows_.contains(write.key) || unconditional;
                            },
                            [&](const UpdateKey& write) {
-                             const KeyRow& row = rows_[write.key];
-                             if (row.claim != write.claim) {
-                               conflicts.push_back({i, row});
-                             }
+                             const auto found = rows_.find(write.key);
+                             return found != rows_.end() &&
+                                    found->second.version == write.version;
                            }},
           command.writes[i]);
+      if (!holds) {
+        conflicts.push_back(i);
+      }
     }
     if (conflicts.empty()) {
+      ++version_;
       for (const KeyWrite& write : command.writes) {
-        std::visit(
-            core::Overloaded{
-                [&](const InsertKey& w) { rows_[w.key] = {.claim = w.claim}; },
-                [&](const UpdateKey& w) { rows_[w.key].outcome = w.outcome; }},
-            write);
+        std::visit(core::Overloaded{
+                       [&](const InsertKey& w) {
+                         rows_[w.key] = {.claim = w.claim, .version = version_};
+                       },
+                       [&](const UpdateKey& w) {
+                         rows_[w.key] = {w.claim, w.outcome, version_};
+                       }},
+                   write);
       }
     }
     return conflicts;
@@ -93,6 +96,7 @@
   }
 
   std::map<KeyName, KeyRow> rows_;
+  KeyRowVersion version_ = 0;
   std::optional<WriteKeys> delayed_;
 };
 
@@ -124,6 +128,12 @@
     Give(entry, ClaimCallerKey{Id(request), {.text = key}, now + seconds(9)});
   }
 
+  void AnswerAll(Entry& entry) {
+    while (!entry.waiting.empty()) {
+      Answer(entry, StoreFault::kNone);
+    }
+  }
+
   /// Lets the table answer the oldest command of @p entry.
   void Answer(Entry& entry, StoreFault fault) {
     const KeyCommand command = entry.waiting.front();
@@ -154,11 +164,7 @@
                                  : StoreFault::kNone);
       }
     }
-    for (Entry& entry : entries) {
-      while (!entry.waiting.empty()) {
-        Answer(entry, StoreFault::kNone);
-      }
-    }
+    std::ranges::for_each(entries, [this](Entry& entry) { AnswerAll(entry); });
   }
 
   /// @returns whether a key was granted twice.
@@ -212,12 +218,10 @@
     Entry entry;
     world.Claim(entry, 1, "k");
     world.Answer(entry, fault);
-    while (!entry.waiting.empty()) {
-      world.Answer(entry, StoreFault::kNone);
-    }
+    world.AnswerAll(entry);
     CHECK(world.Verdict(1) == KeyVerdict::kGranted);
     world.Claim(entry, 2, "k");
-    world.Answer(entry, StoreFault::kNone);
+    world.AnswerAll(entry);
     CHECK(world.Verdict(2) == KeyVerdict::kHeld);
   }
 }
@@ -235,7 +239,7 @@
   CHECK(world.answers[World::Id(1)][0].retry_after > core::Duration::zero());
   CHECK(entry.waiting.empty());
   world.Claim(entry, 3, "k");
-  world.Answer(entry, StoreFault::kNone);
+  world.AnswerAll(entry);
   CHECK(world.Verdict(3) == KeyVerdict::kGranted);
 
   // The outcome goes to the row that the first claim left behind.
@@ -245,7 +249,7 @@
   world.Answer(entry, StoreFault::kNone);
   Entry peer;
   world.Claim(peer, 4, "k");
-  world.Answer(peer, StoreFault::kNone);
+  world.AnswerAll(peer);
   CHECK(world.Verdict(4) == KeyVerdict::kHeld);
   CHECK(world.answers[World::Id(4)][0].stored.has_value());
 }
--- a/packages/retry/tests/outcome_table_test.cc
+++ b/packages/retry/tests/outcome_table_test.cc
@@ -110,7 +110,8 @@
                        std::ranges::find(stopped, timers.back().timer,
                                          &CancelTimer::timer) == stopped.end();
   const auto state = f.table->StateOf(kRequest);
-  if (running && (state == "sending" || state == "awaiting_first_byte")) {
+  if (running && (state == "connecting" || state == "sending" ||
+                  state == "awaiting_first_byte")) {
     f.now = timers.back().at;
     f.Send(TimerExpired{kRequest, timers.back().timer});
   }
@@ -200,10 +201,7 @@
     case Fault::kMarkerWithout503:
       return exchanging || state == "cancelling" ? "answered" : "-";
     case Fault::kFirstByteTimeout:
-      return (state == "sending" || state == "awaiting_first_byte") &&
-                     c.idempotent
-                 ? "retry"
-                 : "-";
+      return exchanging && state != "receiving" && c.idempotent ? "retry" : "-";
     case Fault::kDeadline:
       if (state == "queued") {
         return c.key == KeyKind::kNone     ? "not_run"
