Give claims up in one way when the store cannot be read

Cause: a trial that broke GiveUp (never remember a claim that may have been written) passed the tests, because a failed read had its own copy of it. KeysReadFailed now uses GiveUp, and the same trial fails the outage test. In that trial the test also read from an empty list of commands; it now requires one.

--- a/packages/retry/src/key_claims.cc
+++ b/packages/retry/src/key_claims.cc
@@ -126,8 +126,7 @@
   store_down_ = true;
   for (Item& item : std::exchange(group_, {})) {
     std::visit(core::Overloaded{[this](Claim& claim) {
-                                  Abandon(claim.claim);
-                                  Unresolved(claim, Reason::kKeyUnresolved);
+                                  GiveUp(claim, Reason::kKeyUnresolved);
                                 },
                                 [this](Update& update) { Repeat(update); }},
                item);
--- a/packages/retry/tests/key_claims_test.cc
+++ b/packages/retry/tests/key_claims_test.cc
@@ -136,6 +136,7 @@
 
   /// Lets the table answer the oldest command of @p entry.
   void Answer(Entry& entry, StoreFault fault) {
+    REQUIRE_FALSE(entry.waiting.empty());
     const KeyCommand command = entry.waiting.front();
     entry.waiting.erase(entry.waiting.begin());
     if (const auto* write = std::get_if<WriteKeys>(&command)) {
