Wire tickets and callers' keys into the entry process

Cause: requests that must not be repeated were answered unknown, because no arbiter was wired.

Found on the way: the peers' and store's threads were not started, so the first store command went through a null pointer; 'scripts/demo run' stopped without a report. Both parts are now created before the front accepts requests.

Ruled out: reading rows inside the store translation after a conflict (the claims ask for the rows themselves), and raw bytes in JSON (base64 keeps bytes that are not UTF-8).

--- a/packages/entry/src/directory.cc
+++ b/packages/entry/src/directory.cc
@@ -18,6 +18,11 @@
                             .connections = endpoint.connections});
     }
   }
+  for (const config::EntrySettings& entry : settings.entries) {
+    entries_.Intern(entry.name);
+    entry_settings_.push_back(&entry);
+  }
+  own_entry_ = entries_.Find(settings.entry);
   const config::EntrySettings& self = settings.self();
   own_domain_ = domains_.Intern(self.failure_domain);
   own_seat_ = routing::SeatId(static_cast<std::uint32_t>(self.seat));
--- a/packages/entry/src/directory_p.h
+++ b/packages/entry/src/directory_p.h
@@ -40,6 +40,18 @@
     return endpoints_;
   }
 
+  core::EntryId FindEntry(std::string_view name) const {
+    return entries_.Find(name);
+  }
+  std::string_view EntryName(core::EntryId id) const {
+    return entries_.Name(id);
+  }
+  const config::EntrySettings& entry(core::EntryId id) const {
+    return *entry_settings_[id.value()];
+  }
+  std::size_t entry_count() const { return entry_settings_.size(); }
+  core::EntryId own_entry() const { return own_entry_; }
+
   core::FailureDomainId own_domain() const { return own_domain_; }
   routing::SeatId own_seat() const { return own_seat_; }
 
@@ -54,6 +66,9 @@
   std::vector<const config::ServiceSettings*> service_settings_;
   std::vector<const config::EndpointSettings*> endpoint_settings_;
   std::vector<routing::EndpointSpec> endpoints_;
+  core::NameTable<core::EntryId> entries_;
+  std::vector<const config::EntrySettings*> entry_settings_;
+  core::EntryId own_entry_;
   core::FailureDomainId own_domain_;
   routing::SeatId own_seat_;
   std::uint32_t seats_ = 0;
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -3,19 +3,23 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <random>
 #include <utility>
 
 #include "charts_p.h"
+#include "core/overloaded.h"
 #include "directory_p.h"
 #include "http/front.h"
 #include "lifecycle_p.h"
 #include "router_duty_p.h"
+#include "store/http_adapter.h"
 #include "telemetry/logger.h"
 
 namespace hickoryusher::entry {
 namespace {
 
 constexpr std::size_t kLogRingSlots = 16'384;
+constexpr std::size_t kPeerConnections = 4;
 
 http::FrontOptions MakeFrontOptions(const config::ProcessSettings& settings) {
   const auto millis = [](core::Duration duration) {
@@ -44,6 +48,47 @@
   return total;
 }
 
+/// Numbers the runs of this process. Entry VMs keep nothing, so the wall clock
+/// is the only source that grows across restarts.
+core::Incarnation MakeIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return core::Incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count()));
+}
+
+http::UpstreamCommand ToExchange(PeerCall&& call, const Directory& directory) {
+  const config::EntrySettings& to = directory.entry(call.to);
+  return http::StartExchange{
+      .id = core::AttemptId(call.id.value()),
+      .url = "http://" + to.address + ":" + std::to_string(to.port) + "/rpc",
+      .method = "POST",
+      .headers = {{"Content-Type", "application/json"}},
+      .body = std::move(call.text),
+      .idempotent = true,
+      .connect_timeout =
+          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
+      .total_timeout =
+          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
+      .max_connections_per_host = kPeerConnections};
+}
+
+/// @returns the end of a call, or nothing for an event in its course.
+std::optional<PeerReply> ToPeerReply(const http::UpstreamEvent& event) {
+  using Result = std::optional<PeerReply>;
+  return std::visit(
+      core::Overloaded{
+          [](const http::FirstByte&) -> Result { return std::nullopt; },
+          [](const http::Completed& e) -> Result {
+            return PeerReply{.id = PeerCallId(e.id.value()), .text = e.body};
+          },
+          [](const http::Failed& e) -> Result {
+            return PeerReply{.id = PeerCallId(e.id.value()),
+                             .text = std::nullopt};
+          }},
+      event);
+}
+
 }  // namespace
 
 struct Process::Impl {
@@ -54,6 +99,8 @@
   telemetry::Metrics metrics;
   std::unique_ptr<RouterDuty> router;
   std::unique_ptr<http::Upstream> upstream;
+  std::unique_ptr<http::Upstream> peers;
+  std::unique_ptr<store::HttpAdapter> store;
   std::unique_ptr<http::Front> front;
   std::optional<Lifecycle> lifecycle;
 
@@ -63,12 +110,15 @@
         directory(settings) {}
 
   bool Start(std::vector<std::string>& errors) {
-    return MakeRouter(errors) && MakeUpstream(errors) &&
+    MakeStore();
+    return MakeRouter(errors) && MakeUpstream(errors) && MakePeers(errors) &&
            MakeLifecycle(errors) && MakeFront(errors);
   }
 
   bool MakeRouter(std::vector<std::string>& errors);
   bool MakeUpstream(std::vector<std::string>& errors);
+  bool MakePeers(std::vector<std::string>& errors);
+  void MakeStore();
   bool MakeLifecycle(std::vector<std::string>& errors);
   bool MakeFront(std::vector<std::string>& errors);
   std::optional<std::vector<admission::Controller>> MakeAdmission(
@@ -128,6 +178,7 @@
       .requests = *std::move(table),
       .admission = *std::move(admission),
       .router = *std::move(router_decisions),
+      .keys = KeyArbiter(directory, MakeIncarnation(), std::random_device()()),
       .metrics = metrics,
       .log = [this](const core::LogLine& line) { logger.Write(line); },
       .longest_deadline = settings.limits.longest_deadline,
@@ -142,16 +193,7 @@
 
 bool Process::Impl::MakeUpstream(std::vector<std::string>& errors) {
   http::Upstream::Builder builder;
-  builder.on_event([this](http::UpstreamEvent&& event) {
-    RouterInput input(std::move(event));
-    if (router->inputs().TryPush(std::move(input))) {
-      return true;
-    }
-    // A refused push leaves the input with its producer, so the event can be
-    // offered again.
-    event = std::move(std::get<http::UpstreamEvent>(input));
-    return false;
-  });
+  builder.events(router->inputs());
   upstream = builder.Start();
   if (!upstream) {
     errors.push_back(builder.last_error());
@@ -159,6 +201,29 @@
   return upstream != nullptr;
 }
 
+bool Process::Impl::MakePeers(std::vector<std::string>& errors) {
+  http::Upstream::Builder builder;
+  builder.on_event([this](http::UpstreamEvent& event) {
+    const auto reply = ToPeerReply(event);
+    return !reply || router->inputs().TryPush(RouterInput(*reply));
+  });
+  peers = builder.Start();
+  if (!peers) {
+    errors.push_back(builder.last_error());
+  }
+  return peers != nullptr;
+}
+
+void Process::Impl::MakeStore() {
+  store = std::make_unique<store::HttpAdapter>(
+      store::HttpAdapter::Options{.table_url = settings.platform.table_url,
+                                  .object_url = settings.platform.object_url,
+                                  .vm_list_url = settings.platform.vm_list_url},
+      [this](store::Event&& event) {
+        return router->inputs().TryPush(RouterInput(event));
+      });
+}
+
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   lifecycle = Lifecycle::Create(
@@ -178,9 +243,7 @@
 bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
-      .on_request([this](http::IncomingRequest&& request) {
-        return router->inputs().TryPush(RouterInput(std::move(request)));
-      })
+      .requests(router->inputs())
       .log([this](std::string line) { logger.WriteText(std::move(line)); });
   front = builder.Start();
   if (!front) {
@@ -193,6 +256,12 @@
        .send =
            [this](http::UpstreamCommand&& c) {
              return upstream->TrySend(std::move(c));
+           },
+       .store =
+           [this](store::Command&& c) { return store->Send(std::move(c)); },
+       .call =
+           [this](PeerCall&& c) {
+             return peers->TrySend(ToExchange(std::move(c), directory));
            }});
   lifecycle->Dispatch("ready");
   logger.Write(core::LogLine("entry_ready")
@@ -209,6 +278,10 @@
   if (upstream) {
     upstream->Shutdown();
   }
+  if (peers) {
+    peers->Shutdown();
+  }
+  store.reset();
   if (router) {
     router->Stop();
   }
--- a/packages/entry/src/request_path.cc
+++ b/packages/entry/src/request_path.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "key_codec_p.h"
 #include "request_path_p.h"
 
 namespace hickoryusher::entry {
@@ -118,6 +119,18 @@
   DispatchQueued(now);
 }
 
+void RequestPath::Handle(const store::Event& event, core::TimePoint now) {
+  parts_.keys.Handle(event, now);
+  TakeKeyOutputs();
+  DispatchQueued(now);
+}
+
+void RequestPath::Handle(const PeerReply& reply, core::TimePoint now) {
+  parts_.keys.Handle(reply, now);
+  TakeKeyOutputs();
+  DispatchQueued(now);
+}
+
 void RequestPath::Handle(const routing::MembershipEvent& event,
                          core::TimePoint now) {
   parts_.router.Handle(event, now);
@@ -161,6 +174,13 @@
   }
 }
 
+void RequestPath::TakeKeyOutputs() {
+  KeyOutputs outputs = parts_.keys.TakeOutputs();
+  std::ranges::move(outputs.events, std::back_inserter(events_));
+  std::ranges::move(outputs.commands, std::back_inserter(commands_));
+  std::ranges::move(outputs.calls, std::back_inserter(commands_));
+}
+
 void RequestPath::RunAdmission(core::ServiceId service,
                                const admission::Event& event,
                                core::TimePoint now) {
@@ -193,15 +213,35 @@
                now);
 }
 
-void RequestPath::On(const retry::ClaimKey& command, core::TimePoint) {
-  events_.push_back(retry::KeyUnresolved{.request = command.request});
+void RequestPath::On(const retry::ClaimKey& command, core::TimePoint now) {
+  parts_.keys.Claim(command, callers_.at(command.request).deadline, now);
+  TakeKeyOutputs();
 }
 
-void RequestPath::On(const retry::VoidKey& command, core::TimePoint) {
-  events_.push_back(retry::KeyUnresolved{.request = command.request});
+void RequestPath::On(const retry::VoidKey& command, core::TimePoint now) {
+  parts_.keys.Void(command, now);
+  TakeKeyOutputs();
 }
 
-void RequestPath::On(const retry::StoreKeyOutcome&, core::TimePoint) {}
+void RequestPath::On(const retry::StoreKeyOutcome& command,
+                     core::TimePoint now) {
+  retry::StoreKeyOutcome report = command;
+  const auto caller = callers_.find(command.request);
+  if (command.outcome.outcome == retry::Outcome::kAnswered &&
+      caller != callers_.end() && caller->second.answer) {
+    const auto text = EncodeStoredResponse(caller->second.answer->headers,
+                                           caller->second.answer->body);
+    if (text) {
+      report.outcome.response = *text;
+    } else {
+      // The response is too large to be kept, so a repeated request can only be
+      // told that the first one ran.
+      report.outcome.outcome = retry::Outcome::kUnknown;
+    }
+  }
+  parts_.keys.Report(report, now);
+  TakeKeyOutputs();
+}
 
 void RequestPath::On(const retry::ChooseEndpoint& command,
                      core::TimePoint now) {
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -16,6 +16,8 @@
 #include "directory_p.h"
 #include "http/message.h"
 #include "http/upstream.h"
+#include "key_arbiter_p.h"
+#include "peer_message_p.h"
 #include "request_codec_p.h"
 #include "retry/request_table.h"
 #include "routing/router.h"
@@ -25,7 +27,8 @@
 namespace hickoryusher::entry {
 
 /// What the request path asks its threads to do.
-using PathCommand = std::variant<http::Response, http::UpstreamCommand>;
+using PathCommand = std::
+    variant<http::Response, http::UpstreamCommand, store::Command, PeerCall>;
 
 /// Joins admission, retry and routing into the path of a request. Runs on the
 /// router thread; its outputs are carried out by the caller.
@@ -36,6 +39,7 @@
     retry::RequestTable requests;
     std::vector<admission::Controller> admission;  ///< By service.
     routing::Router router;
+    KeyArbiter keys;
     telemetry::Metrics& metrics;
     std::function<void(const core::LogLine&)> log;
     core::Duration longest_deadline;
@@ -50,6 +54,10 @@
   /// Takes the progress of an exchange with an endpoint.
   void Handle(http::UpstreamEvent&& event, core::TimePoint now);
 
+  /// Takes the end of a store command or of a call to another entry process.
+  void Handle(const store::Event& event, core::TimePoint now);
+  void Handle(const PeerReply& reply, core::TimePoint now);
+
   /// Applies a change of the fleet.
   void Handle(const routing::MembershipEvent& event, core::TimePoint now);
 
@@ -65,6 +73,8 @@
   /// Moves the commands collected so far to @p out.
   void TakeCommands(std::vector<PathCommand>& out);
 
+  KeyArbiter& keys() { return parts_.keys; }
+
   /// @returns requests without an outcome.
   std::size_t in_progress() const { return callers_.size(); }
 
@@ -75,7 +85,7 @@
     core::WorkClass work_class = core::WorkClass::kBatch;
     core::TimePoint deadline;
     bool idempotent = false;
-    std::optional<http::Completed> answer;
+    std::optional<http::Completed> answer;  ///< Of the latest attempt.
   };
 
   struct Attempt {
@@ -85,6 +95,7 @@
 
   void Dispatch(const retry::RequestEvent& event, core::TimePoint now);
   void DispatchQueued(core::TimePoint now);
+  void TakeKeyOutputs();
   void RunAdmission(core::ServiceId service,
                     const admission::Event& event,
                     core::TimePoint now);
--- a/packages/entry/src/router_duty.cc
+++ b/packages/entry/src/router_duty.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -8,6 +9,8 @@
 namespace hickoryusher::entry {
 namespace {
 
+constexpr std::string_view kRpcPath = "/rpc";
+
 core::TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -17,7 +20,9 @@
 RouterDuty::RouterDuty(std::unique_ptr<RequestPath> path,
                        telemetry::Metrics& metrics,
                        std::size_t ring_slots)
-    : path_(std::move(path)), metrics_(metrics), inputs_(ring_slots) {}
+    : path_(std::move(path)), metrics_(metrics), inputs_(ring_slots) {
+  path_->keys().tickets().AddMethods(dispatcher_);
+}
 
 RouterDuty::~RouterDuty() {
   Stop();
@@ -54,6 +59,8 @@
       core::Overloaded{
           [&](http::IncomingRequest&& r) { TakeRequest(std::move(r), now); },
           [&](http::UpstreamEvent&& e) { path_->Handle(std::move(e), now); },
+          [&](const store::Event& e) { path_->Handle(e, now); },
+          [&](const PeerReply& r) { path_->Handle(r, now); },
           [&](const routing::MembershipEvent& e) { path_->Handle(e, now); },
           [&](const StopRequested&) { path_->StartShutdown(now); }},
       std::move(input));
@@ -67,37 +74,87 @@
                                   healthy ? "ok" : "not serving"));
   } else if (request.path == "/metrics") {
     outputs_.respond(TextResponse(request.id, 200, metrics_.Collect()));
+  } else if (request.path == kRpcPath) {
+    outputs_.respond({.id = request.id,
+                      .status = 200,
+                      .headers = {{"Content-Type", "application/json"}},
+                      .body = dispatcher_.Handle(request.body)});
+  } else if (request.path == "/v1/tickets") {
+    IssueTickets(request);
   } else {
     path_->Arrive(std::move(request), now);
   }
 }
 
+void RouterDuty::IssueTickets(const http::IncomingRequest& request) {
+  constexpr std::string_view kCount = "count=";
+  std::uint32_t count = 1;
+  const std::string_view query = request.query;
+  if (query.starts_with(kCount)) {
+    const std::string_view text = query.substr(kCount.size());
+    const auto result =
+        std::from_chars(text.data(), text.data() + text.size(), count);
+    count = result.ptr == text.data() + text.size() ? count : 0;
+  } else if (!query.empty()) {
+    count = 0;
+  }
+  const auto tickets = path_->keys().tickets().Issue(count);
+  if (request.method != "POST" || !tickets) {
+    outputs_.respond(NotRunResponse(request.id, 400, "bad_ticket_count", {}));
+    return;
+  }
+  std::string body;
+  std::ranges::for_each(*tickets,
+                        [&body](const std::string& t) { body += t + '\n'; });
+  outputs_.respond({.id = request.id,
+                    .status = 200,
+                    .headers = {{"Content-Type", "text/plain; charset=utf-8"}},
+                    .body = std::move(body)});
+}
+
 void RouterDuty::CarryOut(core::TimePoint now) {
   std::vector<PathCommand> commands;
   path_->TakeCommands(commands);
   while (!commands.empty()) {
     for (PathCommand& command : commands) {
-      std::visit(
-          core::Overloaded{
-              [this](http::Response& r) { outputs_.respond(std::move(r)); },
-              [&](http::UpstreamCommand& c) {
-                if (outputs_.send(std::move(c))) {
-                  return;
-                }
-                if (const auto* start = std::get_if<http::StartExchange>(&c)) {
-                  path_->Handle(
-                      http::Failed{.id = start->id,
-                                   .stage = http::Stage::kBeforeConnection,
-                                   .reason = "exchange_limit",
-                                   .at = now},
-                      now);
-                }
-              }},
-          command);
+      std::visit([&](auto& c) { Run(c, now); }, command);
     }
     commands.clear();
     path_->TakeCommands(commands);
   }
 }
 
+void RouterDuty::Run(http::Response& response, core::TimePoint) {
+  outputs_.respond(std::move(response));
+}
+
+void RouterDuty::Run(http::UpstreamCommand& command, core::TimePoint now) {
+  if (outputs_.send(std::move(command))) {
+    return;
+  }
+  if (const auto* start = std::get_if<http::StartExchange>(&command)) {
+    path_->Handle(http::Failed{.id = start->id,
+                               .stage = http::Stage::kBeforeConnection,
+                               .reason = "exchange_limit",
+                               .at = now},
+                  now);
+  }
+}
+
+void RouterDuty::Run(store::Command& command, core::TimePoint now) {
+  const store::CommandId id = store::IdOf(command);
+  if (!outputs_.store(std::move(command))) {
+    path_->Handle(store::Event(store::Refused{
+                      .id = id, .reason = store::RefusalReason::kRingFull}),
+                  now);
+  }
+}
+
+void RouterDuty::Run(PeerCall& call, core::TimePoint now) {
+  const PeerCallId id = call.id;
+  if (!outputs_.call(std::move(call))) {
+    path_->Handle(PeerReply{.id = id, .text = std::nullopt}, now);
+  }
+}
+
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/router_duty_p.h
+++ b/packages/entry/src/router_duty_p.h
@@ -11,6 +11,7 @@
 #include "http/upstream.h"
 #include "request_path_p.h"
 #include "routing/types.h"
+#include "rpc/codec.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
 
@@ -21,6 +22,8 @@
 
 using RouterInput = std::variant<http::IncomingRequest,
                                  http::UpstreamEvent,
+                                 store::Event,
+                                 PeerReply,
                                  routing::MembershipEvent,
                                  StopRequested>;
 
@@ -32,6 +35,10 @@
     std::function<bool(http::Response)> respond;
     /// @returns false if the upstream takes no command now.
     std::function<bool(http::UpstreamCommand&&)> send;
+    /// @returns false if the store's ring is full.
+    std::function<bool(store::Command&&)> store;
+    /// @returns false if the peers' ring is full.
+    std::function<bool(PeerCall&&)> call;
   };
 
   RouterDuty(std::unique_ptr<RequestPath> path,
@@ -56,9 +63,15 @@
   void Run();
   void Take(RouterInput&& input, core::TimePoint now);
   void TakeRequest(http::IncomingRequest&& request, core::TimePoint now);
+  void IssueTickets(const http::IncomingRequest& request);
   void CarryOut(core::TimePoint now);
+  void Run(http::UpstreamCommand& command, core::TimePoint now);
+  void Run(store::Command& command, core::TimePoint now);
+  void Run(PeerCall& call, core::TimePoint now);
+  void Run(http::Response& response, core::TimePoint now);
 
   std::unique_ptr<RequestPath> path_;
+  rpc::Dispatcher dispatcher_;
   telemetry::Metrics& metrics_;
   runtime::Ring<RouterInput> inputs_;
   std::atomic<bool> healthy_ = false;
--- a/standins/endpoint/endpoint_standin.cc
+++ b/standins/endpoint/endpoint_standin.cc
@@ -231,8 +231,11 @@
 bool EndpointStandIn::HandleService(int fd,
                                     const http::IncomingRequest& request) {
   const Behaviour behaviour = this->behaviour();
+  const std::string_view name = http::FindHeader(request.headers, "Run-Name");
   const std::string_view key =
-      http::FindHeader(request.headers, "Hickoryusher-Request-Key");
+      name.empty()
+          ? http::FindHeader(request.headers, "Hickoryusher-Request-Key")
+          : name;
   if (behaviour.mode == Mode::kNotRun ||
       !record_.BeginRun(key.empty() ? std::string_view(request.path) : key)) {
     return SendAll(fd, MakeAnswer("503 Service Unavailable",
