Keep earlier requests alive when a later one on the connection times out

Cause: after a body time-out the deadline of the refused request kept running, and the connection was shut down while an earlier pipelined request was still in progress. Pistache also leaves sockets open when it shuts down, so callers with idle connections saw no end of the stream.

The connection owns its socket unless Pistache has closed it.

Conclusion: shutdown ends every connection and cuts off no request.

--- a/packages/http/src/connection_p.h
+++ b/packages/http/src/connection_p.h
@@ -1,6 +1,8 @@
 #ifndef HTTP_CONNECTION_P_H_
 #define HTTP_CONNECTION_P_H_
 
+#include <unistd.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -28,6 +30,16 @@
 /// One caller's connection, used by one thread only.
 struct Connection {
   Connection(int fd, ParseLimits limits) : fd(fd), parser(limits) {}
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /// Pistache closes the socket of a caller that leaves, but leaves the others
+  /// open when it shuts down.
+  ~Connection() {
+    if (!closed_by_pistache) {
+      close(fd);
+    }
+  }
 
   int fd;
   RequestParser parser;
@@ -36,6 +48,7 @@
   bool input_closed = false;
   bool output_closed = false;
   bool write_blocked = false;
+  bool closed_by_pistache = false;
   std::uint64_t discarded_bytes = 0;
   core::TimePoint deadline = core::TimePoint::max();
 };
--- a/packages/http/src/front_transport.cc
+++ b/packages/http/src/front_transport.cc
@@ -133,6 +133,7 @@
   if (found == connections_.end()) {
     return;
   }
+  found->second->closed_by_pistache = true;
   for (const ResponseSlot& slot : found->second->slots) {
     if (slot.handed_over) {
       pending_.erase(slot.id);
@@ -342,6 +343,8 @@
   core::TimePoint deadline = core::TimePoint::max();
   if (connection.write_blocked) {
     deadline = Now() + options.send_timeout;
+  } else if (connection.input_closed) {
+    // Only responses are left, and waiting for them has no limit here.
   } else if (connection.parser.in_body()) {
     deadline = Now() + options.body_timeout;
   } else if (connection.parser.started()) {
--- a/packages/http/tests/front_test.cc
+++ b/packages/http/tests/front_test.cc
@@ -38,7 +38,7 @@
     front = Front::Builder()
                 .options(std::move(options))
                 .requests(ring_)
-                .log([this](std::string line) {
+                .log([this](const std::string& line) {
                   const std::lock_guard lock(mutex_);
                   log_ += line + "\n";
                 })
@@ -116,11 +116,11 @@
   std::mt19937 random(kSeed);
   Harness harness({.threads = 3});
   std::vector<std::unique_ptr<RawClient>> clients;
-  constexpr int kClients = 40;
-  constexpr int kPerClient = 5;
-  for (int c = 0; c < kClients; ++c) {
+  constexpr std::size_t kClients = 40;
+  constexpr std::size_t kPerClient = 5;
+  for (std::size_t c = 0; c < kClients; ++c) {
     clients.push_back(std::make_unique<RawClient>(harness.front->port()));
-    for (int r = 0; r < kPerClient; ++r) {
+    for (std::size_t r = 0; r < kPerClient; ++r) {
       REQUIRE(clients.back()->Send(
           Get("/" + std::to_string(c) + "." + std::to_string(r))));
     }
@@ -130,8 +130,8 @@
   for (const IncomingRequest& request : requests) {
     CHECK(harness.Answer(request));
   }
-  for (int c = 0; c < kClients; ++c) {
-    for (int r = 0; r < kPerClient; ++r) {
+  for (std::size_t c = 0; c < kClients; ++c) {
+    for (std::size_t r = 0; r < kPerClient; ++r) {
       CHECK(clients[c]->ReadResponse().ends_with(
           "\r\n\r\n/" + std::to_string(c) + "." + std::to_string(r)));
     }
@@ -294,9 +294,15 @@
   harness.Answer(requests[0]);
   harness.Answer(requests[1]);
   CHECK(harness.front->WaitIdle(Soon()));
+  RawClient idle(harness.front->port());
+  while (harness.front->connections() < 3) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
   harness.front->Shutdown();
   CHECK(client.ReadResponse().ends_with("\r\n\r\n/old"));
   CHECK(client.ReadResponse().ends_with("\r\n\r\n/next"));
+  CHECK(client.ReadEnd());
+  CHECK(idle.ReadEnd());
   CHECK_FALSE(harness.Answer(requests[0]));
 }
 
@@ -324,6 +330,88 @@
   CHECK(harness.front->dropped_responses() == 40);
 }
 
+// Guards against a fault in a later request that ends the connection before an
+// earlier request is answered.
+TEST_CASE("a request in progress outlives a later one that times out") {
+  Harness harness({.body_timeout = milliseconds(50)});
+  RawClient client(harness.front->port());
+  REQUIRE(client.Send(Get("/first") +
+                      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"));
+  const auto requests = harness.Take(1);
+  while (!Contains(harness.log(), "body_timeout")) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  std::this_thread::sleep_for(milliseconds(150));  // Several time-outs more.
+  harness.Answer(requests[0]);
+  CHECK(client.ReadResponse().ends_with("\r\n\r\n/first"));
+  CHECK(client.ReadResponse().starts_with("HTTP/1.1 408 "));
+}
+
+// Guards against connections that stay open forever, and against a process
+// that dies when callers reset theirs.
+TEST_CASE("idle, reset and surplus connections are closed") {
+  Harness harness({.max_connections = 3, .idle_timeout = milliseconds(100)});
+  for (int i = 0; i < 10; ++i) {
+    RawClient client(harness.front->port());
+    REQUIRE(client.Send(i % 2 == 0 ? Get("/x") : "GET / HT"));
+    if (i % 2 == 0) {
+      harness.Take(1);
+    }
+    while (harness.front->connections() == 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    client.Reset();
+    while (harness.front->connections() > 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+  CHECK(harness.front->WaitIdle(Soon()));
+  std::vector<std::unique_ptr<RawClient>> idle;
+  for (std::size_t i = 0; i < 3; ++i) {
+    idle.push_back(std::make_unique<RawClient>(harness.front->port()));
+  }
+  while (harness.front->connections() < 3) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  RawClient surplus(harness.front->port());
+  CHECK(Contains(surplus.ReadResponse(), "connection_limit"));
+  for (const auto& client : idle) {
+    CHECK(client->ReadEnd());
+  }
+  surplus.Close();
+  while (harness.front->connections() > 0) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  harness.CheckServes();
+}
+
+// Guards against one caller that fills the process with unanswered requests.
+TEST_CASE("unanswered requests of one connection are limited") {
+  Harness harness({.max_pipelined = 2});
+  RawClient client(harness.front->port());
+  REQUIRE(client.Send(Get("/1") + Get("/2") + Get("/3") + Get("/4")));
+  for (const IncomingRequest& request : harness.Take(2)) {
+    harness.Answer(request);
+  }
+  CHECK(client.ReadResponse().ends_with("\r\n\r\n/1"));
+  CHECK(client.ReadResponse().ends_with("\r\n\r\n/2"));
+  CHECK(Contains(client.ReadResponse(), "pipeline_limit"));
+  CHECK(client.ReadEnd());
+}
+
+// Guards against a caller that holds memory by not reading its response.
+TEST_CASE("a caller that does not read is disconnected") {
+  Harness harness({.max_body_bytes = 64UL * 1024 * 1024,
+                   .send_timeout = milliseconds(100)});
+  RawClient client(harness.front->port());
+  const std::string body(32UL * 1024 * 1024, 'x');
+  REQUIRE(client.Send("POST / HTTP/1.1\r\nContent-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body));
+  harness.Answer(harness.Take(1).front());
+  CHECK(harness.front->WaitIdle(Soon()));
+  CHECK(client.ReadResponse().empty());
+}
+
 // Guards against bodies cut off when the socket's buffer is full.
 TEST_CASE("a large body passes in both directions") {
   Harness harness({.max_body_bytes = 32UL * 1024 * 1024});
--- a/packages/http/tests/socket_fakes.cc
+++ b/packages/http/tests/socket_fakes.cc
@@ -30,7 +30,10 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof address;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0) {
+    close(fd);
+    return -1;
+  }
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   port = ntohs(address.sin_port);
   return fd;
@@ -59,6 +62,12 @@
   fd_ = -1;
 }
 
+void RawClient::Reset() {
+  const linger abort{.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+  Close();
+}
+
 bool RawClient::Send(std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/packages/http/tests/socket_fakes.h
+++ b/packages/http/tests/socket_fakes.h
@@ -27,6 +27,9 @@
 
   void Close();
 
+  /// Closes with a reset instead of an orderly end.
+  void Reset();
+
  private:
   bool ReadMore();
 
--- a/packages/http/tests/upstream_test.cc
+++ b/packages/http/tests/upstream_test.cc
@@ -29,7 +29,8 @@
   core::AttemptId Start(StartExchange command) {
     command.id = core::AttemptId(next_++);
     const core::AttemptId id = command.id;
-    REQUIRE(upstream->TrySend(std::move(command)));
+    const bool taken = upstream->TrySend(std::move(command));
+    REQUIRE(taken);
     return id;
   }
 
@@ -147,11 +148,11 @@
 
 struct FaultRow {
   std::string_view name;
-  Mode mode;
   milliseconds first_byte;
   milliseconds total;
-  Stage stage;
   std::string_view reason;
+  Mode mode;
+  Stage stage;
 };
 
 // Guards against a wrong stage, which decides whether a request may be retried.
@@ -160,14 +161,14 @@
   const milliseconds brief{100};
   const milliseconds ample{10'000};
   const FaultRow rows[] = {
-      {"hang, first byte", Mode::kHang, brief, ample, Stage::kAwaitingFirstByte,
-       "first_byte_timeout"},
-      {"hang, total", Mode::kHang, none, brief, Stage::kAwaitingFirstByte,
-       "total_timeout"},
-      {"dies in mid-answer", Mode::kDieMidAnswer, ample, ample,
-       Stage::kReceiving, "truncated"},
-      {"closes after reading", Mode::kCloseAfterRead, ample, ample,
-       Stage::kAwaitingFirstByte, "connection_broken"},
+      {"hang, first byte", brief, ample, "first_byte_timeout", Mode::kHang,
+       Stage::kAwaitingFirstByte},
+      {"hang, total", none, brief, "total_timeout", Mode::kHang,
+       Stage::kAwaitingFirstByte},
+      {"dies in mid-answer", ample, ample, "truncated", Mode::kDieMidAnswer,
+       Stage::kReceiving},
+      {"closes after reading", ample, ample, "connection_broken",
+       Mode::kCloseAfterRead, Stage::kAwaitingFirstByte},
   };
   const auto endpoint = EndpointStandIn::Start({});
   Harness harness;
