--- a/packages/routing/include/routing/share_types.h
+++ b/packages/routing/include/routing/share_types.h
@@ -82,6 +82,10 @@
 };
 
 /// A complete read of the VM list, live and leaving VMs together.
+///
+/// @remarks A VmId stands for one life of a VM. A VM that left the list and
+/// comes back, such as after a restart, needs a new one: with the old one, a
+/// late read from between would prove the death of a process that lives.
 struct VmListRead {
   std::uint64_t revision = 0;  ///< Older reads than the newest are ignored.
   std::span<const core::VmId> vms;
--- a/packages/routing/include/routing/slot_table.h
+++ b/packages/routing/include/routing/slot_table.h
@@ -32,10 +32,12 @@
 
 /// Slots and connections that this process may use at one endpoint.
 struct SlotEntry {
-  int slots = 0;             ///< Own share, without the slots lent out.
-  int connections = 0;       ///< Own share, without the connections lent out.
-  int in_flight = 0;         ///< Requests on slots of the own share.
-  int open_connections = 0;  ///< As reported by the caller.
+  int slots = 0;        ///< Own share, without the slots lent out.
+  int connections = 0;  ///< Own share, without the connections lent out.
+  int in_flight = 0;    ///< Requests on slots of the own share.
+  /// Connections of the own share, idle ones and those being opened included,
+  /// as reported by the caller.
+  int open_connections = 0;
   std::vector<BorrowedSlots> borrowed;
 };
 
@@ -43,7 +45,8 @@
 ///
 /// @remarks The share ledger sets the limits; the router reserves. A limit may
 /// fall below the slots in use: then nothing is reserved until enough have been
-/// released.
+/// released. A request on a borrowed slot needs a connection of its own that is
+/// closed with the request.
 class SlotTable {
  public:
   explicit SlotTable(std::size_t endpoints) : entries_(endpoints) {}
