--- a/packages/routing/tests/share_simulation.cc
+++ b/packages/routing/tests/share_simulation.cc
@@ -44,7 +44,7 @@
                       .domain = core::FailureDomainId(i % kDomains)});
   }
   endpoints_.resize(kEndpoints);
-  seats_.resize(kDomains * kSeats);
+  seats_.resize(std::size_t{kDomains} * kSeats);
   replace_at_.resize(seats_.size());
   for (std::uint32_t i = 0; i < seats_.size(); ++i) {
     Start({core::FailureDomainId(i / kSeats), SeatId(i % kSeats)}, 1,
