--- a/packages/lease/src/worker_leases.cc
+++ b/packages/lease/src/worker_leases.cc
@@ -136,8 +136,10 @@
       return;
     }
     worker.next_heartbeat = now + kHeartbeat;
-    // A lost worker's tasks may run elsewhere: its old report is not answered.
-    const bool reply = worker.state != lost && worker.echo.has_value();
+    // Only a live worker's report is answered: in state silent the wait for
+    // its lease already counts from the last answer, and a lost worker's tasks
+    // may run elsewhere.
+    const bool reply = worker.state == live;
     if (reply) {
       worker.replied_at = worker.report_at;
     }
--- a/packages/lease/tests/lease_test.cc
+++ b/packages/lease/tests/lease_test.cc
@@ -236,6 +236,27 @@
   CHECK(bench.LostAfter(12620ms));
 }
 
+// Guards against a lease extended while the wait for its end runs: an owner
+// that was frozen has a report that it has not answered yet.
+TEST_CASE("a report that was not answered before the silence is not echoed") {
+  LeaseBench bench;
+  bench.Begin(core::EntryId(), true);
+  const auto report = [&](TimePoint worker_time) {
+    REQUIRE(bench.leases.Report(kWorker, Epoch(3), worker_time, bench.now,
+                                bench.out));
+  };
+  report(TimePoint(5s));
+  bench.leases.Tick(bench.now, bench.out);
+  bench.now += 900ms;
+  report(TimePoint(5900ms));
+  bench.out.clear();
+  bench.leases.Tick(bench.now + 6s, bench.out);
+  const auto* heartbeat = FindLast<Heartbeat>(bench.out);
+  REQUIRE(heartbeat != nullptr);
+  CHECK_FALSE(heartbeat->echo.has_value());
+  CHECK(bench.LostAfter(12620ms - 900ms));
+}
+
 // Guards against a takeover that ignores what the previous owner may do.
 TEST_CASE("an unreachable worker waits for the previous owner") {
   LeaseBench bench;
--- a/packages/placement/include/placement/interference.h
+++ b/packages/placement/include/placement/interference.h
@@ -29,6 +29,10 @@
              std::span<const KindCount> neighbours,
              double slowdown);
 
+  /// Halves every pair once per @p half_life. A kind that was blamed wrongly
+  /// is kept apart and so never measured again; it gets another chance.
+  void Forget(core::Duration half_life, core::TimePoint now);
+
   /// @returns the extra time that one @p aggressor costs @p victim, as a
   /// fraction.
   double Pair(KindId victim, KindId aggressor) const;
@@ -38,6 +42,7 @@
 
  private:
   std::vector<std::vector<float>> pairs_;  ///< By victim, then aggressor.
+  core::TimePoint forgotten_at_;
 };
 
 struct GuardConfig {
--- a/packages/placement/include/placement/policy.h
+++ b/packages/placement/include/placement/policy.h
@@ -19,6 +19,8 @@
   /// Predicted extra time of a latency-critical task, as a fraction, above
   /// which a neighbour is not added.
   double max_extra = 0.08;
+  /// See SlowdownTable::Forget.
+  core::Duration forget_half_life = std::chrono::minutes(10);
 };
 using Policy =
     std::variant<DeclaredSizes, LeastLoaded, SpreadByRack, LearnedPlacement>;
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -35,6 +35,11 @@
   core::JobId job;
   TaskRow row;
 };
+/// Every worker of the slice by the VM list. Until the first one, no job is
+/// refused as impossible: after a takeover workers report one by one.
+struct SetFleet {
+  std::vector<WorkerSpec> workers;
+};
 /// The worker reports and takes new work.
 struct WorkerUp {
   WorkerSpec worker;
@@ -80,6 +85,7 @@
                            SubmitJob,
                            CancelJob,
                            RestoreTask,
+                           SetFleet,
                            WorkerUp,
                            WorkerPaused,
                            WorkerTasksLost,
--- a/packages/placement/include/placement/worker_table.h
+++ b/packages/placement/include/placement/worker_table.h
@@ -40,6 +40,9 @@
  public:
   /// Adds the worker or updates its capacity, and marks it up.
   Worker& Up(const WorkerSpec& spec);
+  /// Sets the capacity of every listed worker and takes away that of the
+  /// others. Whether a worker is up does not change for those listed.
+  void SetFleet(std::span<const WorkerSpec> fleet);
   /// Adds the worker without capacity unless it is known.
   Worker& Ensure(core::WorkerId id);
   Worker* Find(core::WorkerId id);
@@ -58,12 +61,13 @@
 
   std::span<Worker> workers() { return workers_; }
   std::span<const Worker> workers() const { return workers_; }
-  /// @returns the sum of the capacity of all workers ever added.
+  /// @returns the sum of the capacity of the fleet.
   const core::Resources& capacity() const { return capacity_; }
   /// @returns the number of tasks of @p kind in @p rack.
   int RackCount(core::RackId rack, KindId kind) const;
 
  private:
+  void SetSpec(Worker& worker, const WorkerSpec& spec);
   int& RackSlot(core::RackId rack, KindId kind);
 
   std::vector<Worker> workers_;
--- a/packages/placement/src/interference.cc
+++ b/packages/placement/src/interference.cc
@@ -1,6 +1,7 @@
 #include "placement/interference.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickoryusher::placement {
 namespace {
@@ -8,6 +9,7 @@
 /// Share of the prediction error that one report corrects. Small, because one
 /// report is noisy and a worker reports every second.
 constexpr double kLearningRate = 0.1;
+constexpr core::Duration kForgetInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -52,6 +54,19 @@
   }
 }
 
+void SlowdownTable::Forget(core::Duration half_life, core::TimePoint now) {
+  const core::Duration passed = now - forgotten_at_;
+  if (passed < kForgetInterval) {
+    return;
+  }
+  forgotten_at_ = now;
+  const double half_lives = std::chrono::duration<double>(passed) / half_life;
+  const auto factor = static_cast<float>(std::exp2(-half_lives));
+  for (std::vector<float>& row : pairs_) {
+    std::ranges::for_each(row, [factor](float& pair) { pair *= factor; });
+  }
+}
+
 GuardAction WorkerGuardState::OnReport(const GuardConfig& config,
                                        double slowdown,
                                        core::TimePoint now) {
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -245,6 +245,10 @@
           [&](const SubmitJob& e) { impl.Submit(e.job, now); },
           [&](const CancelJob& e) { impl.Cancel(e.job, now, out); },
           [&](const RestoreTask& e) { impl.Restore(e, now, out); },
+          [&](const SetFleet& e) {
+            impl.workers.SetFleet(e.workers);
+            impl.fleet_known = true;
+          },
           [&](const WorkerUp& e) { impl.workers.Up(e.worker); },
           [&](const WorkerPaused& e) {
             if (Worker* worker = impl.workers.Find(e.worker)) {
--- a/packages/placement/src/scheduler_p.h
+++ b/packages/placement/src/scheduler_p.h
@@ -159,6 +159,7 @@
   std::unordered_map<core::TeamId, core::Resources> team_use;
   std::array<core::Resources, core::kWorkClasses.size()> class_use{};
   bool hold = false;
+  bool fleet_known = false;
   std::uint32_t unit = 0;  ///< Group unit of the gang being placed, or 0.
   std::uint32_t next_unit = 1;
   std::uint64_t next_claim = 1;
--- a/packages/placement/src/scheduler_place.cc
+++ b/packages/placement/src/scheduler_place.cc
@@ -155,13 +155,16 @@
   if (hold || workers.workers().empty()) {
     return;
   }
+  if (const auto* learned = std::get_if<LearnedPlacement>(&config.policy)) {
+    slowdowns.Forget(learned->forget_half_life, now);
+  }
   std::vector<Shape> full;
   int budget = config.placements_per_tick;
   for (auto next = queue.begin(); next != queue.end() && budget > 0;) {
     const std::uint32_t index = std::get<2>(*next);
     const auto entry = next++;
     Job& job = jobs[index];
-    if (!job.checked) {
+    if (!job.checked && fleet_known) {
       job.checked = true;
       const std::string_view reason = ImpossibleReason(job.spec, now);
       if (!reason.empty()) {
--- a/packages/placement/src/scheduler_report.cc
+++ b/packages/placement/src/scheduler_report.cc
@@ -283,8 +283,11 @@
   if (best_cost < 0) {
     return false;
   }
-  worker.bans.push_back({.kind = jobs[tasks[best].job].spec.kind,
-                         .until = now + config.guard.ban});
+  // Evicted for a victim: kept apart from it. Evicted for room: may return.
+  if (victim.valid()) {
+    worker.bans.push_back({.kind = jobs[tasks[best].job].spec.kind,
+                           .until = now + config.guard.ban});
+  }
   ++totals.evictions;
   Dispatch(best, names.checkpoint, now, out);
   return true;
--- a/packages/placement/src/worker_table.cc
+++ b/packages/placement/src/worker_table.cc
@@ -15,6 +15,28 @@
 
 Worker& WorkerTable::Up(const WorkerSpec& spec) {
   Worker& worker = Ensure(spec.worker);
+  SetSpec(worker, spec);
+  worker.up = true;
+  return worker;
+}
+
+void WorkerTable::SetFleet(std::span<const WorkerSpec> fleet) {
+  for (const WorkerSpec& spec : fleet) {
+    SetSpec(Ensure(spec.worker), spec);
+  }
+  if (fleet.size() == workers_.size()) {
+    return;
+  }
+  for (Worker& worker : workers_) {
+    if (std::ranges::find(fleet, worker.spec.worker, &WorkerSpec::worker) ==
+        fleet.end()) {
+      SetSpec(worker, {.worker = worker.spec.worker, .rack = worker.spec.rack});
+      worker.up = false;
+    }
+  }
+}
+
+void WorkerTable::SetSpec(Worker& worker, const WorkerSpec& spec) {
   for (const KindCount& kind : worker.kinds) {
     RackSlot(worker.spec.rack, kind.kind) -= kind.count;
     RackSlot(spec.rack, kind.kind) += kind.count;
@@ -22,8 +44,6 @@
   capacity_ -= worker.spec.capacity;
   capacity_ += spec.capacity;
   worker.spec = spec;
-  worker.up = true;
-  return worker;
 }
 
 Worker* WorkerTable::Find(core::WorkerId id) {
