routing: refuse deadlines beyond the shares' wait and name where to borrow

Cause: the ledger's proof needs every request to end within longest_deadline, which nothing enforced; and a caller that found no free slot did not know at which endpoint to ask for a loan. A process that waits for its share has no endpoint with slots at all and got no_healthy_endpoint.

Choose now refuses a later deadline with deadline_too_long, and no_free_slot comes with a random healthy endpoint of the service.

Ruled out: the check in the caller (the router and the ledger would depend on a rule that neither of them sees).

Conclusion: the rule that the shares rest on is enforced where slots are reserved.

--- a/packages/routing/include/routing/router.h
+++ b/packages/routing/include/routing/router.h
@@ -24,6 +24,9 @@
   core::Duration longest_ejection = std::chrono::seconds(30);
   /// Time after which a suspect endpoint without results gets a request.
   core::Duration trial_interval = std::chrono::seconds(1);
+  /// As in ShareSettings: the successor of a dead process waits this long for
+  /// its requests, so no request may last longer.
+  core::Duration longest_deadline = std::chrono::seconds(600);
   std::uint64_t seed = 1;
 };
 
--- a/packages/routing/include/routing/share_ledger.h
+++ b/packages/routing/include/routing/share_ledger.h
@@ -13,8 +13,9 @@
 namespace hickoryusher::routing {
 
 struct ShareSettings {
-  /// Longest time for which a request may be in flight. The caller must not
-  /// send requests with a later deadline.
+  /// Longest time for which a request may be in flight, as in RouterSettings.
+  /// The slots of a process that died stay unused this long, so a deployment
+  /// should set it to what its services need.
   core::Duration longest_deadline = std::chrono::seconds(600);
   core::Duration loan = std::chrono::seconds(5);
   /// Largest error of a clock's rate. Every wait for another process is longer
--- a/packages/routing/include/routing/types.h
+++ b/packages/routing/include/routing/types.h
@@ -85,6 +85,7 @@
   kDeadlinePassed,
   kNoHealthyEndpoint,  ///< All are ejected, leaving or to be avoided.
   kNoFreeSlot,
+  kDeadlineTooLong,  ///< Later than RouterSettings::longest_deadline allows.
 };
 
 /// @returns the reason in snake_case, for log lines and response headers.
@@ -108,6 +109,9 @@
 struct ChooseError {
   Reason reason = Reason::kNoFreeSlot;
   core::Duration retry_after{};
+  /// With kNoFreeSlot, a healthy endpoint of the service, in any domain, at
+  /// which a loan is worth asking for; see LoanWanted.
+  core::EndpointId loan_at;
 };
 
 }  // namespace hickoryusher::routing
--- a/packages/routing/src/router.cc
+++ b/packages/routing/src/router.cc
@@ -15,6 +15,12 @@
 constexpr core::Duration kTrialWithAnyRequestAfter = std::chrono::seconds(5);
 constexpr core::Duration kShortestRetryTime = std::chrono::milliseconds(1);
 constexpr core::Duration kLongestRetryTime = std::chrono::seconds(1);
+/// Random endpoints that are looked at for a loan before giving up.
+constexpr int kLenderDraws = 8;
+
+bool IsAvoided(const RequestFacts& request, core::EndpointId id) {
+  return std::ranges::find(request.avoid, id) != request.avoid.end();
+}
 
 struct Service {
   std::vector<std::uint32_t> members;
@@ -66,7 +72,11 @@
   std::optional<Decision> ChooseUsable(const Service& service,
                                        const RequestFacts& request,
                                        core::TimePoint now);
-  std::optional<Decision> Refuse(Reason reason, core::Duration retry_after);
+  core::EndpointId FindLender(const Service& service,
+                              const RequestFacts& request);
+  std::optional<Decision> Refuse(Reason reason,
+                                 core::Duration retry_after,
+                                 core::EndpointId loan_at = {});
   core::Duration RetryTime(const Service& service) const;
 
   HealthTable table_;
@@ -157,6 +167,9 @@
   if (request.deadline <= now) {
     return Refuse(Reason::kDeadlinePassed, kShortestRetryTime);
   }
+  if (request.deadline - now > settings_.longest_deadline) {
+    return Refuse(Reason::kDeadlineTooLong, kShortestRetryTime);
+  }
   FireTimers(now);
   Service& service = services_[request.service.value()];
   if (service.slots_revision != slots_.revision()) {
@@ -170,11 +183,24 @@
   }
   const bool any_allowed =
       std::ranges::any_of(service.usable, [&](std::uint32_t i) {
-        return std::ranges::find(request.avoid, core::EndpointId(i)) ==
-               request.avoid.end();
+        return !IsAvoided(request, core::EndpointId(i));
       });
-  return Refuse(any_allowed ? Reason::kNoFreeSlot : Reason::kNoHealthyEndpoint,
-                RetryTime(service));
+  const core::EndpointId loan_at = FindLender(service, request);
+  return Refuse(any_allowed || loan_at.valid() ? Reason::kNoFreeSlot
+                                               : Reason::kNoHealthyEndpoint,
+                RetryTime(service), loan_at);
+}
+
+core::EndpointId Router::Impl::FindLender(const Service& service,
+                                          const RequestFacts& request) {
+  for (int draw = 0; draw < kLenderDraws; ++draw) {
+    const std::uint32_t i = service.members[random_() % service.members.size()];
+    if (health_[i].health == Health::kHealthy &&
+        !IsAvoided(request, core::EndpointId(i))) {
+      return core::EndpointId(i);
+    }
+  }
+  return {};
 }
 
 std::optional<Decision> Router::Impl::Trial(const Service& service,
@@ -233,8 +259,9 @@
 }
 
 std::optional<Decision> Router::Impl::Refuse(Reason reason,
-                                             core::Duration retry_after) {
-  error_ = {.reason = reason, .retry_after = retry_after};
+                                             core::Duration retry_after,
+                                             core::EndpointId loan_at) {
+  error_ = {.reason = reason, .retry_after = retry_after, .loan_at = loan_at};
   return std::nullopt;
 }
 
--- a/packages/routing/src/types.cc
+++ b/packages/routing/src/types.cc
@@ -3,10 +3,10 @@
 namespace hickoryusher::routing {
 
 std::string_view ToString(Reason reason) {
-  static constexpr std::array<std::string_view, 8> kNames = {
+  static constexpr std::array<std::string_view, 9> kNames = {
       "best_score",          "only_candidate",  "trial",
       "rack_tried_last",     "unknown_service", "deadline_passed",
-      "no_healthy_endpoint", "no_free_slot"};
+      "no_healthy_endpoint", "no_free_slot",    "deadline_too_long"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/packages/routing/tests/router_test.cc
+++ b/packages/routing/tests/router_test.cc
@@ -146,6 +146,7 @@
   CHECK(reserved == 16);
   CHECK(fixture.router().last_error().reason == Reason::kNoFreeSlot);
   CHECK(fixture.router().last_error().retry_after > 0ns);
+  CHECK(fixture.router().last_error().loan_at.valid());
   const core::EndpointId avoid[] = {core::EndpointId(0), core::EndpointId(1)};
   CHECK_FALSE(fixture.Choose({.avoid = avoid}).has_value());
   CHECK(fixture.router().last_error().reason == Reason::kNoHealthyEndpoint);
@@ -172,5 +173,13 @@
   CHECK(fixture.router().health(core::EndpointId(0)) == Health::kSuspect);
 }
 
+// Guards against a request that outlasts the wait of a dead process's
+// successor.
+TEST_CASE("a request with a longer deadline than the shares allow is refused") {
+  Fixture fixture(2, {.longest_deadline = 500ms});
+  CHECK_FALSE(fixture.Choose().has_value());
+  CHECK(fixture.router().last_error().reason == Reason::kDeadlineTooLong);
+}
+
 }  // namespace
 }  // namespace hickoryusher::routing
