--- a/packages/settings/include/settings/editor.h
+++ b/packages/settings/include/settings/editor.h
@@ -116,6 +116,8 @@
     core::Duration deadline = std::chrono::seconds(10);
     core::Duration min_backoff = std::chrono::milliseconds(20);
     core::Duration max_backoff = std::chrono::milliseconds(200);
+    /// Changes under way at once; each holds a copy of the settings.
+    std::size_t max_changes = 16;
   };
 
   /// @param chart `settings_revision`; must outlive the editor.
@@ -129,7 +131,8 @@
 
   /// Starts a change.
   /// @param tree the settings as this process knows them; may be behind.
-  /// @returns false if a change with this id is under way.
+  /// @returns false if a change with this id or too many changes are under
+  /// way; the change was then not run.
   bool Submit(core::TimePoint now, const Change& change, const Tree& tree);
 
   /// An event of an earlier command of a finished change is dropped.
--- a/packages/settings/src/editor.cc
+++ b/packages/settings/src/editor.cc
@@ -77,7 +77,8 @@
 bool Editor::Submit(core::TimePoint now,
                     const Change& change,
                     const Tree& tree) {
-  if (instances_.contains(change.id)) {
+  if (instances_.contains(change.id) ||
+      instances_.size() >= options_.max_changes) {
     return false;
   }
   Instance& instance = instances_[change.id];
