--- /dev/null
+++ b/bench/policy_bench/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- a/packages/lease/src/slice_owner.cc
+++ b/packages/lease/src/slice_owner.cc
@@ -381,9 +381,10 @@
   if (!interpreter.has_value()) {
     return std::nullopt;
   }
-  auto impl = std::make_unique<Impl>(std::move(*interpreter), config);
+  auto impl =
+      std::make_unique<Impl>(std::move(*interpreter), std::move(config));
   std::vector<SliceCommand> none;
-  for (const core::SliceId id : config.slices) {
+  for (const core::SliceId id : impl->config.slices) {
     Slice slice{.id = id, .row = {.slice = id}, .row_seen = now};
     SliceContext context{slice, impl->config, now, Duration(0), none};
     slice.state = impl->interpreter.Start(context);
--- a/packages/placement/include/placement/interference.h
+++ b/packages/placement/include/placement/interference.h
@@ -17,6 +17,9 @@
   KindId kind;
   core::WorkClass work_class = core::WorkClass::kBatch;
   int count = 0;
+  /// Predicted extra time of this kind among the others of its worker; kept
+  /// for services and watchers, see SlowdownTable::Refresh.
+  float extra = 0;
 };
 
 /// Slowdown that one task of a kind causes to a kind next to it, learned from
@@ -29,6 +32,10 @@
              std::span<const KindCount> neighbours,
              double slowdown);
 
+  /// Recomputes KindCount::extra after @p kinds or the pairs have changed, so
+  /// that a placement need not predict for every worker.
+  void Refresh(std::span<KindCount> kinds) const;
+
   /// Halves every pair once per @p half_life. A kind that was blamed wrongly
   /// is kept apart and so never measured again; it gets another chance.
   void Forget(core::Duration half_life, core::TimePoint now);
@@ -41,6 +48,8 @@
   double Predict(KindId victim, std::span<const KindCount> neighbours) const;
 
  private:
+  std::span<const float> Row(KindId victim) const;
+
   std::vector<std::vector<float>> pairs_;  ///< By victim, then aggressor.
   core::TimePoint forgotten_at_;
 };
--- a/packages/placement/src/interference.cc
+++ b/packages/placement/src/interference.cc
@@ -20,15 +20,32 @@
              : 0.0;
 }
 
+std::span<const float> SlowdownTable::Row(KindId victim) const {
+  return victim.value() < pairs_.size() ? pairs_[victim.value()]
+                                        : std::span<const float>();
+}
+
 double SlowdownTable::Predict(KindId victim,
                               std::span<const KindCount> neighbours) const {
-  double extra = 0;
+  const std::span<const float> row = Row(victim);
+  float extra = 0;
   for (const KindCount& neighbour : neighbours) {
-    extra += neighbour.count * Pair(victim, neighbour.kind);
+    if (neighbour.kind.value() < row.size()) {
+      extra +=
+          static_cast<float>(neighbour.count) * row[neighbour.kind.value()];
+    }
   }
   return extra;
 }
 
+void SlowdownTable::Refresh(std::span<KindCount> kinds) const {
+  for (KindCount& kind : kinds) {
+    if (kind.work_class != core::WorkClass::kBatch) {
+      kind.extra = static_cast<float>(Predict(kind.kind, kinds));
+    }
+  }
+}
+
 void SlowdownTable::Learn(KindId victim,
                           std::span<const KindCount> neighbours,
                           double slowdown) {
--- a/packages/placement/src/policy.cc
+++ b/packages/placement/src/policy.cc
@@ -50,10 +50,16 @@
 Score LearnedScore(const LearnedPlacement& policy,
                    const SlowdownTable& slowdowns,
                    const Worker& worker,
-                   const PlacementRequest& request) {
+                   const PlacementRequest& request,
+                   double best) {
+  const double load = Load(worker, request);
+  // Predicting slowdowns costs most of a placement and only adds to the score.
+  if (load >= best) {
+    return std::nullopt;
+  }
   if (request.work_class != core::WorkClass::kBatch) {
     const double extra = slowdowns.Predict(request.kind, worker.kinds);
-    return extra + Load(worker, request);
+    return extra + load;
   }
   // No more batch work where the guard is already at work.
   if (worker.guard.throttle() > 0) {
@@ -65,13 +71,12 @@
       continue;
     }
     const double pair = slowdowns.Pair(resident.kind, request.kind);
-    const double extra = slowdowns.Predict(resident.kind, worker.kinds) + pair;
-    if (extra > policy.max_extra && pair > 0) {
+    if (resident.extra + pair > policy.max_extra && pair > 0) {
       return std::nullopt;
     }
     worst = std::max(worst, pair);
   }
-  return 4.0 * worst + Load(worker, request);
+  return 4.0 * worst + load;
 }
 
 template <typename ScoreFunction>
@@ -84,7 +89,7 @@
     if (!Admits(worker, request)) {
       continue;
     }
-    const Score value = score(worker);
+    const Score value = score(worker, best_score);
     if (value.has_value() &&
         *value + AcceleratorWaste(worker, request) < best_score) {
       best = &worker;
@@ -115,24 +120,27 @@
   return std::visit(
       core::Overloaded{
           [&](const DeclaredSizes&) {
-            return Lowest(workers, request, [&](const Worker& w) -> Score {
-              return -Load(w, request);
-            });
+            return Lowest(workers, request,
+                          [&](const Worker& w, double) -> Score {
+                            return -Load(w, request);
+                          });
           },
           [&](const LeastLoaded&) {
-            return Lowest(workers, request, [&](const Worker& w) -> Score {
-              return Load(w, request);
-            });
+            return Lowest(workers, request,
+                          [&](const Worker& w, double) -> Score {
+                            return Load(w, request);
+                          });
           },
           [&](const SpreadByRack&) {
-            return Lowest(workers, request, [&](const Worker& w) -> Score {
-              return workers.RackCount(w.spec.rack, request.kind) +
-                     Load(w, request);
-            });
+            return Lowest(
+                workers, request, [&](const Worker& w, double) -> Score {
+                  return workers.RackCount(w.spec.rack, request.kind) +
+                         Load(w, request);
+                });
           },
           [&](const LearnedPlacement& policy_params) {
-            return Lowest(workers, request, [&](const Worker& w) {
-              return LearnedScore(policy_params, slowdowns, w, request);
+            return Lowest(workers, request, [&](const Worker& w, double best) {
+              return LearnedScore(policy_params, slowdowns, w, request, best);
             });
           },
       },
--- a/packages/placement/src/scheduler_place.cc
+++ b/packages/placement/src/scheduler_place.cc
@@ -99,6 +99,7 @@
     task.worker = worker->spec.worker;
     task.charge = size;
     workers.Charge(*worker, slot, job.spec, size);
+    slowdowns.Refresh(worker->kinds);
     ChargeUsage(job, size, 1);
   }
   return worker;
--- a/packages/placement/src/scheduler_report.cc
+++ b/packages/placement/src/scheduler_report.cc
@@ -231,6 +231,7 @@
       }
     }
   }
+  slowdowns.Refresh(worker.kinds);
   const bool evicting =
       std::ranges::any_of(worker.tasks, [this](TaskSlot slot) {
         return tasks[slot].state == names.checkpointing;
--- a/packages/placement/src/task_chart.cc
+++ b/packages/placement/src/task_chart.cc
@@ -63,6 +63,7 @@
   const Job& job = jobs[task.job];
   if (Worker* worker = workers.Find(task.worker)) {
     workers.Release(*worker, slot, job.spec, task.charge);
+    slowdowns.Refresh(worker->kinds);
   }
   ChargeUsage(job, task.charge, -1);
   task.charge = {};
--- a/packages/placement/tests/sim_net.cc
+++ b/packages/placement/tests/sim_net.cc
@@ -2,7 +2,9 @@
 
 namespace hickoryusher::placement::sim {
 
-void Net::Send(const Node& from, Node& to, std::function<void()> deliver) {
+void Net::Send(const Node& from,
+               Node& to,
+               const std::function<void()>& deliver) {
   if (Chance(faults.lose)) {
     return;
   }
--- a/packages/placement/tests/sim_net.h
+++ b/packages/placement/tests/sim_net.h
@@ -71,7 +71,7 @@
       action();
     }
   }
-  void Send(const Node& from, Node& to, std::function<void()> deliver);
+  void Send(const Node& from, Node& to, const std::function<void()>& deliver);
   void Resume(Node& node);
 
   /// Calls @p tick in the node's process every @p period while it lives.
