Move endpoint slots between entry processes by the share ledger

Cause: every entry process used its static share of slots for ever, so the share of a stopped process stayed unused and a full failure domain could not borrow. The entry process now runs the share ledger: messages between processes go as JSON-RPC share.message over the peers' thread, the VM list is read once a second and gives proofs of death and leaving VMs, a request without a free slot asks for a loan, SIGTERM releases the shares once nothing is in flight.

Ruled out: using the VM list's names as identities (a name that left the list and came back would prove a living process dead; VmLives gives each life its own handle), and kept connections on borrowed slots (they would outlast the loan).

--- a/packages/entry/app/main.cc
+++ b/packages/entry/app/main.cc
@@ -22,6 +22,7 @@
 struct Arguments {
   std::string config;
   bool check_only = false;
+  bool first_start = false;
 };
 
 std::optional<Arguments> ParseArguments(int argc, char** argv, int& exit_code) {
@@ -29,6 +30,8 @@
   po::options_description options("hickoryusher: entry process");
   options.add_options()("help,h", "print this text")(
       "config,c", po::value<std::string>(), "run with this settings file")(
+      "first-start",
+      "first start of the deployment: no earlier process can hold slots")(
       "check-config", po::value<std::string>(),
       "check this settings file and exit");
   try {
@@ -44,7 +47,8 @@
                        .check_only = true};
     }
     if (values.contains("config")) {
-      return Arguments{.config = values["config"].as<std::string>()};
+      return Arguments{.config = values["config"].as<std::string>(),
+                       .first_start = values.contains("first-start")};
     }
     std::cerr << "one of --config and --check-config is required\n" << options;
   } catch (const po::error& error) {
@@ -72,10 +76,11 @@
   return signals;
 }
 
-int Run(ProcessSettings settings) {
+int Run(ProcessSettings settings, bool first_start) {
   const sigset_t signals = BlockStopSignals();
   Process::Builder builder;
-  const auto process = builder.Settings(std::move(settings)).Start();
+  const auto process =
+      builder.Settings(std::move(settings)).FirstStart(first_start).Start();
   if (!process) {
     PrintErrors(builder.errors());
     return kExitFailed;
@@ -103,5 +108,5 @@
     std::cout << arguments->config << ": ok\n";
     return kExitOk;
   }
-  return Run(*std::move(settings));
+  return Run(*std::move(settings), arguments->first_start);
 }
--- a/packages/entry/include/entry/process.h
+++ b/packages/entry/include/entry/process.h
@@ -41,6 +41,13 @@
     return *this;
   }
 
+  /// States that no process ever ran at this process's seat, so that no earlier
+  /// request has to be waited for. Only for the first start of a deployment.
+  Builder& FirstStart(bool first_start) {
+    first_start_ = first_start;
+    return *this;
+  }
+
   /// @returns the serving process, or nothing; see errors().
   std::unique_ptr<Process> Start();
 
@@ -49,6 +56,7 @@
 
  private:
   config::ProcessSettings settings_;
+  bool first_start_ = false;
   std::vector<std::string> errors_;
 };
 
--- a/packages/entry/src/directory_p.h
+++ b/packages/entry/src/directory_p.h
@@ -9,6 +9,7 @@
 #include "config/process_settings.h"
 #include "core/ids.h"
 #include "core/name_table.h"
+#include "routing/share_types.h"
 #include "routing/types.h"
 
 namespace hickoryusher::entry {
@@ -40,6 +41,21 @@
     return endpoints_;
   }
 
+  std::string_view DomainName(core::FailureDomainId id) const {
+    return domains_.Name(id);
+  }
+  core::EndpointId FindEndpoint(std::string_view name) const {
+    return endpoint_names_.Find(name);
+  }
+
+  /// @returns the entry process at a seat, or an invalid handle.
+  core::EntryId EntryAt(const routing::SeatAddress& address) const;
+
+  /// @returns the number of seats of each failure domain, by its handle.
+  std::span<const std::uint32_t> seats_by_domain() const {
+    return seats_by_domain_;
+  }
+
   core::EntryId FindEntry(std::string_view name) const {
     return entries_.Find(name);
   }
@@ -72,6 +88,9 @@
   core::FailureDomainId own_domain_;
   routing::SeatId own_seat_;
   std::uint32_t seats_ = 0;
+  core::NameTable<core::EndpointId> endpoint_names_;
+  std::vector<routing::SeatAddress> entry_seats_;
+  std::vector<std::uint32_t> seats_by_domain_;
 };
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -21,6 +21,10 @@
 constexpr std::size_t kLogRingSlots = 16'384;
 constexpr std::size_t kPeerConnections = 4;
 
+// Without the release, the other processes need a proof of death before they
+// may use this process's slots.
+constexpr core::Duration kReleaseTimeout = std::chrono::seconds(2);
+
 http::FrontOptions MakeFrontOptions(const config::ProcessSettings& settings) {
   const auto millis = [](core::Duration duration) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
@@ -95,6 +99,8 @@
   config::ProcessSettings settings;
   Charts charts;
   Directory directory;
+  bool first_start;
+  core::Incarnation incarnation = MakeIncarnation();
   telemetry::Logger logger{kLogRingSlots};
   telemetry::Metrics metrics;
   std::unique_ptr<RouterDuty> router;
@@ -104,10 +110,11 @@
   std::unique_ptr<http::Front> front;
   std::optional<Lifecycle> lifecycle;
 
-  Impl(config::ProcessSettings settings_in, Charts charts_in)
+  Impl(config::ProcessSettings settings_in, Charts charts_in, bool first)
       : settings(std::move(settings_in)),
         charts(std::move(charts_in)),
-        directory(settings) {}
+        directory(settings),
+        first_start(first) {}
 
   bool Start(std::vector<std::string>& errors) {
     MakeStore();
@@ -115,6 +122,7 @@
            MakeLifecycle(errors) && MakeFront(errors);
   }
 
+  std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
   bool MakeRouter(std::vector<std::string>& errors);
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
@@ -149,11 +157,38 @@
   return controllers;
 }
 
+std::optional<ShareDesk> Process::Impl::MakeShares(
+    std::vector<std::string>& errors) const {
+  VmLives vms;
+  routing::ShareLedger::Builder builder;
+  const std::span<const std::uint32_t> seats = directory.seats_by_domain();
+  for (std::uint32_t i = 0; i < seats.size(); ++i) {
+    builder.AddDomain(core::FailureDomainId(i), seats[i]);
+  }
+  builder.Endpoints(directory.endpoints())
+      .Self({.address = {.domain = directory.own_domain(),
+                         .seat = directory.own_seat()},
+             .incarnation = incarnation,
+             .vm = vms.Intern(settings.self().vm)})
+      .Settings({.longest_deadline = settings.limits.longest_deadline})
+      .StartedAt(std::chrono::steady_clock::now());
+  if (first_start) {
+    builder.NoPredecessor();
+  }
+  auto ledger = builder.Build();
+  if (!ledger) {
+    std::ranges::copy(builder.problems(), std::back_inserter(errors));
+    return std::nullopt;
+  }
+  return ShareDesk(directory, std::move(vms), *std::move(ledger));
+}
+
 bool Process::Impl::MakeRouter(std::vector<std::string>& errors) {
   routing::Router::Builder routes;
   routes.HealthChart(charts.endpoint_health)
       .Seat(directory.own_domain(), directory.own_seat(), directory.seats())
-      .StartWithOwnShare();
+      .Settings({.longest_deadline = settings.limits.longest_deadline,
+                 .seed = std::random_device()()});
   std::ranges::for_each(
       directory.endpoints(),
       [&routes](const routing::EndpointSpec& e) { routes.AddEndpoint(e); });
@@ -173,12 +208,17 @@
                            &chart::Problem::text);
     return false;
   }
+  auto shares = MakeShares(errors);
+  if (!shares) {
+    return false;
+  }
   auto path = std::make_unique<RequestPath>(RequestPath::Parts{
       .directory = directory,
       .requests = *std::move(table),
       .admission = *std::move(admission),
       .router = *std::move(router_decisions),
-      .keys = KeyArbiter(directory, MakeIncarnation(), std::random_device()()),
+      .keys = KeyArbiter(directory, incarnation, std::random_device()()),
+      .shares = *std::move(shares),
       .metrics = metrics,
       .log = [this](const core::LogLine& line) { logger.Write(line); },
       .longest_deadline = settings.limits.longest_deadline,
@@ -301,6 +341,11 @@
   const core::TimePoint until = std::chrono::steady_clock::now() +
                                 lifecycle.limit().value_or(core::Duration());
   const bool idle = impl_->front->WaitIdle(until);
+  if (idle &&
+      impl_->router->inputs().TryPush(RouterInput(ReleaseRequested{}))) {
+    impl_->router->WaitReleased(std::chrono::steady_clock::now() +
+                                kReleaseTimeout);
+  }
   lifecycle.Dispatch(idle ? "idle" : "drain_expired");
   impl_->logger.Write(core::LogLine("entry_stopped")
                           .Add("state", lifecycle.state())
@@ -315,7 +360,8 @@
   if (!charts) {
     return nullptr;
   }
-  auto impl = std::make_unique<Impl>(settings_, *std::move(charts));
+  auto impl =
+      std::make_unique<Impl>(settings_, *std::move(charts), first_start_);
   if (!impl->Start(errors_)) {
     impl->Stop();
     return nullptr;
--- a/packages/entry/src/request_path.cc
+++ b/packages/entry/src/request_path.cc
@@ -141,6 +141,16 @@
   timers_.TakeDue(now, due);
   std::ranges::copy(due, std::back_inserter(events_));
   DispatchQueued(now);
+  if (parts_.shares.next_timer() <= now) {
+    ShareOutput output;
+    parts_.shares.Wake(parts_.router.slots(), now, output);
+    TakeShareOutput(std::move(output), now);
+  }
+}
+
+core::TimePoint RequestPath::next_timer() const {
+  return std::min(parts_.shares.next_timer(),
+                  timers_.next().value_or(core::TimePoint::max()));
 }
 
 void RequestPath::StartShutdown(core::TimePoint now) {
@@ -257,7 +267,12 @@
       decision ? core::AttemptId(next_attempt_++) : core::AttemptId();
   LogChoice(command, decision, attempt);
   if (!decision) {
-    const routing::ChooseError& error = parts_.router.last_error();
+    const routing::ChooseError error = parts_.router.last_error();
+    if (error.loan_at.valid()) {
+      ShareOutput output;
+      parts_.shares.WantLoan(error.loan_at, parts_.router.slots(), now, output);
+      TakeShareOutput(std::move(output), now);
+    }
     events_.push_back(retry::NoEndpoint{.request = command.request,
                                         .reason = ToReason(error.reason),
                                         .retry_after = error.retry_after});
@@ -278,6 +293,8 @@
   const Caller& caller = callers_.at(command.request);
   const config::ServiceSettings& service =
       parts_.directory.service(caller.service);
+  // A connection on a borrowed slot must end with the loan, so it is not kept.
+  const bool borrowed = attempts_.at(command.attempt).slot.loan.valid();
   const auto millis = [](core::Duration duration) {
     return std::chrono::ceil<std::chrono::milliseconds>(duration);
   };
@@ -288,7 +305,7 @@
       .method = "POST",
       .headers = caller.request.headers,
       .body = caller.request.body,
-      .idempotent = command.idempotent,
+      .idempotent = command.idempotent && !borrowed,
       .connect_timeout = millis(command.limits.connect),
       .total_timeout = millis(command.limits.deadline - now),
       .max_connections_per_host = static_cast<std::size_t>(std::max(
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -21,6 +21,8 @@
 #include "request_codec_p.h"
 #include "retry/request_table.h"
 #include "routing/router.h"
+#include "rpc/codec.h"
+#include "share_desk_p.h"
 #include "telemetry/metrics.h"
 #include "timer_queue_p.h"
 
@@ -40,6 +42,7 @@
     std::vector<admission::Controller> admission;  ///< By service.
     routing::Router router;
     KeyArbiter keys;
+    ShareDesk shares;
     telemetry::Metrics& metrics;
     std::function<void(const core::LogLine&)> log;
     core::Duration longest_deadline;
@@ -61,6 +64,20 @@
   /// Applies a change of the fleet.
   void Handle(const routing::MembershipEvent& event, core::TimePoint now);
 
+  /// Takes a complete read of the VM list.
+  void TakeVmList(std::span<const store::Vm> vms, core::TimePoint now);
+
+  /// Adds the methods that other entry processes call.
+  /// @param clock gives the time of a call.
+  void AddMethods(rpc::Dispatcher& dispatcher,
+                  std::function<core::TimePoint()> clock);
+
+  /// Gives every slot share up; called once no request is in progress.
+  void ReleaseShares(core::TimePoint now);
+
+  /// @returns true once the other processes have been told of the release.
+  bool shares_released() const { return shares_released_; }
+
   /// Runs the timers that are due.
   void RunTimers(core::TimePoint now);
 
@@ -68,7 +85,7 @@
   void StartShutdown(core::TimePoint now);
 
   /// @returns when RunTimers has to be called again.
-  std::optional<core::TimePoint> next_timer() const { return timers_.next(); }
+  core::TimePoint next_timer() const;
 
   /// Moves the commands collected so far to @p out.
   void TakeCommands(std::vector<PathCommand>& out);
@@ -96,6 +113,8 @@
   void Dispatch(const retry::RequestEvent& event, core::TimePoint now);
   void DispatchQueued(core::TimePoint now);
   void TakeKeyOutputs();
+  void TakeShareOutput(ShareOutput&& output, core::TimePoint now);
+  void TellSlots(core::TimePoint now);
   void RunAdmission(core::ServiceId service,
                     const admission::Event& event,
                     core::TimePoint now);
@@ -131,6 +150,8 @@
   std::deque<retry::RequestEvent> events_;
   std::vector<PathCommand> commands_;
   std::uint64_t next_attempt_ = 1;
+  std::unordered_map<core::VmId, store::VmState> vm_states_;
+  bool shares_released_ = false;
 };
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/router_duty.cc
+++ b/packages/entry/src/router_duty.cc
@@ -11,6 +11,9 @@
 
 constexpr std::string_view kRpcPath = "/rpc";
 
+// A leaving VM must get no request after 3 s.
+constexpr core::Duration kListInterval = std::chrono::seconds(1);
+
 core::TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -21,7 +24,7 @@
                        telemetry::Metrics& metrics,
                        std::size_t ring_slots)
     : path_(std::move(path)), metrics_(metrics), inputs_(ring_slots) {
-  path_->keys().tickets().AddMethods(dispatcher_);
+  path_->AddMethods(dispatcher_, Now);
 }
 
 RouterDuty::~RouterDuty() {
@@ -41,16 +44,14 @@
 void RouterDuty::Run() {
   std::vector<RouterInput> inputs;
   while (!inputs_.finished()) {
-    if (const auto until = path_->next_timer()) {
-      inputs_.WaitDrain(inputs, *until);
-    } else {
-      inputs_.WaitDrain(inputs);
-    }
+    inputs_.WaitDrain(inputs, std::min(path_->next_timer(), next_list_read_));
     std::ranges::for_each(
         inputs, [this](RouterInput& input) { Take(std::move(input), Now()); });
     inputs.clear();
     path_->RunTimers(Now());
+    ReadVmList(Now());
     CarryOut(Now());
+    NoteReleased();
   }
 }
 
@@ -59,13 +60,55 @@
       core::Overloaded{
           [&](http::IncomingRequest&& r) { TakeRequest(std::move(r), now); },
           [&](http::UpstreamEvent&& e) { path_->Handle(std::move(e), now); },
-          [&](const store::Event& e) { path_->Handle(e, now); },
+          [&](const store::Event& e) { TakeStoreEvent(e, now); },
           [&](const PeerReply& r) { path_->Handle(r, now); },
           [&](const routing::MembershipEvent& e) { path_->Handle(e, now); },
-          [&](const StopRequested&) { path_->StartShutdown(now); }},
+          [&](const StopRequested&) { path_->StartShutdown(now); },
+          [&](const ReleaseRequested&) { path_->ReleaseShares(now); }},
       std::move(input));
 }
 
+void RouterDuty::ReadVmList(core::TimePoint now) {
+  if (now < next_list_read_) {
+    return;
+  }
+  next_list_read_ = now + kListInterval;
+  const store::CommandId id(next_list_id_++);
+  if (outputs_.store(store::ReadVmList{.id = id})) {
+    list_read_ = id;
+  }
+}
+
+void RouterDuty::TakeStoreEvent(const store::Event& event,
+                                core::TimePoint now) {
+  if (store::IdOf(event).value() < kFirstListId) {
+    path_->Handle(event, now);
+    return;
+  }
+  const auto* read = std::get_if<store::VmListRead>(&event);
+  // An answer to an earlier read may be older than one already taken.
+  if (read != nullptr && read->id == list_read_) {
+    path_->TakeVmList(read->vms, now);
+  }
+}
+
+void RouterDuty::NoteReleased() {
+  if (!path_->shares_released()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(released_mutex_);
+    released_ = true;
+  }
+  released_changed_.notify_all();
+}
+
+bool RouterDuty::WaitReleased(core::TimePoint until) {
+  std::unique_lock lock(released_mutex_);
+  return released_changed_.wait_until(lock, until,
+                                      [this] { return released_; });
+}
+
 void RouterDuty::TakeRequest(http::IncomingRequest&& request,
                              core::TimePoint now) {
   if (request.path == "/healthz") {
--- a/packages/entry/src/router_duty_p.h
+++ b/packages/entry/src/router_duty_p.h
@@ -2,8 +2,11 @@
 #define ENTRY_SRC_ROUTER_DUTY_P_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -20,12 +23,16 @@
 /// New requests are refused from here on.
 struct StopRequested {};
 
+/// No request is in progress any more: the slot shares can be given up.
+struct ReleaseRequested {};
+
 using RouterInput = std::variant<http::IncomingRequest,
                                  http::UpstreamEvent,
                                  store::Event,
                                  PeerReply,
                                  routing::MembershipEvent,
-                                 StopRequested>;
+                                 StopRequested,
+                                 ReleaseRequested>;
 
 /// The router thread: takes inputs from its ring, runs the request path and
 /// hands the commands to the HTTP front and the upstream.
@@ -56,11 +63,21 @@
 
   runtime::Ring<RouterInput>& inputs() { return inputs_; }
 
+  /// Waits until the slot shares are given up.
+  /// @returns false if @p until was reached first.
+  bool WaitReleased(core::TimePoint until);
+
   /// Sets what the balancer's health check says.
   void SetHealthy(bool healthy) { healthy_.store(healthy); }
 
  private:
+  // Numbers of VM list reads start here, apart from those of key commands.
+  static constexpr std::uint64_t kFirstListId = std::uint64_t{1} << 62U;
+
   void Run();
+  void ReadVmList(core::TimePoint now);
+  void TakeStoreEvent(const store::Event& event, core::TimePoint now);
+  void NoteReleased();
   void Take(RouterInput&& input, core::TimePoint now);
   void TakeRequest(http::IncomingRequest&& request, core::TimePoint now);
   void IssueTickets(const http::IncomingRequest& request);
@@ -75,6 +92,12 @@
   telemetry::Metrics& metrics_;
   runtime::Ring<RouterInput> inputs_;
   std::atomic<bool> healthy_ = false;
+  std::mutex released_mutex_;
+  std::condition_variable released_changed_;
+  bool released_ = false;
+  core::TimePoint next_list_read_;
+  std::optional<store::CommandId> list_read_;
+  std::uint64_t next_list_id_ = kFirstListId;
   Outputs outputs_;
   runtime::DutyThread thread_;
 };
--- /dev/null
+++ b/packages/entry/src/share_desk_p.h
@@ -0,0 +1,78 @@
+#ifndef ENTRY_SRC_SHARE_DESK_P_H_
+#define ENTRY_SRC_SHARE_DESK_P_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/log_line.h"
+#include "core/time.h"
+#include "directory_p.h"
+#include "peer_message_p.h"
+#include "routing/share_ledger.h"
+#include "routing/slot_table.h"
+#include "rpc/codec.h"
+#include "store/event.h"
+#include "vm_lives_p.h"
+
+namespace hickoryusher::entry {
+
+/// What the share desk asks the router thread to do.
+struct ShareOutput {
+  std::vector<PeerCall> calls;
+  std::vector<core::LogLine> lines;
+  bool limits_changed = false;
+  bool all_released = false;
+};
+
+/// Runs the share ledger and carries its messages as JSON-RPC `share.message`
+/// calls, whose replies say nothing.
+class ShareDesk {
+ public:
+  ShareDesk(const Directory& directory,
+            VmLives vms,
+            routing::ShareLedger ledger);
+
+  /// Takes a complete read of the VM list.
+  void TakeVmList(std::span<const store::Vm> vms,
+                  routing::SlotTable& slots,
+                  core::TimePoint now,
+                  ShareOutput& out);
+
+  /// Asks for a loan at the endpoints of @p service that have no free slot.
+  void WantLoan(core::EndpointId endpoint,
+                routing::SlotTable& slots,
+                core::TimePoint now,
+                ShareOutput& out);
+
+  /// Runs the ledger's timers and gives up what is no longer in use.
+  void Wake(routing::SlotTable& slots, core::TimePoint now, ShareOutput& out);
+
+  void Release(routing::SlotTable& slots,
+               core::TimePoint now,
+               ShareOutput& out);
+
+  /// Takes the parameters of a `share.message` call.
+  /// @returns false if the message is malformed.
+  bool TakeMessage(const Json::Value& params,
+                   routing::SlotTable& slots,
+                   core::TimePoint now,
+                   ShareOutput& out);
+
+  core::TimePoint next_timer() const { return ledger_.NextTimer(); }
+
+ private:
+  void Run(const routing::ShareEvent& event,
+           routing::SlotTable& slots,
+           core::TimePoint now,
+           ShareOutput& out);
+
+  const Directory& directory_;
+  VmLives vms_;
+  routing::ShareLedger ledger_;
+  std::uint64_t next_call_ = 0;
+  std::uint64_t list_revision_ = 0;
+};
+
+}  // namespace hickoryusher::entry
+
+#endif  // ENTRY_SRC_SHARE_DESK_P_H_
--- a/packages/entry/src/ticket_desk.cc
+++ b/packages/entry/src/ticket_desk.cc
@@ -15,18 +15,17 @@
 constexpr core::Duration kVoidTimeout = std::chrono::milliseconds(80);
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 
-constexpr std::string_view kVerdicts[] = {"granted", "held", "void", "unknown",
-                                          "invalid"};
-
-std::string_view ToString(retry::TicketVerdict verdict) {
-  return kVerdicts[static_cast<std::size_t>(verdict)];
-}
+constexpr retry::TicketVerdict kVerdicts[] = {
+    retry::TicketVerdict::kGranted, retry::TicketVerdict::kHeld,
+    retry::TicketVerdict::kVoid, retry::TicketVerdict::kUnknown,
+    retry::TicketVerdict::kInvalid};
 
 retry::TicketVerdict ParseVerdict(const Json::Value& value) {
-  const auto* found = std::ranges::find(kVerdicts, value.asString());
-  return found == std::end(kVerdicts)
-             ? retry::TicketVerdict::kUnknown
-             : static_cast<retry::TicketVerdict>(found - std::begin(kVerdicts));
+  const std::string name = value.asString();
+  const auto* found = std::ranges::find_if(
+      kVerdicts,
+      [&name](retry::TicketVerdict v) { return retry::ToString(v) == name; });
+  return found == std::end(kVerdicts) ? retry::TicketVerdict::kUnknown : *found;
 }
 
 std::optional<retry::TicketAnswer> DecodeAnswer(const std::string& text) {
@@ -52,7 +51,7 @@
 }
 
 void EncodeAnswer(const retry::TicketAnswer& answer, Json::Value& result) {
-  result["verdict"] = std::string(ToString(answer.verdict));
+  result["verdict"] = std::string(retry::ToString(answer.verdict));
   if (answer.stored) {
     result["outcome"] = EncodeOutcome(*answer.stored);
   }
