--- a/standins/endpoint/include/standin/endpoint_standin.h
+++ b/standins/endpoint/include/standin/endpoint_standin.h
@@ -47,8 +47,8 @@
 ///
 /// @remarks Control port: `PUT /behaviour?mode=M&delay_ms=N`, `GET /runs`,
 /// `DELETE /runs`, `GET /stats`. Answers are lines of key=value pairs. A run is
-/// recorded under the request's `Run-Name` or `Hickoryusher-Request-Key` header,
-/// or its path. Uses one thread per connection.
+/// recorded under the request's `Run-Name` or `Hickoryusher-Request-Key`
+/// header, or its path. Uses one thread per connection.
 class EndpointStandIn {
  public:
   /// Listens on 127.0.0.1. @returns nothing if a port cannot be bound.
