Give the VM list a revision and one name for each life of a VM

Cause: the entry process numbered its own reads of the VM list and inferred the lives of VMs from them. Both are defects that the share simulation knows: a late read can prove a living process dead, and its slots are then used twice.

Ruled out: inferring lives more carefully (two processes may read the list in different order, so no inference from reads alone is safe).

The protocol of the VM list now carries a revision that grows with each change, and a name stands for one life of a VM; the stand-in refuses a name that has gone with 409. The contract test checks the revision on fake and stand-in.

--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -159,7 +159,7 @@
 
 std::optional<ShareDesk> Process::Impl::MakeShares(
     std::vector<std::string>& errors) const {
-  VmLives vms;
+  VmTable vms;
   routing::ShareLedger::Builder builder;
   const std::span<const std::uint32_t> seats = directory.seats_by_domain();
   for (std::uint32_t i = 0; i < seats.size(); ++i) {
--- a/packages/entry/src/request_path_fleet.cc
+++ b/packages/entry/src/request_path_fleet.cc
@@ -8,10 +8,14 @@
 
 namespace hickoryusher::entry {
 
-void RequestPath::TakeVmList(std::span<const store::Vm> vms,
+void RequestPath::TakeVmList(const store::VmListRead& list,
                              core::TimePoint now) {
+  if (list.revision < vm_list_revision_) {
+    return;
+  }
+  vm_list_revision_ = list.revision;
   std::unordered_map<core::VmId, store::VmState> seen;
-  for (const store::Vm& vm : vms) {
+  for (const store::Vm& vm : list.vms) {
     if (const core::VmId id = parts_.directory.FindVm(vm.name); id.valid()) {
       seen.emplace(id, vm.state);
     }
@@ -36,7 +40,7 @@
   }
   vm_states_ = std::move(seen);
   ShareOutput output;
-  parts_.shares.TakeVmList(vms, parts_.router.slots(), now, output);
+  parts_.shares.TakeVmList(list, parts_.router.slots(), now, output);
   TakeShareOutput(std::move(output), now);
 }
 
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -65,7 +65,7 @@
   void Handle(const routing::MembershipEvent& event, core::TimePoint now);
 
   /// Takes a complete read of the VM list.
-  void TakeVmList(std::span<const store::Vm> vms, core::TimePoint now);
+  void TakeVmList(const store::VmListRead& list, core::TimePoint now);
 
   /// Adds the methods that other entry processes call.
   /// @param clock gives the time of a call.
@@ -151,6 +151,7 @@
   std::vector<PathCommand> commands_;
   std::uint64_t next_attempt_ = 1;
   std::unordered_map<core::VmId, store::VmState> vm_states_;
+  std::uint64_t vm_list_revision_ = 0;
   bool shares_released_ = false;
 };
 
--- a/packages/entry/src/router_duty.cc
+++ b/packages/entry/src/router_duty.cc
@@ -88,7 +88,7 @@
   const auto* read = std::get_if<store::VmListRead>(&event);
   // An answer to an earlier read may be older than one already taken.
   if (read != nullptr && read->id == list_read_) {
-    path_->TakeVmList(read->vms, now);
+    path_->TakeVmList(*read, now);
   }
 }
 
--- a/packages/entry/src/share_codec.cc
+++ b/packages/entry/src/share_codec.cc
@@ -133,7 +133,7 @@
 
 Json::Value EncodeEnvelope(const routing::ShareEnvelope& envelope,
                            const Directory& directory,
-                           const VmLives& vms) {
+                           const VmTable& vms) {
   Json::Value value(Json::objectValue);
   value["from"] = EncodeAddress(envelope.from.address, directory);
   value["incarnation"] = Number(envelope.from.incarnation.value());
@@ -148,7 +148,7 @@
 
 std::optional<routing::ShareEnvelope> DecodeEnvelope(const Json::Value& value,
                                                      const Directory& directory,
-                                                     VmLives& vms) {
+                                                     VmTable& vms) {
   if (!value.isObject() || !value["incarnation"].isUInt64() ||
       !value["vm"].isString()) {
     return std::nullopt;
--- a/packages/entry/src/share_desk.cc
+++ b/packages/entry/src/share_desk.cc
@@ -19,21 +19,22 @@
 }  // namespace
 
 ShareDesk::ShareDesk(const Directory& directory,
-                     VmLives vms,
+                     VmTable vms,
                      routing::ShareLedger ledger)
     : directory_(directory),
       vms_(std::move(vms)),
       ledger_(std::move(ledger)),
       next_call_(kFirstCall) {}
 
-void ShareDesk::TakeVmList(std::span<const store::Vm> vms,
+void ShareDesk::TakeVmList(const store::VmListRead& list,
                            routing::SlotTable& slots,
                            core::TimePoint now,
                            ShareOutput& out) {
-  std::vector<std::string_view> names;
-  std::ranges::transform(vms, std::back_inserter(names), &store::Vm::name);
-  const std::vector<core::VmId> ids = vms_.TakeList(names);
-  Run(routing::VmListRead{.revision = ++list_revision_, .vms = ids}, slots, now,
+  std::vector<core::VmId> ids;
+  std::ranges::transform(
+      list.vms, std::back_inserter(ids),
+      [this](const store::Vm& vm) { return vms_.Intern(vm.name); });
+  Run(routing::VmListRead{.revision = list.revision, .vms = ids}, slots, now,
       out);
 }
 
--- a/packages/entry/src/share_desk_p.h
+++ b/packages/entry/src/share_desk_p.h
@@ -11,8 +11,8 @@
 #include "routing/share_ledger.h"
 #include "routing/slot_table.h"
 #include "rpc/codec.h"
+#include "share_codec_p.h"
 #include "store/event.h"
-#include "vm_lives_p.h"
 
 namespace hickoryusher::entry {
 
@@ -29,11 +29,11 @@
 class ShareDesk {
  public:
   ShareDesk(const Directory& directory,
-            VmLives vms,
+            VmTable vms,
             routing::ShareLedger ledger);
 
   /// Takes a complete read of the VM list.
-  void TakeVmList(std::span<const store::Vm> vms,
+  void TakeVmList(const store::VmListRead& list,
                   routing::SlotTable& slots,
                   core::TimePoint now,
                   ShareOutput& out);
@@ -67,10 +67,9 @@
            ShareOutput& out);
 
   const Directory& directory_;
-  VmLives vms_;
+  VmTable vms_;
   routing::ShareLedger ledger_;
   std::uint64_t next_call_ = 0;
-  std::uint64_t list_revision_ = 0;
 };
 
 }  // namespace hickoryusher::entry
--- a/packages/store/include/store/event.h
+++ b/packages/store/include/store/event.h
@@ -1,6 +1,7 @@
 #ifndef STORE_EVENT_H_
 #define STORE_EVENT_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -48,6 +49,7 @@
 /// The list lags behind, so it may be stale.
 struct VmListRead {
   CommandId id;
+  std::uint64_t revision = 0;  ///< Grows with each change of the list.
   std::vector<Vm> vms;
 };
 
--- a/packages/store/include/store/types.h
+++ b/packages/store/include/store/types.h
@@ -39,7 +39,8 @@
 
 enum class VmState { kLive, kLeaving };
 
-/// Entry of the platform's VM list.
+/// Entry of the platform's VM list. A name stands for one life of a VM: a VM
+/// that restarts or is replaced gets another.
 struct Vm {
   std::string name;
   std::string address;
--- a/packages/store/src/http_message.cc
+++ b/packages/store/src/http_message.cc
@@ -135,7 +135,7 @@
 }
 
 VmListRead DecodeVmList(CommandId id, const Json::Value& body) {
-  VmListRead read{.id = id};
+  VmListRead read{.id = id, .revision = Member(body, "revision").asUInt64()};
   std::ranges::transform(Member(body, "vms"), std::back_inserter(read.vms),
                          DecodeVm);
   return read;
--- a/packages/store/tests/contract_test.cc
+++ b/packages/store/tests/contract_test.cc
@@ -289,5 +289,25 @@
   CHECK(list().empty());
 }
 
+// Guards against an older list that cannot be told from a newer one.
+TEMPLATE_TEST_CASE("the VM list's revision grows with each change",
+                   "",
+                   FakeSide,
+                   HttpSide) {
+  TestType side;
+  side.Set(Fault::kNone);
+  const auto revision = [&side] {
+    return std::get<VmListRead>(side.Run(ReadVmList{CommandId(1)})).revision;
+  };
+  const std::uint64_t empty = revision();
+  side.SetVm({.name = "vm1", .address = "127.0.0.1", .failure_domain = "a"});
+  const std::uint64_t added = revision();
+  side.RemoveVm("vm1");
+  CHECK(added > empty);
+  CHECK(revision() > added);
+  side.SetLag(std::chrono::hours(1));
+  CHECK(revision() <= empty);
+}
+
 }  // namespace
 }  // namespace hickoryusher::store
--- a/packages/store/tests/store_fake/fake_platform.h
+++ b/packages/store/tests/store_fake/fake_platform.h
@@ -183,28 +183,27 @@
   Event Execute(core::TimePoint now, const Command& command) {
     const Table& shown = switches_.stale_reads ? stale_ : table_;
     return std::visit(
-        core::Overloaded{
-            [&](const Transact& c) { return Commit(c); },
-            [&](const ReadRow& c) -> Event {
-              return RowRead{.id = c.id,
-                             .row = FindIn(shown, c.key),
-                             .as_of = shown.version};
-            },
-            [&](const ReadRange& c) { return Range(c, shown); },
-            [&](const PutObject& c) -> Event {
-              objects_[c.name] = c.content;
-              return ObjectStored{c.id};
-            },
-            [&](const GetObject& c) -> Event {
-              const auto found = objects_.find(c.name);
-              return found == objects_.end()
-                         ? ObjectRead{.id = c.id}
-                         : ObjectRead{.id = c.id, .content = found->second};
-            },
-            [&](const ReadVmList& c) -> Event {
-              return VmListRead{.id = c.id,
-                                .vms = VmsAt(now - switches_.vm_list_lag)};
-            }},
+        core::Overloaded{[&](const Transact& c) { return Commit(c); },
+                         [&](const ReadRow& c) -> Event {
+                           return RowRead{.id = c.id,
+                                          .row = FindIn(shown, c.key),
+                                          .as_of = shown.version};
+                         },
+                         [&](const ReadRange& c) { return Range(c, shown); },
+                         [&](const PutObject& c) -> Event {
+                           objects_[c.name] = c.content;
+                           return ObjectStored{c.id};
+                         },
+                         [&](const GetObject& c) -> Event {
+                           const auto found = objects_.find(c.name);
+                           return found == objects_.end()
+                                      ? ObjectRead{.id = c.id}
+                                      : ObjectRead{.id = c.id,
+                                                   .content = found->second};
+                         },
+                         [&](const ReadVmList& c) -> Event {
+                           return ReadVms(c.id, now - switches_.vm_list_lag);
+                         }},
         command);
   }
 
@@ -251,11 +250,16 @@
     return vm_history_.empty() ? std::vector<Vm>() : vm_history_.back().second;
   }
 
-  std::vector<Vm> VmsAt(core::TimePoint when) const {
+  VmListRead ReadVms(CommandId id, core::TimePoint when) const {
     const auto later = std::ranges::find_if(
         vm_history_, [when](const auto& entry) { return entry.first > when; });
-    return later == vm_history_.begin() ? std::vector<Vm>()
-                                        : std::prev(later)->second;
+    VmListRead read{
+        .id = id,
+        .revision = static_cast<std::uint64_t>(later - vm_history_.begin())};
+    if (later != vm_history_.begin()) {
+      read.vms = std::prev(later)->second;
+    }
+    return read;
   }
 
   Switches switches_;
--- a/standins/platform/vm_list_server.cc
+++ b/standins/platform/vm_list_server.cc
@@ -43,8 +43,14 @@
   const std::lock_guard lock(mutex_);
   const std::string name = (*body)["name"].asString();
   List list = history_.back().second;
-  list.erase(name);
-  if ((*body)["state"].asString() != "gone") {
+  const bool gone = (*body)["state"].asString() == "gone";
+  if (list.erase(name) > 0 && gone) {
+    gone_.insert(name);
+  }
+  if (gone_.contains(name) && !gone) {
+    return {.status = 409};
+  }
+  if (!gone) {
     list[name] = {.address = (*body)["address"].asString(),
                   .failure_domain = (*body)["failure_domain"].asString(),
                   .state = (*body)["state"].asString()};
@@ -57,6 +63,7 @@
   const auto later = std::ranges::find_if(
       history_, [as_of](const auto& entry) { return entry.first > as_of; });
   Json::Value reply;
+  reply["revision"] = static_cast<Json::UInt64>(later - history_.begin());
   reply["vms"] = Json::Value(Json::arrayValue);
   for (const auto& [name, vm] : std::prev(later)->second) {
     Json::Value& entry = reply["vms"].append(Json::Value());
--- a/standins/platform/vm_list_server.h
+++ b/standins/platform/vm_list_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,10 +16,11 @@
 
 /// Stand-in for the platform's VM list.
 ///
-/// GET /v1/vms: `{"vms":[{"name","address","failure_domain","state"}]}` with
-/// state `live` or `leaving`, as it was `lag_ms` ago.
+/// GET /v1/vms: `{"revision","vms":[{"name","address","failure_domain",
+/// "state"}]}` with state `live` or `leaving`, as it was `lag_ms` ago. The
+/// revision grows with each change.
 /// POST /v1/vms with one such entry adds or changes it; state `gone` removes
-/// it.
+/// it. A name stands for one life of a VM: adding it again gets 409.
 class VmListServer {
  public:
   explicit VmListServer(std::uint16_t port = 0);
@@ -38,6 +40,7 @@
   Reply Show(std::chrono::steady_clock::time_point as_of) const;
 
   std::mutex mutex_;
+  std::set<std::string> gone_;
   std::vector<std::pair<std::chrono::steady_clock::time_point, List>> history_;
   FaultServer server_;  ///< Last, so that no request outlives the list.
 };
