--- a/packages/admission/tests/flood_test.cc
+++ b/packages/admission/tests/flood_test.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::uint64_t kSeed = 20261204;
 constexpr std::size_t kSlots = 64;
 constexpr core::Duration kPhase = seconds(30);
 constexpr core::Duration kBudget = milliseconds(500);
@@ -35,14 +36,12 @@
 /// Drives a controller with a manual clock. Requests take 10 to 50 ms.
 class Run {
  public:
-  Run(double floor_critical, double floor_batch, std::uint64_t seed)
-      : random_(seed) {
-    auto built =
-        ControllerBuilder()
-            .Slots(kSlots)
-            .Class(WorkClass::kLatencyCritical, {.floor_share = floor_critical})
-            .Class(WorkClass::kBatch, {.floor_share = floor_batch})
-            .Build();
+  Run(double floor, std::uint64_t seed) : random_(seed) {
+    auto built = ControllerBuilder()
+                     .Slots(kSlots)
+                     .Class(WorkClass::kLatencyCritical, {.floor_share = floor})
+                     .Class(WorkClass::kBatch, {.floor_share = floor})
+                     .Build();
     REQUIRE(built.has_value());
     controller_ = *std::move(built);
   }
@@ -140,12 +139,11 @@
 
 // Guards against a flood of one class that slows or starves the other.
 TEST_CASE("a flood of one class leaves the other class its floor") {
-  const std::uint64_t seed = 20261204;
-  INFO("seed " << seed);
+  INFO("seed " << kSeed);
   for (const auto& [flooding, other] :
        {std::pair(WorkClass::kBatch, WorkClass::kLatencyCritical),
         std::pair(WorkClass::kLatencyCritical, WorkClass::kBatch)}) {
-    Run run(0.4, 0.4, seed);
+    Run run(0.4, kSeed);
     run.Flood(flooding);
     CHECK(IsProtected(run, other));
     CHECK(run.controller().counters(flooding).borrowed > 0);
@@ -154,9 +152,8 @@
 
 // Guards against a flood check that passes whatever the controller does.
 TEST_CASE("without floors the flood check fails") {
-  const std::uint64_t seed = 20261204;
-  INFO("seed " << seed);
-  Run run(0, 0, seed);
+  INFO("seed " << kSeed);
+  Run run(0, kSeed);
   run.Flood(WorkClass::kLatencyCritical);
   CHECK_FALSE(IsProtected(run, WorkClass::kBatch));
 }
