--- a/packages/retry/include/retry/request_events.h
+++ b/packages/retry/include/retry/request_events.h
@@ -28,8 +28,8 @@
   core::RequestId request;
 };
 
-/// Reasons other than kAdmission, such as kShutdown and kDeadline, must be kept:
-/// they are answered with 503 instead of 429.
+/// Reasons other than kAdmission, such as kShutdown and kDeadline, must be
+/// kept: they are answered with 503 instead of 429.
 struct AdmissionRefused {
   core::RequestId request;
   Reason reason = Reason::kAdmission;
