Report no conflict for a written change that a stale read hides

Cause: a change that is submitted again after an unknown outcome may have been written and overwritten since. If a peer had told this process so and the store's reads were stale, the id was not found and the change was reported as lost, although it was accepted.

A change that is submitted again now searches the log from its base, which every earlier write of it follows, and waits while the read does not reach the revision that the process already knows.

Ruled out: reporting unknown in this case, which a caller could never resolve.

Changed test: the seeded defect kForgottenId hid the id from the read by id only. The log search now finds the change all the same, so the defect had no effect and its row failed. It now hides the id from both reads; the violation that the checker must report is the same.

Conclusion: a conflict is reported only when the log shows that the change was not written.

--- a/packages/settings/include/settings/editor.h
+++ b/packages/settings/include/settings/editor.h
@@ -158,6 +158,7 @@
     bool unanswered_write = false;
     bool resolved = false;  ///< The change id was read back since then.
     std::optional<Revision> found;
+    Revision scanned = 0;  ///< The log was searched for the id up to here.
     std::vector<Mistake> mistakes;
     std::optional<EditCommand> command;
     std::optional<Outcome> outcome;
--- a/packages/settings/src/editor.cc
+++ b/packages/settings/src/editor.cc
@@ -34,6 +34,8 @@
   b.Guard("may_be_written", [](const Edit& e) { return e.unanswered_write; })
       .Guard("must_resolve", [](const Edit& e) { return !e.resolved; })
       .Guard("found_in_log", [](const Edit& e) { return e.found.has_value(); })
+      .Guard("read_is_stale",
+             [](const Edit& e) { return e.scanned < e.tree.head(); })
       .Guard("lost",
              [](const Edit& e) {
                return e.tree.PathRevision(e.change.path) > e.change.base;
@@ -46,7 +48,7 @@
   b.Action("read_outcome",
            [](Edit& e) { e.command = ReadOutcome{.change_id = e.change.id}; })
       .Action("read_changes",
-              [](Edit& e) { e.command = ReadChanges{.after = e.tree.head()}; })
+              [](Edit& e) { e.command = ReadChanges{.after = e.scanned}; })
       .Action("write_change",
               [](Edit& e) {
                 e.command = WriteChange{.change = e.change,
@@ -87,11 +89,9 @@
                    .now = now,
                    .deadline = now + options_.deadline,
                    .unanswered_write = change.resubmitted};
-  // A stale read of the store may not show the change that peers have sent.
-  const Entry* present = tree.FindEntry(change.path);
-  if (present != nullptr && present->change_id == change.id) {
-    instance.edit.found = present->revision;
-  }
+  // An earlier write of the same change comes after its base.
+  instance.edit.scanned =
+      change.resubmitted ? std::min(change.base, tree.head()) : tree.head();
   instance.state = interpreter_.Start(instance.edit);
   Collect(instance);
   return true;
@@ -117,8 +117,8 @@
       core::Overloaded{
           [&](const OutcomeRead& e) -> std::string_view {
             edit.resolved = true;
-            edit.found = e.revision ? e.revision : edit.found;
-            return edit.found ? "found" : "not_found";
+            edit.found = e.revision;
+            return e.revision ? "found" : "not_found";
           },
           [&](const ChangesRead& e) -> std::string_view {
             const auto own = std::ranges::find(e.delta.entries, edit.change.id,
@@ -126,7 +126,9 @@
             if (own != e.delta.entries.end()) {
               edit.found = own->revision;
             }
-            const bool moved = edit.tree.Apply(e.delta);
+            const bool moved = e.delta.head > edit.scanned;
+            edit.scanned = std::max(edit.scanned, e.delta.head);
+            edit.tree.Apply(e.delta);
             if (e.delta.more && moved) {
               return "behind";
             }
--- a/packages/settings/tests/editor_test.cc
+++ b/packages/settings/tests/editor_test.cc
@@ -21,8 +21,8 @@
           .value();
   core::TimePoint now{};
 
-  explicit Desk(const Change& change) {
-    REQUIRE(editor.Submit(now, change, Tree()));
+  explicit Desk(const Change& change, const Tree& tree = {}) {
+    REQUIRE(editor.Submit(now, change, tree));
   }
   template <typename Command>
   Command Expect() {
@@ -96,5 +96,25 @@
   }
 }
 
+// Guards against a written change that is reported as lost: it was overwritten
+// since, a peer has told this process so, and the store's reads are stale.
+TEST_CASE("a stale read does not turn a written change into a conflict") {
+  const std::vector<Entry> log = {
+      {.path = kPath, .value = true, .revision = 1, .change_id = "c-1"},
+      {.path = kPath, .value = false, .revision = 2, .change_id = "other"}};
+  Tree tree;
+  REQUIRE(tree.Apply({.head = 2, .entries = log}));
+  Desk desk(MakeChange(true), tree);
+  desk.FindNothing();
+  desk.ReadNothing();
+  const auto command = desk.Expect<ReadChanges>();
+  CHECK(command.after == 0);
+  desk.editor.Handle(desk.now, ChangesRead{.serial = command.serial,
+                                           .delta = MakeDelta(0, log, false)});
+  const auto results = desk.editor.TakeResults();
+  REQUIRE(results.size() == 1);
+  CHECK(std::get<Accepted>(results[0].outcome).revision == 1);
+}
+
 }  // namespace
 }  // namespace hickoryusher::settings
--- a/packages/settings/tests/settings_run.cc
+++ b/packages/settings/tests/settings_run.cc
@@ -137,8 +137,8 @@
 
 void SettingsRun::Pump(std::size_t index) {
   Process& process = processes_[index];
-  for (const EditEvent& event : process.store->TakeEditEvents()) {
-    process.editor->Handle(now_, event);
+  for (EditEvent& event : process.store->TakeEditEvents()) {
+    process.editor->Handle(now_, Distort(std::move(event)));
   }
   for (const FollowEvent& event : process.store->TakeFollowEvents()) {
     Follow(index, event);
@@ -224,8 +224,6 @@
     } else if (defect_ == Defect::kForgottenId) {
       write->conditions.pop_back();
     }
-  } else if (std::holds_alternative<store::ReadRow>(command)) {
-    id_reads_[store::IdOf(command)] = true;
   }
   return command;
 }
@@ -240,9 +238,17 @@
       std::holds_alternative<store::TimedOut>(event)) {
     WriteAgain(writes_[id]);
   }
-  if (defect_ == Defect::kForgottenId && id_reads_.contains(id) &&
-      std::holds_alternative<store::RowRead>(event)) {
-    return store::RowRead{.id = id};
+  return event;
+}
+
+EditEvent SettingsRun::Distort(EditEvent event) const {
+  if (defect_ == Defect::kForgottenId) {
+    if (auto* outcome = std::get_if<OutcomeRead>(&event)) {
+      outcome->revision.reset();
+    } else if (auto* changes = std::get_if<ChangesRead>(&event)) {
+      std::ranges::for_each(changes->delta.entries,
+                            [](Entry& entry) { entry.change_id.clear(); });
+    }
   }
   return event;
 }
--- a/packages/settings/tests/settings_run.h
+++ b/packages/settings/tests/settings_run.h
@@ -21,7 +21,7 @@
   kNone,
   kUnconditionalWrite,  ///< Writes lose their conditions.
   kFalseAccept,         ///< A write that was not run is reported as written.
-  kForgottenId,         ///< The change id is neither required new nor found.
+  kForgottenId,  ///< The change id is neither required new nor found again.
   kResentWrite,  ///< A write without an answer is written again as a new one.
   kHeadBack,     ///< A process takes over what the store answers.
   kEarlyReady,   ///< A new process serves after its first answer.
@@ -83,6 +83,7 @@
   void Observe(std::size_t index);
   store::Command Distort(store::Command command);
   store::Event Distort(store::Event event);
+  EditEvent Distort(EditEvent event) const;
   void WriteAgain(store::Transact write);
   std::vector<Entry> ReadLog();
   std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
@@ -94,7 +95,6 @@
   store::FakePlatform platform_;
   std::vector<Process> processes_;
   std::multimap<core::TimePoint, PeerMessage> messages_;
-  std::map<store::CommandId, bool> id_reads_;
   std::map<store::CommandId, store::Transact> writes_;
   std::uint64_t next_first_id_ = 0;
   int next_change_ = 0;
