--- a/packages/placement/include/placement/policy.h
+++ b/packages/placement/include/placement/policy.h
@@ -18,7 +18,7 @@
 struct LearnedPlacement {
   /// Predicted extra time of a latency-critical task, as a fraction, above
   /// which a neighbour is not added.
-  double max_extra = 0.08;
+  double max_extra = 0.05;
   /// See SlowdownTable::Forget.
   core::Duration forget_half_life = std::chrono::minutes(10);
 };
--- a/packages/placement/src/policy.cc
+++ b/packages/placement/src/policy.cc
@@ -44,6 +44,10 @@
              : 0.0;
 }
 
+/// A tenth of extra time for a service counts like a worker that is fuller by
+/// four tenths.
+constexpr double kExtraWeight = 4.0;
+
 /// Lower is better; nothing if the worker must not be used.
 using Score = std::optional<double>;
 
@@ -53,14 +57,16 @@
                    const PlacementRequest& request,
                    double best) {
   const double load = Load(worker, request);
+  // Services are packed together, which leaves whole workers to batch work
+  // that would slow them down.
+  if (request.work_class != core::WorkClass::kBatch) {
+    const double extra = slowdowns.Predict(request.kind, worker.kinds);
+    return kExtraWeight * extra - load;
+  }
   // Predicting slowdowns costs most of a placement and only adds to the score.
   if (load >= best) {
     return std::nullopt;
   }
-  if (request.work_class != core::WorkClass::kBatch) {
-    const double extra = slowdowns.Predict(request.kind, worker.kinds);
-    return extra + load;
-  }
   // No more batch work where the guard is already at work.
   if (worker.guard.throttle() > 0) {
     return std::nullopt;
@@ -76,7 +82,7 @@
     }
     worst = std::max(worst, pair);
   }
-  return 4.0 * worst + load;
+  return kExtraWeight * worst + load;
 }
 
 template <typename ScoreFunction>
--- a/packages/placement/tests/scheduler_sim_test.cc
+++ b/packages/placement/tests/scheduler_sim_test.cc
@@ -8,14 +8,18 @@
 namespace hickoryusher::placement::sim {
 namespace {
 
-/// More seeds take longer than they find; HICKORYUSHER_SEED runs another one.
+/// More seeds take longer than they find; HICKORYUSHER_SEED runs one,
+/// HICKORYUSHER_SEEDS another number.
 constexpr std::uint64_t kSeeds = 24;
 
 std::vector<std::uint64_t> Seeds() {
-  if (const char* seed = std::getenv("HICKORYUSHER_SEED")) {
+  const char* seed = std::getenv("HICKORYUSHER_SEED");
+  const char* count = std::getenv("HICKORYUSHER_SEEDS");
+  if (seed != nullptr) {
     return {std::stoull(seed)};
   }
-  std::vector<std::uint64_t> seeds(kSeeds);
+  std::vector<std::uint64_t> seeds(count == nullptr ? kSeeds
+                                                    : std::stoull(count));
   std::iota(seeds.begin(), seeds.end(), std::uint64_t{1});
   return seeds;
 }
