--- a/packages/entry/src/request_path.cc
+++ b/packages/entry/src/request_path.cc
@@ -4,79 +4,14 @@
 
 #include "core/overloaded.h"
 #include "key_codec_p.h"
+#include "request_mapping_p.h"
 #include "request_path_p.h"
 
 namespace hickoryusher::entry {
 namespace {
 
-// Status codes of refusals, see the caller API.
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
 constexpr int kNotFound = 404;
 
-retry::ExchangeStage ToExchangeStage(http::Stage stage) {
-  switch (stage) {
-    case http::Stage::kBeforeConnection:
-    case http::Stage::kConnecting:
-      return retry::ExchangeStage::kConnecting;
-    case http::Stage::kSending:
-      return retry::ExchangeStage::kSending;
-    case http::Stage::kAwaitingFirstByte:
-      return retry::ExchangeStage::kAwaitingFirstByte;
-    case http::Stage::kReceiving:
-      return retry::ExchangeStage::kReceiving;
-  }
-  return retry::ExchangeStage::kSending;
-}
-
-retry::Reason ToReason(std::string_view reason) {
-  struct Row {
-    std::string_view name;
-    retry::Reason reason;
-  };
-  static constexpr Row kRows[] = {
-      {"refused", retry::Reason::kConnectRefused},
-      {"connect_timeout", retry::Reason::kConnectTimeout},
-      {"first_byte_timeout", retry::Reason::kFirstByteTimeout},
-      {"total_timeout", retry::Reason::kDeadline},
-      {"truncated", retry::Reason::kTruncated},
-      {"oversized", retry::Reason::kOversized},
-      {"malformed", retry::Reason::kMalformed},
-      {"no_length", retry::Reason::kMalformed},
-      {"cancelled", retry::Reason::kCancelled},
-      {"connection_limit", retry::Reason::kNoEndpoint},
-      {"exchange_limit", retry::Reason::kRingFull},
-      {"shutting_down", retry::Reason::kShutdown}};
-  const auto* found = std::ranges::find(kRows, reason, &Row::name);
-  return found == std::end(kRows) ? retry::Reason::kConnectionBroken
-                                  : found->reason;
-}
-
-retry::Reason ToReason(routing::Reason reason) {
-  return reason == routing::Reason::kDeadlinePassed
-             ? retry::Reason::kDeadline
-             : retry::Reason::kNoEndpoint;
-}
-
-routing::AttemptResult ToResult(const retry::ReleaseEndpoint& command) {
-  switch (command.result) {
-    case retry::AttemptResult::kAnswered:
-      return routing::Succeeded{.latency = command.elapsed};
-    case retry::AttemptResult::kNotRun:
-    case retry::AttemptResult::kUnconnected:
-      return routing::Refused{};
-    case retry::AttemptResult::kFailed:
-      return routing::Failed{};
-    case retry::AttemptResult::kNoFirstByte:
-      return routing::TimedOut{};
-    case retry::AttemptResult::kUnused:
-    case retry::AttemptResult::kAbandoned:
-      return routing::Abandoned{};
-  }
-  return routing::Abandoned{};
-}
-
-// Classes of status in which an answered request says that its endpoint fails.
 bool IsServerError(int status) {
   return status >= 500;
 }
@@ -208,7 +143,7 @@
                              .Add("reason", admission::ToString(c.refusal)));
               events_.push_back(
                   retry::AdmissionRefused{.request = c.request,
-                                          .reason = retry::Reason::kAdmission,
+                                          .reason = ToReason(c.refusal),
                                           .retry_after = c.retry_after});
             }},
         command);
@@ -308,6 +243,7 @@
       .idempotent = command.idempotent && !borrowed,
       .connect_timeout = millis(command.limits.connect),
       .total_timeout = millis(command.limits.deadline - now),
+      .write_before = command.limits.deadline,
       .max_connections_per_host = static_cast<std::size_t>(std::max(
           1, parts_.router.slots().entry(command.endpoint).connections)),
       .max_response_bytes = parts_.max_response_bytes};
@@ -430,11 +366,9 @@
       return AnsweredResponse(command.request, command.status, {},
                               command.stored_response);
     case retry::Outcome::kNotRun:
-      return NotRunResponse(
-          command.request,
-          command.reason == retry::Reason::kAdmission ? kTooManyRequests
-                                                      : kServiceUnavailable,
-          retry::ToString(command.reason), command.retry_after);
+      return NotRunResponse(command.request, NotRunStatus(command.reason),
+                            retry::ToString(command.reason),
+                            command.retry_after);
     case retry::Outcome::kUnknown:
       break;
   }
--- a/packages/http/include/http/upstream.h
+++ b/packages/http/include/http/upstream.h
@@ -31,6 +31,9 @@
   /// From the start of the exchange; 0 for no limit of its own.
   std::chrono::milliseconds first_byte_timeout{0};
   std::chrono::milliseconds total_timeout{10'000};
+  /// Nothing is written from this time on. Unlike the time limits, it covers the
+  /// time before the exchange starts, in which the process may be frozen.
+  core::TimePoint write_before = core::TimePoint::max();
   std::size_t max_connections_per_host = 8;
   std::size_t max_response_bytes = 8UL * 1024 * 1024;
 };
@@ -75,7 +78,7 @@
   core::AttemptId id;
   Stage stage = Stage::kSending;
   /// `refused`, `connect_timeout`, `first_byte_timeout`, `total_timeout`,
-  /// `connection_broken`, `truncated`, `oversized`, `malformed`, `no_length`,
+  /// `deadline_passed`, `connection_broken`, `truncated`, `oversized`, `malformed`, `no_length`,
   /// `cancelled`, `connection_limit`, `exchange_limit`, `invalid_request`,
   /// `shutting_down` or `internal`.
   std::string_view reason;
--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -147,7 +147,12 @@
 }
 
 int Exchange::OnPreRequest(void* self, char*, char*, int, int) {
-  static_cast<Exchange*>(self)->may_have_written_ = true;
+  auto* exchange = static_cast<Exchange*>(self);
+  if (std::chrono::steady_clock::now() >= exchange->command_.write_before) {
+    exchange->own_reason_ = "deadline_passed";
+    return CURL_PREREQFUNC_ABORT;
+  }
+  exchange->may_have_written_ = true;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/packages/http/tests/upstream_test.cc
+++ b/packages/http/tests/upstream_test.cc
@@ -90,6 +90,23 @@
   std::string_view reason;
 };
 
+// Guards against a request that is written after its deadline because the
+// process was frozen before the exchange started.
+TEST_CASE("nothing is written once the deadline has passed") {
+  const auto endpoint = EndpointStandIn::Start({});
+  Harness harness;
+  StartExchange command{
+      .url = "http://127.0.0.1:" + std::to_string(endpoint->port()) + "/",
+      .method = "POST",
+      .body = "x",
+      .write_before = std::chrono::steady_clock::now()};
+  harness.Start(std::move(command));
+  const Failed failed = harness.Failure();
+  CHECK(failed.reason == "deadline_passed");
+  CHECK(failed.stage == Stage::kConnecting);
+  CHECK(endpoint->record().stats().runs == 0);
+}
+
 // Guards against a broken answer that is passed on as complete.
 TEST_CASE("a truncated, oversized or malformed answer is a failure") {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
