--- a/packages/entry/src/request_path_fleet.cc
+++ b/packages/entry/src/request_path_fleet.cc
@@ -10,7 +10,7 @@
 
 void RequestPath::TakeVmList(const store::VmListRead& list,
                              core::TimePoint now) {
-  if (list.revision < vm_list_revision_) {
+  if (list.unchanged || list.revision < vm_list_revision_) {
     return;
   }
   vm_list_revision_ = list.revision;
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -67,6 +67,9 @@
   /// Takes a complete read of the VM list.
   void TakeVmList(const store::VmListRead& list, core::TimePoint now);
 
+  /// @returns the newest revision of the VM list taken, 0 before the first.
+  std::uint64_t vm_list_revision() const { return vm_list_revision_; }
+
   /// Adds the methods that other entry processes call.
   /// @param clock gives the time of a call.
   void AddMethods(rpc::Dispatcher& dispatcher,
--- a/packages/entry/src/router_duty.cc
+++ b/packages/entry/src/router_duty.cc
@@ -74,7 +74,8 @@
   }
   next_list_read_ = now + kListInterval;
   const store::CommandId id(next_list_id_++);
-  if (outputs_.store(store::ReadVmList{.id = id})) {
+  if (outputs_.store(store::ReadVmList{
+          .id = id, .known_revision = path_->vm_list_revision()})) {
     list_read_ = id;
   }
 }
--- a/packages/store/include/store/command.h
+++ b/packages/store/include/store/command.h
@@ -46,6 +46,8 @@
 
 struct ReadVmList {
   CommandId id;
+  /// Revision that the issuer holds; the list is left out if it is unchanged.
+  std::uint64_t known_revision = 0;
 };
 
 /// Everything that is asked of the platform.
--- a/packages/store/include/store/event.h
+++ b/packages/store/include/store/event.h
@@ -50,6 +50,7 @@
 struct VmListRead {
   CommandId id;
   std::uint64_t revision = 0;  ///< Grows with each change of the list.
+  bool unchanged = false;      ///< The issuer holds this revision already.
   std::vector<Vm> vms;
 };
 
--- a/packages/store/src/http_message.cc
+++ b/packages/store/src/http_message.cc
@@ -134,8 +134,13 @@
   return read;
 }
 
+/// A list without the member `vms` is the one that the issuer holds.
 VmListRead DecodeVmList(CommandId id, const Json::Value& body) {
   VmListRead read{.id = id, .revision = Member(body, "revision").asUInt64()};
+  if (!body.isMember("vms")) {
+    read.unchanged = true;
+    return read;
+  }
   std::ranges::transform(Member(body, "vms"), std::back_inserter(read.vms),
                          DecodeVm);
   return read;
@@ -192,10 +197,11 @@
                     .method = Method::kGet,
                     .path = "/v1/objects/" + EscapePath(c.name)};
           },
-          [](const ReadVmList&) -> HttpRequest {
-            return {.service = Service::kVmList,
-                    .method = Method::kGet,
-                    .path = "/v1/vms"};
+          [](const ReadVmList& c) -> HttpRequest {
+            return {
+                .service = Service::kVmList,
+                .method = Method::kGet,
+                .path = "/v1/vms/since/" + std::to_string(c.known_revision)};
           }},
       command);
 }
--- a/packages/store/tests/contract_test.cc
+++ b/packages/store/tests/contract_test.cc
@@ -309,5 +309,25 @@
   CHECK(revision() <= empty);
 }
 
+// Guards against a list that is sent again although it has not changed, and
+// against a changed one that is left out.
+TEMPLATE_TEST_CASE("an unchanged VM list is left out", "", FakeSide, HttpSide) {
+  TestType side;
+  side.Set(Fault::kNone);
+  const auto read = [&side](std::uint64_t known) {
+    return std::get<VmListRead>(
+        side.Run(ReadVmList{.id = CommandId(1), .known_revision = known}));
+  };
+  side.SetVm({.name = "vm1", .address = "127.0.0.1", .failure_domain = "a"});
+  const VmListRead first = read(0);
+  CHECK_FALSE(first.unchanged);
+  CHECK(first.vms.size() == 1);
+  const VmListRead second = read(first.revision);
+  CHECK(second.unchanged);
+  CHECK(second.vms.empty());
+  side.SetVm({.name = "vm2", .address = "127.0.0.1", .failure_domain = "a"});
+  CHECK(read(first.revision).vms.size() == 2);
+}
+
 }  // namespace
 }  // namespace hickoryusher::store
--- a/packages/store/tests/store_fake/fake_platform.h
+++ b/packages/store/tests/store_fake/fake_platform.h
@@ -202,7 +202,7 @@
                                                    .content = found->second};
                          },
                          [&](const ReadVmList& c) -> Event {
-                           return ReadVms(c.id, now - switches_.vm_list_lag);
+                           return ReadVms(c, now - switches_.vm_list_lag);
                          }},
         command);
   }
@@ -250,13 +250,15 @@
     return vm_history_.empty() ? std::vector<Vm>() : vm_history_.back().second;
   }
 
-  VmListRead ReadVms(CommandId id, core::TimePoint when) const {
+  VmListRead ReadVms(const ReadVmList& command, core::TimePoint when) const {
     const auto later = std::ranges::find_if(
         vm_history_, [when](const auto& entry) { return entry.first > when; });
     VmListRead read{
-        .id = id,
+        .id = command.id,
         .revision = static_cast<std::uint64_t>(later - vm_history_.begin())};
-    if (later != vm_history_.begin()) {
+    read.unchanged =
+        read.revision > 0 && read.revision == command.known_revision;
+    if (later != vm_history_.begin() && !read.unchanged) {
       read.vms = std::prev(later)->second;
     }
     return read;
--- a/standins/platform/vm_list_server.cc
+++ b/standins/platform/vm_list_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <optional>
 #include <string_view>
 
@@ -11,6 +12,27 @@
 namespace {
 
 constexpr std::array<std::string_view, 3> kStates = {"live", "leaving", "gone"};
+constexpr std::string_view kListPath = "/v1/vms";
+constexpr std::string_view kSincePath = "/v1/vms/since/";
+
+/// @returns the revision that the reader holds, 0 for none, or nothing for an
+/// unknown path.
+std::optional<std::uint64_t> KnownRevision(const Request& request) {
+  if (request.path == kListPath) {
+    return 0;
+  }
+  std::string_view text = request.path;
+  if (request.write || !text.starts_with(kSincePath)) {
+    return std::nullopt;
+  }
+  text.remove_prefix(kSincePath.size());
+  std::uint64_t revision = 0;
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), revision);
+  return result.ec == std::errc() && result.ptr == text.data() + text.size()
+             ? std::optional(revision)
+             : std::nullopt;
+}
 
 }  // namespace
 
@@ -22,7 +44,8 @@
           [this](const Request& r) { return Handle(r); }) {}
 
 Reply VmListServer::Handle(const Request& request) {
-  if (request.path != "/v1/vms") {
+  const std::optional<std::uint64_t> known = KnownRevision(request);
+  if (!known) {
     return {.status = 404};
   }
   const auto now = std::chrono::steady_clock::now();
@@ -31,7 +54,7 @@
     return Change(request);
   }
   const std::lock_guard lock(mutex_);
-  return Show(now - lag);
+  return Show(now - lag, *known);
 }
 
 Reply VmListServer::Change(const Request& request) {
@@ -59,11 +82,16 @@
   return {};
 }
 
-Reply VmListServer::Show(std::chrono::steady_clock::time_point as_of) const {
+Reply VmListServer::Show(std::chrono::steady_clock::time_point as_of,
+                         std::uint64_t known) const {
   const auto later = std::ranges::find_if(
       history_, [as_of](const auto& entry) { return entry.first > as_of; });
   Json::Value reply;
-  reply["revision"] = static_cast<Json::UInt64>(later - history_.begin());
+  const auto revision = static_cast<std::uint64_t>(later - history_.begin());
+  reply["revision"] = Json::UInt64(revision);
+  if (revision == known) {
+    return {.body = WriteJson(reply)};
+  }
   reply["vms"] = Json::Value(Json::arrayValue);
   for (const auto& [name, vm] : std::prev(later)->second) {
     Json::Value& entry = reply["vms"].append(Json::Value());
--- a/standins/platform/vm_list_server.h
+++ b/standins/platform/vm_list_server.h
@@ -19,6 +19,8 @@
 /// GET /v1/vms: `{"revision","vms":[{"name","address","failure_domain",
 /// "state"}]}` with state `live` or `leaving`, as it was `lag_ms` ago. The
 /// revision grows with each change.
+/// GET /v1/vms/since/<revision>: the same, without `vms` if the revision is the
+/// reader's.
 /// POST /v1/vms with one such entry adds or changes it; state `gone` removes
 /// it. A name stands for one life of a VM: adding it again gets 409.
 class VmListServer {
@@ -37,7 +39,8 @@
 
   Reply Handle(const Request& request);
   Reply Change(const Request& request);
-  Reply Show(std::chrono::steady_clock::time_point as_of) const;
+  Reply Show(std::chrono::steady_clock::time_point as_of,
+             std::uint64_t known) const;
 
   std::mutex mutex_;
   std::set<std::string> gone_;
