--- /dev/null
+++ b/tests/matrix/checkers.cc
@@ -0,0 +1,24 @@
+#include "checkers.h"
+
+#include <array>
+
+#include "request_checkers.h"
+
+namespace hickoryusher::matrix {
+
+std::span<const Checker> Checkers() {
+  static constexpr std::array<Checker, 9> kCheckers = {{
+      {"P1", "no VM holds more work than it can", nullptr},
+      {"P2", "no task runs in two places", nullptr},
+      {"P3", "evicted work resumes exactly once", nullptr},
+      {"P4", "every caller gets its own complete response", CheckOwnResponse},
+      {"P5", "not run means not run", CheckNotRun},
+      {"P6", "a non-idempotent request runs at most once", CheckAtMostOnce},
+      {"P7", "a leaving VM receives no new work", nullptr},
+      {"P8", "a graceful shutdown interrupts nothing", CheckShutdown},
+      {"P9", "an accepted configuration takes effect and stays", nullptr},
+  }};
+  return kCheckers;
+}
+
+}  // namespace hickoryusher::matrix
--- /dev/null
+++ b/tests/matrix/history.h
@@ -0,0 +1,74 @@
+#ifndef MATRIX_HISTORY_H_
+#define MATRIX_HISTORY_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "retry/types.h"
+
+namespace hickoryusher::matrix {
+
+// What rigs record, in true time. Checkers see nothing else.
+
+/// A caller sent a request. Requests with the same operation carry the same
+/// key.
+struct Submitted {
+  core::RequestId request;
+  std::uint64_t operation = 0;
+  bool idempotent = false;
+  bool must_be_answered = false;  ///< Every part works and stays so.
+};
+/// An endpoint ran the request.
+struct Executed {
+  core::RequestId request;
+  core::AttemptId attempt;
+};
+/// The adapter received the complete response of an attempt.
+struct ResponseComplete {
+  core::RequestId request;
+  core::AttemptId attempt;
+};
+struct Delivered {
+  core::RequestId request;
+  retry::Outcome outcome = retry::Outcome::kUnknown;
+  retry::Reason reason = retry::Reason::kNone;
+  core::AttemptId attempt;
+  bool stored = false;  ///< The response of another request with the key.
+};
+/// The caller's connection broke because the process died.
+struct CallerCutOff {
+  core::RequestId request;
+};
+struct ExchangeStarted {
+  core::RequestId request;
+};
+/// The process closed the connection of a request that was under way.
+struct ExchangeCancelled {
+  core::RequestId request;
+  bool by_shutdown = false;
+};
+struct ShutdownBegan {};
+
+using Record = std::variant<Submitted,
+                            Executed,
+                            ResponseComplete,
+                            Delivered,
+                            CallerCutOff,
+                            ExchangeStarted,
+                            ExchangeCancelled,
+                            ShutdownBegan>;
+
+struct Entry {
+  core::TimePoint at;
+  Record record;
+};
+
+using History = std::vector<Entry>;
+
+}  // namespace hickoryusher::matrix
+
+#endif  // MATRIX_HISTORY_H_
