--- a/tests/matrix/defects.h
+++ b/tests/matrix/defects.h
@@ -14,7 +14,8 @@
   std::string note;  ///< A cell that shows it, or why it could not be run.
 };
 
-/// Runs the single faults against each broken chart of @p table.
+/// Runs the faults of @p table against each broken chart until one reports
+/// the defect.
 std::vector<DefectResult> RunDefects(const FaultTable& table,
                                      const std::string& chart_folder);
 
