Run the real scheduler in the lease cells of the fault matrix

Cause: one hand-written task stood in for the scheduler, so the lease cells showed the leases without the component that relies on them.

--- a/tests/matrix/history.h
+++ b/tests/matrix/history.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/resources.h"
 #include "core/time.h"
 #include "retry/types.h"
 
@@ -58,6 +59,7 @@
   core::TaskId task;
   std::uint32_t attempt = 0;
   core::WorkerId worker;
+  std::uint32_t checkpoint_attempt = 0;  ///< It resumes from; 0 for none.
 };
 /// The attempt no longer runs there.
 struct TaskStopped {
@@ -70,6 +72,17 @@
   core::EntryId entry;
   bool owned = false;
 };
+/// The attempt stopped with a whole checkpoint.
+struct Checkpointed {
+  core::TaskId task;
+  std::uint32_t attempt = 0;
+};
+/// What the tasks of a worker use together.
+struct WorkerLoad {
+  core::WorkerId worker;
+  core::Resources use;
+  core::Resources capacity;
+};
 /// A task that has to run again once every part works.
 struct TaskMustRun {
   core::TaskId task;
@@ -78,7 +91,7 @@
 using Record = std::variant<TaskStarted,
                             TaskStopped,
                             SliceHeld,
-                            TaskMustRun,
+                            TaskMustRun, Checkpointed, WorkerLoad,
                             Submitted,
                             Executed,
                             ResponseComplete,
--- a/tests/matrix/lease_rig.cc
+++ b/tests/matrix/lease_rig.cc
@@ -33,6 +33,11 @@
   return chart;
 }
 
+const chart::Chart& ShippedTaskChart() {
+  static const chart::Chart chart = LoadShipped("task");
+  return chart;
+}
+
 const chart::Chart& ShippedWorkerChart() {
   static const chart::Chart chart = LoadShipped("worker_lease");
   return chart;
@@ -40,10 +45,10 @@
 
 }  // namespace
 
-LeaseRig::LeaseRig(const chart::Chart& slice_chart,
-                   const chart::Chart& worker_chart,
-                   std::size_t setup)
-    : world_(slice_chart, worker_chart), setup_(setup) {
+LeaseRig::LeaseRig(const LeaseWorld::Charts& charts, std::size_t setup)
+    : world_(charts), setup_(setup) {
+  world_.AddJob({.declared = {.cpu_millis = 4000}}, {.cpu_millis = 3000},
+                hours(1000));
   if (owned_before()) {
     world_.StartProcess(1);
     world_.RunFor(kSettled);
@@ -81,8 +86,8 @@
 }
 
 WorkerLeaseRig::WorkerLeaseRig(const chart::Chart& chart, std::size_t setup)
-    : LeaseRig(ShippedSliceChart(), chart, setup) {
-  world_.links.worker_0_of_0 = true;
+    : LeaseRig({&ShippedSliceChart(), &chart, &ShippedTaskChart()}, setup) {
+  world_.links.worker_of_0[0] = true;
   world_.links.between_processes = true;
   world_.links.store_of_1 = true;
   world_.StartProcess(0);
@@ -96,9 +101,9 @@
     return true;
   }
   if (event == "report") {
-    world_.links.worker_0_of_0 = false;
+    world_.links.worker_of_0[0] = false;
   } else if (event == "silent" || event == "lease_over") {
-    world_.links.worker_0_of_0 = true;
+    world_.links.worker_of_0[0] = true;
   } else if (event == "yielded") {
     world_.links.between_processes = false;
   }
@@ -106,7 +111,7 @@
 }
 
 SliceLeaseRig::SliceLeaseRig(const chart::Chart& chart, std::size_t setup)
-    : LeaseRig(chart, ShippedWorkerChart(), setup) {
+    : LeaseRig({&chart, &ShippedWorkerChart(), &ShippedTaskChart()}, setup) {
   world_.StartProcess(0);
   world_.RunFor(seconds(2));
 }
--- a/tests/matrix/lease_rig.h
+++ b/tests/matrix/lease_rig.h
@@ -22,9 +22,7 @@
   const History& history() const { return world_.history(); }
 
  protected:
-  LeaseRig(const chart::Chart& slice_chart,
-           const chart::Chart& worker_chart,
-           std::size_t setup);
+  LeaseRig(const LeaseWorld::Charts& charts, std::size_t setup);
 
   bool owned_before() const { return setup_ % 2 == 1; }
   bool links_stay_cut() const { return setup_ >= 2; }
@@ -46,6 +44,23 @@
   std::string_view State() const { return world_.WorkerState(); }
 };
 
+/// Drives one task of the slice that process 0 owns. Setups: whether an urgent
+/// job evicts a task while the fault is active, and whether the job of the task
+/// is too large for every worker.
+class TaskRig : public LeaseRig {
+ public:
+  TaskRig(const chart::Chart& chart, std::size_t setup);
+
+  bool Perform(std::string_view event);
+  std::string_view State() const { return world_.TaskState(); }
+  void Inject(const Step& step);
+  bool Finish();
+
+ private:
+  std::size_t task_setup_;
+  bool urgent_added_ = false;
+};
+
 /// Drives process 0's ownership of the slice.
 class SliceLeaseRig : public LeaseRig {
  public:
--- a/tests/matrix/lease_world.cc
+++ b/tests/matrix/lease_world.cc
@@ -16,27 +16,26 @@
 
 }  // namespace
 
-LeaseWorld::LeaseWorld(const chart::Chart& slice_chart,
-                       const chart::Chart& worker_chart)
-    : slice_chart_(&slice_chart), worker_chart_(&worker_chart) {}
+LeaseWorld::LeaseWorld(const Charts& charts) : charts_(charts) {}
 
 void LeaseWorld::StartProcess(std::size_t index) {
   ProcessState& process = processes_.at(index);
   ++process.incarnation;
-  process.task = {};
+  process.scheduler.reset();
   std::vector<chart::Problem> problems;
   process.owner = lease::SliceOwner::Create(
-      *slice_chart_,
+      *charts_.slice,
       {.self = core::EntryId(static_cast<std::uint32_t>(index)),
        .incarnation = core::Incarnation(process.incarnation),
        .slices = {kSlice}},
       Clock(index), problems);
-  process.leases = lease::WorkerLeases::Create(*worker_chart_, {}, problems);
+  process.leases = lease::WorkerLeases::Create(*charts_.worker, {}, problems);
 }
 
 void LeaseWorld::StopProcess(std::size_t index) {
   processes_.at(index).owner.reset();
   processes_.at(index).leases.reset();
+  processes_.at(index).scheduler.reset();
   NoteOwnership(index);
 }
 
@@ -69,10 +68,12 @@
   queue_.push_back(std::move(message));
 }
 
-bool LeaseWorld::IsStoreCommand(const ToOther& payload) const {
+bool LeaseWorld::IsStoreCommand(const ToOther& payload) {
   return std::holds_alternative<StoreWrite>(payload) ||
          std::holds_alternative<StoreRead>(payload) ||
-         std::holds_alternative<ClaimTask>(payload);
+         std::holds_alternative<WriteTasks>(payload) ||
+         std::holds_alternative<ReadTasks>(payload) ||
+         std::holds_alternative<LoadTasks>(payload);
 }
 
 bool LeaseWorld::IsLinkCut(std::size_t process, const ToOther& payload) const {
@@ -81,10 +82,10 @@
   }
   const core::WorkerId worker = std::visit(
       core::Overloaded{[](const BeatWorker& m) { return m.beat.worker; },
-                       [](const StartTask& m) { return m.worker; },
+                       [](const OrderWorker& m) { return m.worker; },
                        [](const auto&) { return core::WorkerId(); }},
       payload);
-  return process == 0 && worker == core::WorkerId(0) && links.worker_0_of_0;
+  return process == 0 && links.worker_of_0.at(worker.value());
 }
 
 void LeaseWorld::Send(std::size_t from, ToOther payload) {
@@ -162,7 +163,8 @@
 }
 
 void LeaseWorld::TickAll() {
-  ExpireWorkers();
+  TickWorker(0);
+  TickWorker(1);
   // Ends are noted before beginnings, because both happened since the last
   // tick.
   for (const std::size_t index : {0U, 1U}) {
@@ -189,18 +191,7 @@
     if (process.leases->IsExclusive(kSlice)) {
       process.owner->SetExclusive(kSlice);
     }
-    PlaceTask(index);
-  }
-}
-
-void LeaseWorld::ExpireWorkers() {
-  for (std::size_t i = 0; i < kWorkers; ++i) {
-    FakeWorker& worker = workers_.at(i);
-    const core::WorkerId id(static_cast<std::uint32_t>(i));
-    for (const lease::TaskAttempt& attempt : worker.guard.TakeExpired(now_)) {
-      worker.ended.insert(attempt.attempt);
-      Note(TaskStopped{attempt.task, attempt.attempt, id});
-    }
+    TickScheduler(index);
   }
 }
 
@@ -245,23 +236,20 @@
                      }
                      return;
                    }
-                   // A worker that reports the end of the attempt proves it.
-                   if (process.task.worker == m.worker &&
-                       m.ended.contains(process.task.attempt)) {
-                     process.task.worker = core::WorkerId();
-                   }
-                 },
-                 [&](const YieldDone& m) {
+                   RunCommands(index, out);
+            out.clear();
+            GiveScheduler(index, placement::WorkerReport{m.worker, m.attempts});
+          },
+          [&](const YieldDone& m) {
                    process.leases->Yielded(m.slice, Clock(index), out);
                  },
-                 [&](const ClaimAnswer& m) {
-                   if (process.task.claiming) {
-                     process.task.claiming = false;
-                     process.task.attempt = m.attempt;
-                     process.task.worker = m.worker;
-                   }
-                 }},
-             message);
+                 [&](const ToScheduler& m) {
+            if (m.epoch == process.owner->epoch(kSlice)) {
+              GiveScheduler(index, m.event);
+            }
+          },
+          [&](const TasksLoaded& m) { FillScheduler(index, m); }},
+      message);
   RunCommands(index, out);
 }
 
@@ -292,12 +280,12 @@
   constexpr core::WorkerId id(0);
   FakeWorker& worker = workers_.at(index);
   worker.gone = true;
-  for (const std::uint32_t attempt : {claimed_attempt_, claimed_attempt_ - 1}) {
-    if (worker.guard.IsRunning({kTask, attempt})) {
-      worker.guard.Ended({kTask, attempt}, now_);
-      Note(TaskStopped{kTask, attempt, id});
+  for (const auto& [attempt, run] : worker.runs) {
+    if (run.phase == placement::Phase::kRunning) {
+      Note(TaskStopped{attempt.task, attempt.attempt, id});
     }
   }
+  worker.runs.clear();
   for (const std::size_t process : {0U, 1U}) {
     if (IsRunning(process)) {
       std::vector<lease::WorkerCommand> out;
--- a/tests/matrix/lease_world.h
+++ b/tests/matrix/lease_world.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include "lease/slice_owner.h"
 #include "lease/worker_guard.h"
 #include "lease/worker_leases.h"
+#include "placement/scheduler.h"
 #include "skewed_clock.h"
 
 namespace hickoryusher::matrix {
@@ -29,14 +31,21 @@
   struct Links {
     bool store_of_0 = false;
     bool store_of_1 = false;
-    bool worker_0_of_0 = false;
+    std::array<bool, kWorkers> worker_of_0{};
     bool between_processes = false;
   };
 
   /// What happens to store commands of process 0 while a rig holds them.
   enum class Hold : std::uint8_t { kNone, kWrites, kReads };
 
-  LeaseWorld(const chart::Chart& slice_chart, const chart::Chart& worker_chart);
+  /// The charts must outlive the world.
+  struct Charts {
+    const chart::Chart* slice = nullptr;
+    const chart::Chart* worker = nullptr;
+    const chart::Chart* task = nullptr;
+  };
+
+  explicit LeaseWorld(const Charts& charts);
 
   void StartProcess(std::size_t index);
   void StopProcess(std::size_t index);
@@ -66,6 +75,20 @@
 
   /// The VM of worker 0 disappears from the VM list, or is missing again.
   void RemoveVm();
+  /// Submits a job of one task and returns it.
+  core::TaskId AddJob(placement::JobSpec spec,
+                      core::Resources use,
+                      core::Duration runs_for);
+  /// Submits an urgent job that has no room until a batch task is evicted.
+  void AddUrgentJob();
+  void CancelJobOf(core::TaskId task);
+  /// Ends the attempts of a task, running ones and later ones.
+  void EndTask(core::TaskId task, placement::Phase phase);
+  /// @returns the chart state of kTask at process 0.
+  std::string_view TaskState() const;
+  core::WorkerId PlaceOf(core::TaskId task) const;
+  bool IsTaskRunning(core::TaskId task) const;
+
   void Inject(const Step& step);
   /// Delivers or drops the held store commands.
   void ReleaseHeld(bool drop_answers);
@@ -80,30 +103,41 @@
   void Note(Record record) { history_.push_back({now_, std::move(record)}); }
 
   static constexpr core::TaskId kTask{1};
+  static constexpr core::Resources kCapacity{
+      .cpu_millis = 32'000, .memory_bytes = 125'000'000'000};
 
  private:
-  /// What a process knows of the task.
-  struct TaskView {
-    bool known = false;
-    std::uint32_t attempt = 0;  ///< 0 while it was never claimed.
-    core::WorkerId worker;      ///< Invalid while it may be claimed.
-    bool claiming = false;
-    core::TimePoint claim_sent;
+  struct Job {
+    placement::JobSpec spec;
+    core::Resources use;
+    core::Duration runs_for{};
+    std::optional<placement::Phase> ends_as;
+    bool cancelled = false;
   };
 
   struct ProcessState {
     std::uint64_t incarnation = 0;
     std::optional<lease::SliceOwner> owner;
     std::optional<lease::WorkerLeases> leases;
-    TaskView task;
+    std::optional<placement::Scheduler> scheduler;
+    std::set<core::JobId> submitted;
+    std::set<core::JobId> cancelled;
+    core::TimePoint next_load;
     SkewedClock clock;
-    core::TimePoint next_start;
     bool claims_slice = false;  ///< As recorded in the history.
   };
 
+  /// An attempt that a worker knows.
+  struct Run {
+    placement::Phase phase = placement::Phase::kRunning;
+    core::Resources use;
+    core::TimePoint started;
+    bool checkpointing = false;
+  };
+
   struct FakeWorker {
     lease::WorkerGuard guard;
-    std::set<std::uint32_t> ended;  ///< Attempts of the task.
+    std::map<lease::TaskAttempt, Run> runs;
     bool gone = false;
   };
 
@@ -115,24 +149,31 @@
     core::WorkerId worker;
     core::Epoch epoch;
     core::TimePoint worker_time;
-    std::set<std::uint32_t> ended;
+    std::vector<placement::AttemptReport> attempts;
   };
   struct YieldDone {
     core::SliceId slice;
   };
-  struct ClaimAnswer {
-    bool written = false;
-    std::uint32_t attempt = 0;
-    core::WorkerId worker;
+  struct ToScheduler {
+    core::Epoch epoch;
+    placement::Event event;
+  };
+  struct TasksLoaded {
+    core::Epoch epoch;
+    std::map<core::TaskId, placement::TaskRow> rows;
   };
   struct BeatWorker {
     lease::Heartbeat beat;
   };
-  struct StartTask {
+  using Order = std::variant<placement::StartTask,
+                             placement::StopTask,
+                             placement::CheckpointTask,
+                             placement::AckEnded>;
+  struct OrderWorker {
     core::WorkerId worker;
     core::Epoch epoch;
     core::TimePoint echo;
-    std::uint32_t attempt = 0;
+    Order order;
   };
   struct StoreWrite {
     lease::WriteRows command;
@@ -140,14 +181,25 @@
   struct StoreRead {
     lease::ReadRows command;
   };
-  struct ClaimTask {
+  struct WriteTasks {
+    placement::WriteGroup command;
+  };
+  struct ReadTasks {
     core::Epoch epoch;
-    std::uint32_t attempt = 0;  ///< The new one; the row must have the last.
-    core::WorkerId worker;
+    placement::ReadGroup command;
   };
-  using ToProcess = std::variant<ToOwner, FromWorker, YieldDone, ClaimAnswer>;
-  using ToOther =
-      std::variant<BeatWorker, StartTask, StoreWrite, StoreRead, ClaimTask>;
+  struct LoadTasks {
+    core::Epoch epoch;
+  };
+  using ToProcess =
+      std::variant<ToOwner, FromWorker, YieldDone, ToScheduler, TasksLoaded>;
+  using ToOther = std::variant<BeatWorker,
+                               OrderWorker,
+                               StoreWrite,
+                               StoreRead,
+                               WriteTasks,
+                               ReadTasks,
+                               LoadTasks>;
 
   struct Message {
     core::TimePoint due;
@@ -166,35 +218,55 @@
   void Reply(std::size_t to, ToProcess payload);
   void Post(Message message, core::Duration after);
   bool IsLinkCut(std::size_t process, const ToOther& payload) const;
-  bool IsStoreCommand(const ToOther& payload) const;
+  static bool IsStoreCommand(const ToOther& payload);
 
   void Serve(std::size_t from, const BeatWorker& message);
-  void Serve(std::size_t from, const StartTask& message);
+  void Serve(std::size_t from, const OrderWorker& message);
   void Serve(std::size_t from, const StoreWrite& message);
   void Serve(std::size_t from, const StoreRead& message);
-  void Serve(std::size_t from, const ClaimTask& message);
+  void Serve(std::size_t from, const WriteTasks& message);
+  void Serve(std::size_t from, const ReadTasks& message);
+  void Serve(std::size_t from, const LoadTasks& message);
+
+  void Carry(FakeWorker& worker, const OrderWorker& message,
+             const placement::StartTask& order);
+  void Carry(FakeWorker& worker, const OrderWorker& message,
+             const placement::StopTask& order);
+  void Carry(FakeWorker& worker, const OrderWorker& message,
+             const placement::CheckpointTask& order);
+  void Carry(FakeWorker& worker, const OrderWorker& message,
+             const placement::AckEnded& order);
+  void EndRun(std::size_t index, lease::TaskAttempt attempt,
+              placement::Phase phase);
+  void NoteLoad(std::size_t index);
+  void TickWorker(std::size_t index);
 
   void GiveOwner(std::size_t index, const lease::SliceEvent& event);
   void RunCommands(std::size_t index,
                    const std::vector<lease::SliceCommand>& commands);
   void RunCommands(std::size_t index,
                    const std::vector<lease::WorkerCommand>& commands);
-  void PlaceTask(std::size_t index);
+  void RunCommands(std::size_t index,
+                   const std::vector<placement::Command>& commands);
+  void GiveScheduler(std::size_t index, const placement::Event& event);
+  void TickScheduler(std::size_t index);
+  void SubmitJobs(std::size_t index);
+  void FillScheduler(std::size_t index, const TasksLoaded& loaded);
+  const Job* JobOf(core::TaskId task) const;
   void NoteOwnership(std::size_t index);
-  void ExpireWorkers();
   core::TimePoint Clock(std::size_t index) const {
     return processes_.at(index).clock.At(now_);
   }
 
-  const chart::Chart* slice_chart_;
-  const chart::Chart* worker_chart_;
+  Charts charts_;
   core::TimePoint now_{std::chrono::seconds(100)};
   core::TimePoint next_tick_ = now_;
   std::array<ProcessState, 2> processes_;
   std::array<FakeWorker, kWorkers> workers_;
   lease::SliceRow row_{.slice = core::SliceId(0)};
-  std::uint32_t claimed_attempt_ = 0;
-  core::WorkerId claimed_worker_;
+  std::map<core::TaskId, placement::TaskRow> tasks_;
+  std::vector<Job> jobs_;
+  std::optional<placement::Outcome> outcome_;  ///< Of kTask.
   std::vector<Message> queue_;
   std::vector<Message> held_;
   std::vector<ToProcess> given_;  ///< To process 0, for repeats.
