Parse requests with Pistache's request parser

Cause: HTTP parsing is to come from Pistache and not from a parser of our own. RequestParser now feeds Pistache::Http::RequestParser the head and then exactly the announced body of one message, so the next request of the same segment stays apart, and catches what the library throws.

It keeps one line for each header name and the query in a hash map, so repeated lines and the raw query are carried beside it. It throws on valid Content-Type, Accept, Cookie, Date, Cache-Control, Set-Cookie and Host values; these seven are not fed to it and pass as sent.

Ruled out: the library's chunk handling. It does not tell where a chunked message ends, so finding the end would need a chunk parser of our own. Chunked bodies get 411 (RFC 9112 section 6.3) and the connection is closed.

--- a/packages/http/include/http/request_parser.h
+++ b/packages/http/include/http/request_parser.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,56 +38,51 @@
 using ParseResult =
     std::variant<NeedMore, ContinueExpected, ParsedRequest, ParseError>;
 
-/// Reads HTTP/1.0 and HTTP/1.1 requests from a byte stream.
+struct CheckedHead;
+
+/// Reads HTTP/1.0 and HTTP/1.1 requests from a byte stream with Pistache's
+/// parser.
 ///
-/// @remarks Strict where leniency lets two readers disagree about the end of a
-/// message: line ends are CRLF, no folded headers, no space before a colon, at
-/// most one length.
+/// @remarks The library is fed the bytes of one message at a time, so that the
+/// next request of the same segment stays apart. Strict where leniency lets two
+/// readers disagree about the end of a message: line ends are CRLF, no folded
+/// headers, no space before a colon, at most one length. Chunked bodies are
+/// refused with 411, and methods that the library does not know with 501.
+/// Headers with different names may change their order.
 class RequestParser {
  public:
-  explicit RequestParser(ParseLimits limits) : limits_(limits) {}
+  explicit RequestParser(ParseLimits limits);
+  RequestParser(const RequestParser&) = delete;
+  RequestParser& operator=(const RequestParser&) = delete;
+  ~RequestParser();
 
   /// Takes bytes from the front of @p input until a result is known.
   /// @param input shortened by the bytes taken.
   ParseResult Feed(std::string_view& input);
 
   /// @returns true if part of a request has been read.
-  bool started() const { return state_ != State::kHead || !head_.empty(); }
+  bool started() const { return in_body() || !head_.empty(); }
 
   /// @returns true while the body of a request is being read.
-  bool in_body() const { return state_ != State::kHead; }
+  bool in_body() const { return remaining_ > 0; }
 
  private:
-  enum class State {
-    kHead,
-    kBody,
-    kChunkSize,
-    kChunkData,
-    kChunkEnd,
-    kTrailer,
-  };
+  struct Library;
 
   ParseResult FeedHead(std::string_view& input);
   ParseResult FeedBody(std::string_view& input);
-  ParseResult FeedChunked(std::string_view& input);
   ParseResult ParseHead();
-  ParseResult ParseRequestLine(std::string_view line);
-  ParseResult ParseHeaderLine(std::string_view line);
-  ParseResult ChooseBody();
-  ParseResult StartChunk();
   ParseResult Finish();
 
-  /// Takes input into line_ up to and with the next CRLF.
-  /// @returns true when the line is complete.
-  bool TakeLine(std::string_view& input);
+  /// Fills parsed_ except for the body.
+  void ReadHead(const CheckedHead& checked);
 
   ParseLimits limits_;
-  State state_ = State::kHead;
+  /// Created with the first request, so that an unused connection is small.
+  std::unique_ptr<Library> library_;
   std::string head_;
-  std::string line_;
-  std::size_t trailer_bytes_ = 0;
-  std::uint64_t remaining_ = 0;  ///< Bytes left of the body or chunk.
-  bool http_1_1_ = true;
+  std::uint64_t remaining_ = 0;  ///< Bytes left of the body.
+  bool expects_continue_ = false;
   ParsedRequest parsed_;
 };
 
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -18,6 +18,7 @@
     {405, "Method Not Allowed"},
     {408, "Request Timeout"},
     {409, "Conflict"},
+    {411, "Length Required"},
     {413, "Content Too Large"},
     {429, "Too Many Requests"},
     {431, "Request Header Fields Too Large"},
--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -1,34 +1,18 @@
 #include "http/request_parser.h"
 
+#include <pistache/http.h>
+
 #include <algorithm>
-#include <charconv>
+#include <exception>
 #include <optional>
 #include <utility>
 
+#include "head_check_p.h"
+
 namespace hickoryusher::http {
 namespace {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-// Longest chunk-size line; extensions beyond it are refused.
-constexpr std::size_t kMaxChunkLineBytes = 256;
-
-std::string_view TrimSpace(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == text.npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
-std::optional<std::uint64_t> ParseNumber(std::string_view text, int base) {
-  std::uint64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, number, base);
-  if (text.empty() || error != std::errc() || stop != end) {
-    return std::nullopt;
-  }
-  return number;
-}
 
 bool HasToken(std::string_view list, std::string_view token) {
   while (!list.empty()) {
@@ -41,24 +25,63 @@
   return false;
 }
 
-bool IsTargetChar(char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  return byte > 0x20 && byte < 0x7f;
+bool KeepsAlive(std::span<const Header> headers, bool http_1_1) {
+  bool keep_alive = http_1_1;
+  for (const Header& header : headers) {
+    if (EqualNames(header.name, "connection")) {
+      keep_alive = !HasToken(header.value, "close") &&
+                   (keep_alive || HasToken(header.value, "keep-alive"));
+    }
+  }
+  return keep_alive;
+}
+
+std::string LibraryHead(const CheckedHead& checked) {
+  std::string head(checked.request_line);
+  for (const HeaderLine& header : checked.headers) {
+    if (!header.opaque) {
+      head += header.line;
+    }
+  }
+  return head += "\r\n";
 }
 
 }  // namespace
 
-ParseResult RequestParser::Feed(std::string_view& input) {
-  switch (state_) {
-    case State::kHead:
-      return FeedHead(input);
-    case State::kBody:
-      return FeedBody(input);
-    default:
-      return FeedChunked(input);
+struct RequestParser::Library {
+  explicit Library(std::size_t max_bytes) : parser(max_bytes) {}
+
+  /// Feeds @p bytes of one message.
+  /// @returns true at the end of the message, or an error.
+  std::variant<bool, ParseError> Feed(std::string_view bytes);
+
+  Pistache::Http::RequestParser parser;
+};
+
+std::variant<bool, ParseError> RequestParser::Library::Feed(
+    std::string_view bytes) {
+  namespace Steps = Pistache::Http::Private;
+  try {
+    if (!parser.feed(bytes.data(), bytes.size())) {
+      return ParseError{413, "body_too_large"};
+    }
+    return parser.parse() == Steps::State::Done;
+  } catch (const std::exception&) {
+    // Other mistakes in a request line do not pass CheckHead().
+    return parser.step()->id() == Steps::RequestLineStep::Id
+               ? ParseError{501, "unknown_method"}
+               : ParseError{400, "bad_header"};
   }
 }
 
+RequestParser::RequestParser(ParseLimits limits) : limits_(limits) {}
+
+RequestParser::~RequestParser() = default;
+
+ParseResult RequestParser::Feed(std::string_view& input) {
+  return in_body() ? FeedBody(input) : FeedHead(input);
+}
+
 ParseResult RequestParser::FeedHead(std::string_view& input) {
   if (head_.empty()) {
     // RFC 9112 section 2.2: empty lines before a request are ignored.
@@ -83,201 +106,83 @@
     return ParseError{431, "header_too_large"};
   }
   input.remove_prefix(end + kHeadEnd.size() - kept);
-  head_.resize(end + 2);
+  head_.resize(end + kHeadEnd.size());
   return ParseHead();
 }
 
 ParseResult RequestParser::ParseHead() {
-  parsed_ = ParsedRequest{};
-  std::string_view rest = head_;
-  bool first = true;
-  while (!rest.empty()) {
-    const std::size_t end = rest.find("\r\n");
-    const std::string_view line = rest.substr(0, end);
-    ParseResult result = first ? ParseRequestLine(line) : ParseHeaderLine(line);
-    if (std::holds_alternative<ParseError>(result)) {
-      return result;
-    }
-    first = false;
-    rest.remove_prefix(end + 2);
+  const auto checked = CheckHead(head_);
+  if (const auto* error = std::get_if<ParseError>(&checked)) {
+    return *error;
   }
-  head_.clear();
-  return ChooseBody();
-}
-
-ParseResult RequestParser::ParseRequestLine(std::string_view line) {
-  const std::size_t method_end = line.find(' ');
-  const std::size_t target_end = line.rfind(' ');
-  if (method_end == line.npos || method_end == target_end) {
-    return ParseError{400, "bad_request_line"};
+  const auto& head = std::get<CheckedHead>(checked);
+  if (head.content_length > limits_.max_body_bytes) {
+    return ParseError{413, "body_too_large"};
   }
-  const std::string_view method = line.substr(0, method_end);
-  const std::string_view target =
-      line.substr(method_end + 1, target_end - method_end - 1);
-  const std::string_view version = line.substr(target_end + 1);
-  if (!IsToken(method) || target.empty() ||
-      !std::ranges::all_of(target, IsTargetChar) ||
-      (target[0] != '/' && target != "*")) {
-    return ParseError{400, "bad_request_line"};
+  if (!library_) {
+    library_ = std::make_unique<Library>(
+        limits_.max_header_bytes + kHeadEnd.size() + limits_.max_body_bytes);
   }
-  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
-    return version.starts_with("HTTP/") ? ParseError{505, "bad_version"}
-                                        : ParseError{400, "bad_request_line"};
+  const auto fed = library_->Feed(LibraryHead(head));
+  if (const auto* error = std::get_if<ParseError>(&fed)) {
+    return *error;
   }
-  http_1_1_ = version == "HTTP/1.1";
-  const std::size_t query = std::min(target.find('?'), target.size());
-  parsed_.request.method = method;
-  parsed_.request.path = target.substr(0, query);
-  parsed_.request.query = target.substr(std::min(query + 1, target.size()));
-  return NeedMore{};
-}
-
-ParseResult RequestParser::ParseHeaderLine(std::string_view line) {
-  const std::size_t colon = line.find(':');
-  if (colon == line.npos) {
+  if (std::get<bool>(fed) != (head.content_length == 0)) {
     return ParseError{400, "bad_header"};
   }
-  const std::string_view name = line.substr(0, colon);
-  const std::string_view value = TrimSpace(line.substr(colon + 1));
-  if (!IsValidHeader(name, value)) {
-    return ParseError{400, "bad_header"};
+  ReadHead(head);
+  head_.clear();
+  remaining_ = head.content_length;
+  if (remaining_ == 0) {
+    return Finish();
   }
-  parsed_.request.headers.push_back({std::string(name), std::string(value)});
-  return NeedMore{};
+  return expects_continue_ ? ParseResult(ContinueExpected{})
+                           : ParseResult(NeedMore{});
 }
 
-ParseResult RequestParser::ChooseBody() {
-  std::optional<std::string_view> length;
-  std::optional<std::string_view> coding;
-  bool keep_alive = http_1_1_;
-  for (const Header& header : parsed_.request.headers) {
-    if (EqualNames(header.name, "content-length")) {
-      if (length && *length != header.value) {
-        return ParseError{400, "bad_content_length"};
-      }
-      length = header.value;
-    } else if (EqualNames(header.name, "transfer-encoding")) {
-      if (coding) {
-        return ParseError{400, "bad_transfer_encoding"};
-      }
-      coding = header.value;
-    } else if (EqualNames(header.name, "connection")) {
-      keep_alive = !HasToken(header.value, "close") &&
-                   (keep_alive || HasToken(header.value, "keep-alive"));
-    }
-  }
-  parsed_.keep_alive = keep_alive;
-  const bool expects_continue =
-      http_1_1_ &&
-      EqualNames(FindHeader(parsed_.request.headers, "expect"), "100-continue");
-  if (coding) {
-    if (length || !http_1_1_) {
-      return ParseError{400, "bad_transfer_encoding"};
-    }
-    if (!EqualNames(*coding, "chunked")) {
-      return ParseError{501, "bad_transfer_encoding"};
-    }
-    state_ = State::kChunkSize;
-    trailer_bytes_ = 0;
-  } else if (length) {
-    const auto number = ParseNumber(*length, 10);
-    if (!number) {
-      return ParseError{400, "bad_content_length"};
-    }
-    if (*number > limits_.max_body_bytes) {
-      return ParseError{413, "body_too_large"};
-    }
-    remaining_ = *number;
-    if (remaining_ == 0) {
-      return Finish();
+void RequestParser::ReadHead(const CheckedHead& checked) {
+  const Pistache::Http::Request& read = library_->parser.request;
+  parsed_ = ParsedRequest{};
+  IncomingRequest& request = parsed_.request;
+  request.method = Pistache::Http::methodString(read.method());
+  request.path = read.resource();
+  request.query = checked.query;
+  request.headers.reserve(checked.headers.size());
+  for (const auto& [key, raw] : read.headers().rawList()) {
+    request.headers.push_back(
+        {raw.name(), std::string(TrimSpace(raw.value()))});
+  }
+  // After the library's, so that the lines of one name keep their order.
+  for (const HeaderLine& header : checked.headers) {
+    if (header.opaque) {
+      request.headers.push_back(
+          {std::string(header.name), std::string(header.value)});
     }
-    state_ = State::kBody;
-    parsed_.request.body.reserve(remaining_);
-  } else {
-    return Finish();
   }
-  return expects_continue ? ParseResult(ContinueExpected{})
-                          : ParseResult(NeedMore{});
+  const bool http_1_1 = read.version() == Pistache::Http::Version::Http11;
+  parsed_.keep_alive = KeepsAlive(request.headers, http_1_1);
+  expects_continue_ =
+      http_1_1 &&
+      EqualNames(FindHeader(request.headers, "expect"), "100-continue");
 }
 
 ParseResult RequestParser::FeedBody(std::string_view& input) {
   const std::size_t taken = std::min<std::uint64_t>(remaining_, input.size());
-  parsed_.request.body += input.substr(0, taken);
+  const auto fed = library_->Feed(input.substr(0, taken));
   input.remove_prefix(taken);
   remaining_ -= taken;
-  return remaining_ == 0 ? Finish() : NeedMore{};
-}
-
-bool RequestParser::TakeLine(std::string_view& input) {
-  const std::size_t end = input.find('\n');
-  const std::size_t taken = end == input.npos ? input.size() : end + 1;
-  line_ += input.substr(0, taken);
-  input.remove_prefix(taken);
-  return end != input.npos;
-}
-
-ParseResult RequestParser::FeedChunked(std::string_view& input) {
-  while (!input.empty()) {
-    if (state_ == State::kChunkData) {
-      const std::size_t taken =
-          std::min<std::uint64_t>(remaining_, input.size());
-      parsed_.request.body += input.substr(0, taken);
-      input.remove_prefix(taken);
-      remaining_ -= taken;
-      if (remaining_ == 0) {
-        state_ = State::kChunkEnd;
-      }
-      continue;
-    }
-    const bool complete = TakeLine(input);
-    const std::size_t limit = state_ == State::kTrailer
-                                  ? limits_.max_header_bytes
-                                  : kMaxChunkLineBytes;
-    if (line_.size() + trailer_bytes_ > limit) {
-      return ParseError{400, "bad_chunk"};
-    }
-    if (!complete) {
-      break;
-    }
-    if (!line_.ends_with("\r\n")) {
-      return ParseError{400, "bad_chunk"};
-    }
-    line_.resize(line_.size() - 2);
-    ParseResult result = StartChunk();
-    if (!std::holds_alternative<NeedMore>(result)) {
-      return result;
-    }
-  }
-  return NeedMore{};
-}
-
-ParseResult RequestParser::StartChunk() {
-  const std::string line = std::exchange(line_, {});
-  if (state_ == State::kTrailer) {
-    trailer_bytes_ += line.size() + 2;
-    return line.empty() ? Finish() : NeedMore{};
+  if (const auto* error = std::get_if<ParseError>(&fed)) {
+    return *error;
   }
-  if (state_ == State::kChunkEnd) {
-    state_ = State::kChunkSize;
-    return line.empty() ? ParseResult(NeedMore{})
-                        : ParseResult(ParseError{400, "bad_chunk"});
+  if (std::get<bool>(fed) != (remaining_ == 0)) {
+    return ParseError{400, "bad_content_length"};
   }
-  const auto size = ParseNumber(
-      std::string_view(line).substr(0, std::min(line.find(';'), line.size())),
-      16);
-  if (!size) {
-    return ParseError{400, "bad_chunk"};
-  }
-  if (*size > limits_.max_body_bytes - parsed_.request.body.size()) {
-    return ParseError{413, "body_too_large"};
-  }
-  remaining_ = *size;
-  state_ = *size == 0 ? State::kTrailer : State::kChunkData;
-  return NeedMore{};
+  return remaining_ == 0 ? Finish() : NeedMore{};
 }
 
 ParseResult RequestParser::Finish() {
-  state_ = State::kHead;
+  parsed_.request.body = std::as_const(library_->parser.request).body();
+  library_->parser.reset();
   return std::exchange(parsed_, ParsedRequest{});
 }
 
