http_hop: compare hop and direct call at half load

Cause: the target for the hop is an added p99 of at most twice the direct call's p99 at half load, and the benchmark had only callers that send the next request as soon as they have a response.

A request that is due while the one before it is unanswered counts from its due time. Ruled out: counting every request from its due time, because that adds the caller's own late wake-ups to both figures.

--- a/bench/http_hop/http_hop.cc
+++ b/bench/http_hop/http_hop.cc
@@ -1,6 +1,9 @@
 // Cost of the extra hop: direct calls to an endpoint stand-in against calls
 // through front and upstream, in one process and one run, in alternating
-// rounds. Usage: http_hop [requests per round and connection]
+// rounds. Usage: http_hop [--half-load] [requests per round and connection]
+//
+// --half-load finds the highest rate of the hop and then sends to both at half
+// of it, at fixed times that do not wait for responses.
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -14,6 +17,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -85,39 +89,75 @@
   return fd;
 }
 
-// Sends requests one after another. Ends the program on any failed one, so
-// that no figure comes from failures.
+std::string MakeRequest(const std::string& path) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: a\r\n"
+         "Content-Length: 100\r\n\r\n" +
+         std::string(100, 'b');
+}
+
+// Sends one request and reads its response. Ends the program if the call
+// fails, so that no figure comes from failures.
+void Exchange(int fd, const std::string& request) {
+  std::array<char, 4096> buffer;
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  std::string answer;
+  // Answers are short and end with the echoed body.
+  while (!answer.ends_with(std::string_view("bbbbbbbbbb"))) {
+    const ssize_t size = recv(fd, buffer.data(), buffer.size(), 0);
+    if (size <= 0) {
+      std::cerr << "event=call_failed answer=" << answer << '\n';
+      std::exit(1);
+    }
+    answer.append(buffer.data(), static_cast<std::size_t>(size));
+  }
+}
+
+double MicrosSince(Clock::time_point start) {
+  return std::chrono::duration<double, std::micro>(Clock::now() - start)
+      .count();
+}
+
+// Sends requests one after another.
 void Call(std::uint16_t port,
           const std::string& path,
           int requests,
           bool fresh_connections,
           std::vector<double>& micros) {
   int fd = Connect(port);
-  const std::string request = "POST " + path +
-                              " HTTP/1.1\r\nHost: a\r\n"
-                              "Content-Length: 100\r\n\r\n" +
-                              std::string(100, 'b');
-  std::array<char, 4096> buffer;
+  const std::string request = MakeRequest(path);
   for (int i = 0; i < requests; ++i) {
     const auto start = Clock::now();
     if (fresh_connections && i > 0) {
       close(fd);
       fd = Connect(port);
     }
-    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
-    std::string answer;
-    // Answers are short and end with the echoed body.
-    while (!answer.ends_with(std::string_view("bbbbbbbbbb"))) {
-      const ssize_t size = recv(fd, buffer.data(), buffer.size(), 0);
-      if (size <= 0) {
-        std::cerr << "event=call_failed answer=" << answer << '\n';
-        std::exit(1);
-      }
-      answer.append(buffer.data(), static_cast<std::size_t>(size));
+    Exchange(fd, request);
+    micros.push_back(MicrosSince(start));
+  }
+  close(fd);
+}
+
+// Sends one request per interval. A request that is due while the one before
+// it is unanswered counts from its due time, so that queueing shows; otherwise
+// it counts from the time of sending, because a late wake-up of the caller is
+// no cost of the hop.
+void CallPaced(std::uint16_t port,
+               int requests,
+               Clock::time_point first,
+               Clock::duration interval,
+               std::vector<double>& micros) {
+  const int fd = Connect(port);
+  const std::string request = MakeRequest("/idempotent");
+  Clock::time_point due = first;
+  for (int i = 0; i < requests; ++i, due += interval) {
+    Clock::time_point start = due;
+    if (Clock::now() < due) {
+      std::this_thread::sleep_until(due);
+      start = Clock::now();
     }
-    micros.push_back(
-        std::chrono::duration<double, std::micro>(Clock::now() - start)
-            .count());
+    Exchange(fd, request);
+    micros.push_back(MicrosSince(start));
   }
   close(fd);
 }
@@ -200,6 +240,68 @@
             << std::endl;
 }
 
+// @returns requests per second of one round without pauses.
+double MeasureRate(std::uint16_t port, std::size_t connections, int requests) {
+  Series series;
+  const auto start = Clock::now();
+  RunRound(series, port, "/idempotent", connections, requests, false);
+  return static_cast<double>(series.micros.size()) * 1e6 / MicrosSince(start);
+}
+
+void RunPacedRound(Series& series,
+                   std::uint16_t port,
+                   std::size_t connections,
+                   int requests,
+                   double rate) {
+  const auto step = std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(1 / rate));
+  const auto start = Clock::now() + std::chrono::milliseconds(10);
+  std::vector<std::vector<double>> results(connections);
+  {
+    std::vector<std::jthread> callers;
+    callers.reserve(connections);
+    for (std::size_t i = 0; i < connections; ++i) {
+      callers.emplace_back([&, i, port] {
+        CallPaced(port, requests, start + step * i, step * connections,
+                  results[i]);
+      });
+    }
+  }
+  for (const auto& result : results) {
+    series.micros.insert(series.micros.end(), result.begin(), result.end());
+  }
+}
+
+void CompareAtHalfLoad(std::uint16_t direct_port,
+                       std::uint16_t hop_port,
+                       int requests) {
+  constexpr std::size_t kConnections = 16;
+  double highest = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    highest = std::max(highest, MeasureRate(hop_port, kConnections, requests));
+  }
+  Series direct;
+  Series hop;
+  for (int round = 0; round < kRounds; ++round) {
+    RunPacedRound(direct, direct_port, kConnections, requests, highest / 2);
+    RunPacedRound(hop, hop_port, kConnections, requests, highest / 2);
+  }
+  const double added = hop.Quantile(0.99) - direct.Quantile(0.99);
+  std::cout << core::LogLine("half_load")
+                   .Add("connections", kConnections)
+                   .Add("requests", hop.micros.size())
+                   .Add("highest_rate_s", highest)
+                   .Add("rate_s", highest / 2)
+                   .Add("direct_p50_us", direct.Quantile(0.5))
+                   .Add("direct_p99_us", direct.Quantile(0.99))
+                   .Add("hop_p50_us", hop.Quantile(0.5))
+                   .Add("hop_p99_us", hop.Quantile(0.99))
+                   .Add("p99_added_us", added)
+                   .Add("p99_added_by_direct", added / direct.Quantile(0.99))
+                   .text()
+            << std::endl;
+}
+
 long ResidentKilobytes() {
   std::ifstream status("/proc/self/status");
   std::string word;
@@ -242,7 +344,19 @@
   }
 }
 
-int Run(int requests) {
+void CompareAll(const http::Front& front,
+                std::uint16_t direct_port,
+                int requests) {
+  // First, so that memory freed by the other rounds is not reused.
+  MeasureOpenConnections(front);
+  for (const std::string path : {"/idempotent", "/once"}) {
+    for (const std::size_t connections : {1UL, 4UL, 16UL}) {
+      Compare(direct_port, front.port(), path, connections, requests);
+    }
+  }
+}
+
+int Run(bool half_load, int requests) {
   const auto endpoint =
       standin::EndpointStandIn::Start({.slots = 64, .connections = 256});
   runtime::Ring<Message> inbox(8192);
@@ -255,12 +369,10 @@
     RunRouter(inbox, *front, *upstream,
               "http://127.0.0.1:" + std::to_string(endpoint->port()));
   });
-  // First, so that memory freed by the other rounds is not reused.
-  MeasureOpenConnections(*front);
-  for (const std::string path : {"/idempotent", "/once"}) {
-    for (const std::size_t connections : {1UL, 4UL, 16UL}) {
-      Compare(endpoint->port(), front->port(), path, connections, requests);
-    }
+  if (half_load) {
+    CompareAtHalfLoad(endpoint->port(), front->port(), requests);
+  } else {
+    CompareAll(*front, endpoint->port(), requests);
   }
   front->Shutdown();
   upstream->Shutdown();
@@ -272,6 +384,11 @@
 }  // namespace hickoryusher
 
 int main(int argc, char** argv) {
-  const int requests = argc > 1 ? std::atoi(argv[1]) : 500;
-  return hickoryusher::Run(std::max(requests, 1));
+  const std::span<char*> arguments(argv + 1,
+                                   static_cast<std::size_t>(argc - 1));
+  const bool half_load =
+      !arguments.empty() && std::string_view(arguments[0]) == "--half-load";
+  const auto rest = arguments.subspan(half_load ? 1 : 0);
+  const int requests = rest.empty() ? 500 : std::atoi(rest[0]);
+  return hickoryusher::Run(half_load, std::max(requests, 1));
 }
