Let urgent work evict batch work that fills the fleet

Cause: MakeRoom ran only if Permitted held, which counts the batch work that would be evicted. With one worker of 32 cores, a batch task of 18 and an urgent task of 18, the urgent task waited for ever.

Ruled out: the worker that is gone does not count as room on its way; the team's quota was not the limit.

Eviction is now considered if the task is within its team's quota and within the class floors once the evicted batch work no longer counts.

--- a/packages/placement/src/scheduler_p.h
+++ b/packages/placement/src/scheduler_p.h
@@ -99,6 +99,13 @@
   bool PlaceOne(Job& job, core::TimePoint now, std::vector<Command>& out);
   bool PlaceGang(Job& job, core::TimePoint now, std::vector<Command>& out);
   Worker* Reserve(const Job& job, TaskSlot slot, core::TimePoint now);
+  bool WithinQuota(const JobSpec& job, const core::Resources& size) const;
+  /// @param evicted_cpu use of batch work that is not counted.
+  bool WithinFloors(const JobSpec& job,
+                    const core::Resources& size,
+                    std::int64_t evicted_cpu) const;
+  bool PermittedAfterEviction(const JobSpec& job,
+                              const core::Resources& size) const;
   bool Permitted(const JobSpec& job, const core::Resources& size) const;
   std::string_view ImpossibleReason(const JobSpec& job,
                                     core::TimePoint now) const;
--- a/packages/placement/src/scheduler_place.cc
+++ b/packages/placement/src/scheduler_place.cc
@@ -54,24 +54,29 @@
   return {};
 }
 
-bool Scheduler::Impl::Permitted(const JobSpec& job,
-                                const core::Resources& size) const {
+bool Scheduler::Impl::WithinQuota(const JobSpec& job,
+                                  const core::Resources& size) const {
   const auto quota = quotas.find(job.team);
-  if (quota != quotas.end()) {
-    const auto used = team_use.find(job.team);
-    const core::Resources after =
-        used == team_use.end() ? size : used->second + size;
-    if (!core::Fits(after, quota->second)) {
-      return false;
-    }
+  if (quota == quotas.end()) {
+    return true;
   }
+  const auto used = team_use.find(job.team);
+  return core::Fits(used == team_use.end() ? size : used->second + size,
+                    quota->second);
+}
+
+bool Scheduler::Impl::WithinFloors(const JobSpec& job,
+                                   const core::Resources& size,
+                                   std::int64_t evicted_cpu) const {
   // A class may use what no other class's floor still needs.
   std::int64_t free = workers.capacity().cpu_millis;
   for (const core::WorkClass work_class : core::kWorkClasses) {
     const std::size_t i = core::Index(work_class);
     const std::int64_t floor =
         workers.capacity().cpu_millis * config.floor_percent.at(i) / 100;
-    const std::int64_t used = class_use.at(i).cpu_millis;
+    const std::int64_t used =
+        class_use.at(i).cpu_millis -
+        (work_class == core::WorkClass::kBatch ? evicted_cpu : 0);
     free -= work_class == job.work_class ? used : std::max(used, floor);
   }
   const std::size_t own = core::Index(job.work_class);
@@ -81,6 +86,20 @@
   return within_floor || size.cpu_millis <= free;
 }
 
+bool Scheduler::Impl::Permitted(const JobSpec& job,
+                                const core::Resources& size) const {
+  return WithinQuota(job, size) && WithinFloors(job, size, 0);
+}
+
+bool Scheduler::Impl::PermittedAfterEviction(
+    const JobSpec& job,
+    const core::Resources& size) const {
+  const std::int64_t batch =
+      class_use.at(core::Index(core::WorkClass::kBatch)).cpu_millis;
+  return WithinQuota(job, size) &&
+         WithinFloors(job, size, std::min(batch, size.cpu_millis));
+}
+
 Worker* Scheduler::Impl::Reserve(const Job& job,
                                  TaskSlot slot,
                                  core::TimePoint now) {
@@ -191,7 +210,8 @@
       queue.erase(entry);
     } else if (!placed) {
       const bool over_quota = !Permitted(job.spec, shape.size);
-      if (job.spec.urgent && !over_quota) {
+      // Batch work may fill the fleet; what is evicted no longer counts.
+      if (job.spec.urgent && PermittedAfterEviction(job.spec, shape.size)) {
         MakeRoom(job.spec, now, out);
       }
       if (!job.spec.gang && !over_quota && full.size() < kMaxShapes) {
