Add the task chart to the fault matrix

Cause: the cells of task were open for lack of a rig. The rig drives one task of the real Scheduler; an eviction is forced in every cell, so that the checkers of P1, P2 and P3 have something to look at.

Ruled out: tasks that did not run after a takeover came from the fake, which cancelled jobs before it restored their rows.

--- a/tests/matrix/cells.cc
+++ b/tests/matrix/cells.cc
@@ -20,7 +20,8 @@
 using AnyRig = std::variant<std::monostate,
                             RigType<RequestRig>,
                             RigType<WorkerLeaseRig>,
-                            RigType<SliceLeaseRig>>;
+                            RigType<SliceLeaseRig>,
+                            RigType<TaskRig>>;
 
 AnyRig RigOf(std::string_view chart) {
   if (chart == "request_attempt") {
@@ -32,6 +33,9 @@
   if (chart == "slice_lease") {
     return RigType<SliceLeaseRig>{};
   }
+  if (chart == "task") {
+    return RigType<TaskRig>{};
+  }
   return std::monostate{};
 }
 
--- a/tests/matrix/checkers.cc
+++ b/tests/matrix/checkers.cc
@@ -9,9 +9,9 @@
 
 std::span<const Checker> Checkers() {
   static constexpr std::array<Checker, 9> kCheckers = {{
-      {"P1", "no VM holds more work than it can", nullptr},
+      {"P1", "no VM holds more work than it can", CheckCapacity},
       {"P2", "no task runs in two places", CheckOnePlace},
-      {"P3", "evicted work resumes exactly once", nullptr},
+      {"P3", "evicted work resumes exactly once", CheckResumedOnce},
       {"P4", "every caller gets its own complete response", CheckOwnResponse},
       {"P5", "not run means not run", CheckNotRun},
       {"P6", "a non-idempotent request runs at most once", CheckAtMostOnce},
--- a/tests/matrix/lease_checkers.cc
+++ b/tests/matrix/lease_checkers.cc
@@ -53,4 +53,56 @@
   return check;
 }
 
+Check CheckCapacity(std::span<const Entry> history) {
+  Check check;
+  for (const Entry& entry : history) {
+    if (const auto* load = std::get_if<WorkerLoad>(&entry.record)) {
+      check.looked = true;
+      if (!core::Fits(load->use, load->capacity)) {
+        check.violations.push_back("worker " +
+                                   std::to_string(load->worker.value()) +
+                                   " holds more than it can");
+      }
+    }
+  }
+  return check;
+}
+
+Check CheckResumedOnce(std::span<const Entry> history) {
+  using Attempt = std::pair<core::TaskId, std::uint32_t>;
+  Check check;
+  std::set<Attempt> whole;
+  std::map<Attempt, int> resumed;
+  const auto fail = [&](const Attempt& attempt, std::string_view text) {
+    check.violations.push_back("task " + std::to_string(attempt.first.value()) +
+                               " attempt " + std::to_string(attempt.second) +
+                               " " + std::string(text));
+  };
+  for (const Entry& entry : history) {
+    if (const auto* kept = std::get_if<Checkpointed>(&entry.record)) {
+      check.looked = true;
+      whole.emplace(kept->task, kept->attempt);
+    }
+    const auto* start = std::get_if<TaskStarted>(&entry.record);
+    if (start == nullptr) {
+      continue;
+    }
+    const Attempt now{start->task, start->attempt};
+    if (start->checkpoint_attempt == 0) {
+      continue;
+    }
+    const Attempt source{start->task, start->checkpoint_attempt};
+    if (source.second + 1 != now.second) {
+      fail(now, "resumes a checkpoint that is not of the attempt before");
+    }
+    if (!whole.contains(source)) {
+      fail(now, "resumes a checkpoint that is not whole");
+    }
+    if (++resumed[source] > 1) {
+      fail(source, "was resumed twice");
+    }
+  }
+  return check;
+}
+
 }  // namespace hickoryusher::matrix
--- a/tests/matrix/lease_rig.h
+++ b/tests/matrix/lease_rig.h
@@ -2,12 +2,19 @@
 #define MATRIX_LEASE_RIG_H_
 
 #include <string_view>
+#include <vector>
 
 #include "chart/chart.h"
 #include "lease_world.h"
 
 namespace hickoryusher::matrix {
 
+/// The task under test.
+struct TaskSpec {
+  core::Resources declared{.cpu_millis = 4000};
+  core::Resources use{.cpu_millis = 3000};
+};
+
 /// What both lease rigs share. Setups: whether another process owned the slice
 /// before, and whether the links that were cut to reach the state stay cut
 /// until the faults end.
@@ -22,7 +29,9 @@
   const History& history() const { return world_.history(); }
 
  protected:
-  LeaseRig(const LeaseWorld::Charts& charts, std::size_t setup);
+  LeaseRig(const LeaseWorld::Charts& charts,
+           std::size_t setup,
+           const TaskSpec& task = {});
 
   bool owned_before() const { return setup_ % 2 == 1; }
   bool links_stay_cut() const { return setup_ >= 2; }
@@ -35,18 +44,22 @@
   bool injected_ = false;
 };
 
-/// Drives the contact of process 0 with worker 0.
+/// Drives the contact of process 0 with the worker under test.
 class WorkerLeaseRig : public LeaseRig {
  public:
   WorkerLeaseRig(const chart::Chart& chart, std::size_t setup);
 
   bool Perform(std::string_view event);
   std::string_view State() const { return world_.WorkerState(); }
+
+ private:
+  bool& TestedLink() {
+    return world_.links.worker_of_0.at(world_.tested().value());
+  }
 };
 
-/// Drives one task of the slice that process 0 owns. Setups: whether an urgent
-/// job evicts a task while the fault is active, and whether the job of the task
-/// is too large for every worker.
+/// Drives one task of the slice that process 0 owns; process 1 stands by. A
+/// service fills the other worker, so that an urgent job has to evict.
 class TaskRig : public LeaseRig {
  public:
   TaskRig(const chart::Chart& chart, std::size_t setup);
@@ -57,8 +70,11 @@
   bool Finish();
 
  private:
+  void AddService();
+
   std::size_t task_setup_;
-  bool urgent_added_ = false;
+  std::vector<core::TaskId> services_;
+  bool injected_task_ = false;
 };
 
 /// Drives process 0's ownership of the slice.
--- a/tests/matrix/lease_world.cc
+++ b/tests/matrix/lease_world.cc
@@ -44,7 +44,7 @@
 }
 
 std::string_view LeaseWorld::WorkerState() const {
-  return processes_[0].leases->StateName(core::WorkerId(0));
+  return processes_[0].leases->StateName(tested_);
 }
 
 lease::Ownership LeaseWorld::OwnershipOf(std::size_t index) const {
@@ -224,26 +224,27 @@
   }
   ProcessState& process = processes_.at(index);
   std::vector<lease::WorkerCommand> out;
-  std::visit(core::Overloaded{
-                 [&](const ToOwner& m) { GiveOwner(index, m.event); },
-                 [&](const FromWorker& m) {
-                   if (!process.leases->Report(m.worker, m.epoch, m.worker_time,
-                                               Clock(index), out)) {
-                     if (process.owner->epoch(kSlice).valid() &&
-                         m.epoch > process.owner->epoch(kSlice)) {
-                       GiveOwner(index, lease::Fenced{.slice = kSlice,
-                                                      .epoch = m.epoch});
-                     }
-                     return;
-                   }
-                   RunCommands(index, out);
+  std::visit(
+      core::Overloaded{
+          [&](const ToOwner& m) { GiveOwner(index, m.event); },
+          [&](const FromWorker& m) {
+            if (!process.leases->Report(m.worker, m.epoch, m.worker_time,
+                                        Clock(index), out)) {
+              if (process.owner->epoch(kSlice).valid() &&
+                  m.epoch > process.owner->epoch(kSlice)) {
+                GiveOwner(index,
+                          lease::Fenced{.slice = kSlice, .epoch = m.epoch});
+              }
+              return;
+            }
+            RunCommands(index, out);
             out.clear();
             GiveScheduler(index, placement::WorkerReport{m.worker, m.attempts});
           },
           [&](const YieldDone& m) {
-                   process.leases->Yielded(m.slice, Clock(index), out);
-                 },
-                 [&](const ToScheduler& m) {
+            process.leases->Yielded(m.slice, Clock(index), out);
+          },
+          [&](const ToScheduler& m) {
             if (m.epoch == process.owner->epoch(kSlice)) {
               GiveScheduler(index, m.event);
             }
@@ -276,9 +277,8 @@
 }
 
 void LeaseWorld::RemoveVm() {
-  constexpr std::size_t index = 0;
-  constexpr core::WorkerId id(0);
-  FakeWorker& worker = workers_.at(index);
+  const core::WorkerId id = tested_;
+  FakeWorker& worker = workers_.at(id.value());
   worker.gone = true;
   for (const auto& [attempt, run] : worker.runs) {
     if (run.phase == placement::Phase::kRunning) {
@@ -324,6 +324,14 @@
                          RemoveVm();
                          injector_.MarkLastEffective();
                        },
+                       [&](const OperatorChange&) {
+                         // Two operators, each with a limit of their own.
+                         SetQuota({.cpu_millis = 40'000,
+                                   .memory_bytes = kCapacity.memory_bytes});
+                         SetQuota({.cpu_millis = 20'000,
+                                   .memory_bytes = kCapacity.memory_bytes});
+                         injector_.MarkLastEffective();
+                       },
                        [&](const Terminate&) {
                          Note(ShutdownBegan{});
                          GiveOwner(0, lease::Release{});
--- a/tests/matrix/lease_world.h
+++ b/tests/matrix/lease_world.h
@@ -73,7 +73,11 @@
     RunUntil([] { return false; }, time);
   }
 
-  /// The VM of worker 0 disappears from the VM list, or is missing again.
+  /// Makes the worker that holds kTask the one under test; else worker 0 is.
+  void TestPlaceOfTask();
+  core::WorkerId tested() const { return tested_; }
+  /// The VM of the worker under test disappears from the VM list, or is missing
+  /// again.
   void RemoveVm();
   /// Submits a job of one task and returns it.
   core::TaskId AddJob(placement::JobSpec spec,
@@ -84,10 +88,16 @@
   void CancelJobOf(core::TaskId task);
   /// Ends the attempts of a task, running ones and later ones.
   void EndTask(core::TaskId task, placement::Phase phase);
+  /// Limits what the tasks of all jobs together may use.
+  void SetQuota(const core::Resources& limit);
+  std::size_t LiveWorkers() const {
+    return kWorkers - (workers_.at(tested_.value()).gone ? 1 : 0);
+  }
   /// @returns the chart state of kTask at process 0.
   std::string_view TaskState() const;
+  /// @returns true if the table holds the outcome of the task.
+  bool HasEnded(core::TaskId task) const;
   core::WorkerId PlaceOf(core::TaskId task) const;
-  bool IsTaskRunning(core::TaskId task) const;
 
   void Inject(const Step& step);
   /// Delivers or drops the held store commands.
@@ -103,8 +113,8 @@
   void Note(Record record) { history_.push_back({now_, std::move(record)}); }
 
   static constexpr core::TaskId kTask{1};
-  static constexpr core::Resources kCapacity{
-      .cpu_millis = 32'000, .memory_bytes = 125'000'000'000};
+  static constexpr core::Resources kCapacity{.cpu_millis = 32'000,
+                                             .memory_bytes = 125'000'000'000};
 
  private:
   struct Job {
@@ -228,15 +238,20 @@
   void Serve(std::size_t from, const ReadTasks& message);
   void Serve(std::size_t from, const LoadTasks& message);
 
-  void Carry(FakeWorker& worker, const OrderWorker& message,
+  void Carry(FakeWorker& worker,
+             const OrderWorker& message,
              const placement::StartTask& order);
-  void Carry(FakeWorker& worker, const OrderWorker& message,
+  void Carry(FakeWorker& worker,
+             const OrderWorker& message,
              const placement::StopTask& order);
-  void Carry(FakeWorker& worker, const OrderWorker& message,
+  void Carry(FakeWorker& worker,
+             const OrderWorker& message,
              const placement::CheckpointTask& order);
-  void Carry(FakeWorker& worker, const OrderWorker& message,
+  void Carry(FakeWorker& worker,
+             const OrderWorker& message,
              const placement::AckEnded& order);
-  void EndRun(std::size_t index, lease::TaskAttempt attempt,
+  void EndRun(std::size_t index,
+              lease::TaskAttempt attempt,
               placement::Phase phase);
   void NoteLoad(std::size_t index);
   void TickWorker(std::size_t index);
@@ -251,6 +266,7 @@
   void GiveScheduler(std::size_t index, const placement::Event& event);
   void TickScheduler(std::size_t index);
   void SubmitJobs(std::size_t index);
+  void CancelJobs(std::size_t index);
   void FillScheduler(std::size_t index, const TasksLoaded& loaded);
   const Job* JobOf(core::TaskId task) const;
   void NoteOwnership(std::size_t index);
@@ -266,6 +282,8 @@
   lease::SliceRow row_{.slice = core::SliceId(0)};
   std::map<core::TaskId, placement::TaskRow> tasks_;
   std::vector<Job> jobs_;
+  core::WorkerId tested_{0};
+  std::optional<core::Resources> quota_;
   std::optional<placement::Outcome> outcome_;  ///< Of kTask.
   std::vector<Message> queue_;
   std::vector<Message> held_;
--- a/tests/matrix/lease_world_tasks.cc
+++ b/tests/matrix/lease_world_tasks.cc
@@ -16,7 +16,7 @@
 constexpr core::Duration kCheckpointTime = milliseconds(700);
 /// More than what a worker with one large task has left.
 constexpr std::int64_t kLargeCpu = 18'000;
-constexpr std::int64_t kLargeCpuUse = 14'000;
+constexpr std::int64_t kLargeCpuUse = 17'000;
 
 placement::WorkerSpec SpecOf(core::WorkerId worker) {
   return {.worker = worker,
@@ -74,17 +74,21 @@
   return "none";
 }
 
+bool LeaseWorld::HasEnded(core::TaskId task) const {
+  const auto found = tasks_.find(task);
+  return found != tasks_.end() && found->second.version > 0 &&
+         found->second.state != placement::TaskRow::State::kClaimed;
+}
+
 core::WorkerId LeaseWorld::PlaceOf(core::TaskId task) const {
   const auto found = tasks_.find(task);
   return found == tasks_.end() ? core::WorkerId() : found->second.worker;
 }
 
-bool LeaseWorld::IsTaskRunning(core::TaskId task) const {
-  return std::ranges::any_of(workers_, [task](const FakeWorker& worker) {
-    return std::ranges::any_of(worker.runs, [task](const auto& item) {
-      return item.first.task == task && item.second.phase == Phase::kRunning;
-    });
-  });
+void LeaseWorld::TestPlaceOfTask() {
+  if (const core::WorkerId place = PlaceOf(kTask); place.valid()) {
+    tested_ = place;
+  }
 }
 
 void LeaseWorld::GiveScheduler(std::size_t index,
@@ -97,12 +101,25 @@
   }
 }
 
+void LeaseWorld::SetQuota(const core::Resources& limit) {
+  quota_ = limit;
+  for (const std::size_t index : {0U, 1U}) {
+    GiveScheduler(index, placement::SetQuota{core::TeamId(0), limit});
+  }
+}
+
 void LeaseWorld::SubmitJobs(std::size_t index) {
   ProcessState& process = processes_.at(index);
   for (const Job& job : jobs_) {
     if (process.submitted.insert(job.spec.job).second) {
       GiveScheduler(index, placement::SubmitJob{job.spec});
     }
+  }
+}
+
+void LeaseWorld::CancelJobs(std::size_t index) {
+  ProcessState& process = processes_.at(index);
+  for (const Job& job : jobs_) {
     if (job.cancelled && process.cancelled.insert(job.spec.job).second) {
       GiveScheduler(index, placement::CancelJob{job.spec.job});
     }
@@ -119,6 +136,7 @@
     return;
   }
   SubmitJobs(index);
+  CancelJobs(index);
   placement::SetFleet fleet;
   for (std::uint32_t w = 0; w < kWorkers; ++w) {
     if (!workers_.at(w).gone) {
@@ -140,6 +158,9 @@
   process.cancelled.clear();
   process.scheduler = placement::Scheduler::Create(
       *charts_.task, {.epoch = loaded.epoch}, problems);
+  if (quota_.has_value()) {
+    GiveScheduler(index, placement::SetQuota{core::TeamId(0), *quota_});
+  }
   SubmitJobs(index);
   for (const auto& [task, row] : loaded.rows) {
     GiveScheduler(index, placement::RestoreTask{JobOf(task)->spec.job, row});
@@ -192,14 +213,13 @@
 // All rows or none, unless the epoch of the slice or a version has changed.
 void LeaseWorld::Serve(std::size_t from, const WriteTasks& message) {
   const placement::WriteGroup& write = message.command;
-  const bool holds =
-      row_.epoch == write.epoch &&
-      std::ranges::all_of(write.rows, [this](const auto& row) {
-        return tasks_[row.task].version == row.version;
-      });
+  const bool holds = row_.epoch == write.epoch &&
+                     std::ranges::all_of(write.rows, [this](const auto& row) {
+                       return tasks_[row.task].version == row.version;
+                     });
   if (!holds) {
-    Reply(from, ToScheduler{write.epoch,
-                            placement::GroupConflicted{write.token}});
+    Reply(from,
+          ToScheduler{write.epoch, placement::GroupConflicted{write.token}});
     return;
   }
   for (placement::TaskRow row : write.rows) {
@@ -231,9 +251,8 @@
 void LeaseWorld::Serve(std::size_t /*from*/, const OrderWorker& message) {
   FakeWorker& worker = workers_.at(message.worker.value());
   if (!worker.gone) {
-    std::visit(
-        [&](const auto& order) { Carry(worker, message, order); },
-        message.order);
+    std::visit([&](const auto& order) { Carry(worker, message, order); },
+               message.order);
   }
 }
 
