Send hellos between entry processes every 5 s

Cause: at three entry processes to a failure domain, hellos cost 2,550 bytes/s of the 3 KB/s that a node may spend on control, before settings and workers.

Ruled out: a binary codec (the HTTP and TCP headers are most of the 637 bytes).

Taking a share does not wait for a hello, so it is as fast as before.

--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -21,6 +21,10 @@
 constexpr std::size_t kLogRingSlots = 16'384;
 constexpr std::size_t kPeerConnections = 4;
 
+// A JSON-RPC call over HTTP is several hundred bytes, and a node may spend 3
+// KB/s on control. Nothing waits for a hello but the first proof of life.
+constexpr core::Duration kHelloInterval = std::chrono::seconds(5);
+
 // Without the release, the other processes need a proof of death before they
 // may use this process's slots.
 constexpr core::Duration kReleaseTimeout = std::chrono::seconds(2);
@@ -170,7 +174,8 @@
                          .seat = directory.own_seat()},
              .incarnation = incarnation,
              .vm = vms.Intern(settings.self().vm)})
-      .Settings({.longest_deadline = settings.limits.longest_deadline})
+      .Settings({.longest_deadline = settings.limits.longest_deadline,
+                 .hello_interval = kHelloInterval})
       .StartedAt(std::chrono::steady_clock::now());
   if (first_start) {
     builder.NoPredecessor();
