Serve the settings API from a settings duty of the entry process

Cause: hickoryctl settings had no process to talk to; the editor, the follower and the keys ran in tests only.

The duty is one thread with its own bounded ring, store adapter and upstream, so neither it nor the router waits for the other. Ruled out: a share of the router's ring and adapters, because a slow store or a burst of changes would then delay requests. The front chooses the ring by path. The peer exchange moved out of process.cc, because both duties use it.

The first administrator's key hash comes from admin_key_hash in the settings file and stands for the key admin.bootstrap until the tree has an entry, also a removal, at /admin/keys/bootstrap.

--- a/packages/config/include/config/process_settings.h
+++ b/packages/config/include/config/process_settings.h
@@ -63,6 +63,8 @@
 struct ProcessSettings {
   std::string entry;  ///< Name of this process in entries.
   std::string chart_folder;
+  /// `sha256:<salt>:<hash>` of the key `admin.bootstrap`; empty for none.
+  std::string admin_key_hash;
   int http_threads = 2;
   LimitSettings limits;
   PlatformSettings platform;
--- a/packages/config/src/process_settings.cc
+++ b/packages/config/src/process_settings.cc
@@ -146,11 +146,12 @@
 
 ProcessSettings ReadSettings(const YAML::Node& root, Faults& faults) {
   Section section(root, "", faults,
-                  {"entry", "chart_folder", "http_threads", "limits",
-                   "platform", "entries", "services"});
+                  {"entry", "chart_folder", "admin_key_hash", "http_threads",
+                   "limits", "platform", "entries", "services"});
   ProcessSettings settings;
   settings.entry = section.Text("entry");
   settings.chart_folder = section.TextOr("chart_folder", "charts");
+  settings.admin_key_hash = section.KeyHashOr("admin_key_hash");
   settings.http_threads = static_cast<int>(
       section.IntegerOr("http_threads", 2, {.least = 1, .most = 64}));
   settings.limits = ReadLimits(section.Child("limits"), faults);
--- a/packages/config/src/reader.cc
+++ b/packages/config/src/reader.cc
@@ -115,6 +115,20 @@
   return number;
 }
 
+std::string Section::KeyHashOr(std::string_view key) {
+  static const std::regex kPattern("sha256:[0-9a-f]{32}:[0-9a-f]{64}");
+  const YAML::Node value = Find(key);
+  if (!value.IsDefined()) {
+    return {};
+  }
+  if (!value.IsScalar() || !std::regex_match(value.Scalar(), kPattern)) {
+    faults_.Add(value, PathOf(key),
+                "sha256:<32 hex digits>:<64 hex digits> in lower case");
+    return {};
+  }
+  return value.Scalar();
+}
+
 std::string Section::Url(std::string_view key) {
   static const std::regex kPattern(R"(http://\d{1,3}(\.\d{1,3}){3}:\d{1,5})");
   const YAML::Node value = Find(key);
--- a/packages/config/src/reader_p.h
+++ b/packages/config/src/reader_p.h
@@ -58,6 +58,9 @@
                           IntegerRange range);
   double FractionOr(std::string_view key, double fallback);
 
+  /// @returns `sha256:<salt>:<hash>`, or an empty text if there is no such key.
+  std::string KeyHashOr(std::string_view key);
+
   /// @returns `http://IP:PORT` without a trailing slash.
   std::string Url(std::string_view key);
 
--- a/packages/entry/src/charts.cc
+++ b/packages/entry/src/charts.cc
@@ -18,12 +18,15 @@
   auto request_attempt = load("request_attempt");
   auto endpoint_health = load("endpoint_health");
   auto entry_lifecycle = load("entry_lifecycle");
-  if (!request_attempt || !endpoint_health || !entry_lifecycle) {
+  auto settings_revision = load("settings_revision");
+  if (!request_attempt || !endpoint_health || !entry_lifecycle ||
+      !settings_revision) {
     return std::nullopt;
   }
   return Charts{.request_attempt = *std::move(request_attempt),
                 .endpoint_health = *std::move(endpoint_health),
-                .entry_lifecycle = *std::move(entry_lifecycle)};
+                .entry_lifecycle = *std::move(entry_lifecycle),
+                .settings_revision = *std::move(settings_revision)};
 }
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/charts_p.h
+++ b/packages/entry/src/charts_p.h
@@ -15,6 +15,7 @@
   chart::Chart request_attempt;
   chart::Chart endpoint_health;
   chart::Chart entry_lifecycle;
+  chart::Chart settings_revision;
 };
 
 /// Loads `NAME.yaml` for every chart from @p folder.
--- a/packages/entry/src/peer_message_p.h
+++ b/packages/entry/src/peer_message_p.h
@@ -18,6 +18,7 @@
   core::EntryId to;
   std::string text;
   core::Duration timeout{};
+  std::string path = "/rpc";
 };
 
 /// The end of a PeerCall.
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -11,7 +11,9 @@
 #include "directory_p.h"
 #include "http/front.h"
 #include "lifecycle_p.h"
+#include "peer_exchange_p.h"
 #include "router_duty_p.h"
+#include "settings_runtime_p.h"
 #include "store/http_adapter.h"
 #include "telemetry/logger.h"
 
@@ -19,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kLogRingSlots = 16'384;
-constexpr std::size_t kPeerConnections = 4;
 
 // Without the release, the other processes need a proof of death before they
 // may use this process's slots.
@@ -61,38 +62,6 @@
           .count()));
 }
 
-http::UpstreamCommand ToExchange(PeerCall&& call, const Directory& directory) {
-  const config::EntrySettings& to = directory.entry(call.to);
-  return http::StartExchange{
-      .id = core::AttemptId(call.id.value()),
-      .url = "http://" + to.address + ":" + std::to_string(to.port) + "/rpc",
-      .method = "POST",
-      .headers = {{"Content-Type", "application/json"}},
-      .body = std::move(call.text),
-      .idempotent = true,
-      .connect_timeout =
-          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
-      .total_timeout =
-          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
-      .max_connections_per_host = kPeerConnections};
-}
-
-/// @returns the end of a call, or nothing for an event in its course.
-std::optional<PeerReply> ToPeerReply(const http::UpstreamEvent& event) {
-  using Result = std::optional<PeerReply>;
-  return std::visit(
-      core::Overloaded{
-          [](const http::FirstByte&) -> Result { return std::nullopt; },
-          [](const http::Completed& e) -> Result {
-            return PeerReply{.id = PeerCallId(e.id.value()), .text = e.body};
-          },
-          [](const http::Failed& e) -> Result {
-            return PeerReply{.id = PeerCallId(e.id.value()),
-                             .text = std::nullopt};
-          }},
-      event);
-}
-
 }  // namespace
 
 struct Process::Impl {
@@ -107,6 +76,7 @@
   std::unique_ptr<http::Upstream> upstream;
   std::unique_ptr<http::Upstream> peers;
   std::unique_ptr<store::HttpAdapter> store;
+  std::unique_ptr<SettingsRuntime> settings_runtime;
   std::unique_ptr<http::Front> front;
   std::optional<Lifecycle> lifecycle;
 
@@ -119,7 +89,7 @@
   bool Start(std::vector<std::string>& errors) {
     MakeStore();
     return MakeRouter(errors) && MakeUpstream(errors) && MakePeers(errors) &&
-           MakeLifecycle(errors) && MakeFront(errors);
+           MakeSettings(errors) && MakeLifecycle(errors) && MakeFront(errors);
   }
 
   std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
@@ -127,6 +97,7 @@
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
   void MakeStore();
+  bool MakeSettings(std::vector<std::string>& errors);
   bool MakeLifecycle(std::vector<std::string>& errors);
   bool MakeFront(std::vector<std::string>& errors);
   std::optional<std::vector<admission::Controller>> MakeAdmission(
@@ -264,6 +235,19 @@
       });
 }
 
+bool Process::Impl::MakeSettings(std::vector<std::string>& errors) {
+  settings_runtime = SettingsRuntime::Create(
+      {.settings = settings,
+       .directory = directory,
+       .chart = charts.settings_revision,
+       .respond =
+           [this](http::Response r) { return front->Respond(std::move(r)); },
+       .log = [this](const core::LogLine& line) { logger.Write(line); },
+       .apply = [](const settings::Tree&) {}},
+      errors);
+  return settings_runtime != nullptr;
+}
+
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   lifecycle = Lifecycle::Create(
@@ -283,7 +267,11 @@
 bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
-      .requests(router->inputs())
+      .on_request([this](http::IncomingRequest& request) {
+        return SettingsRuntime::Serves(request)
+                   ? settings_runtime->Take(request)
+                   : http::PushInto(router->inputs(), request);
+      })
       .log([this](std::string line) { logger.WriteText(std::move(line)); });
   front = builder.Start();
   if (!front) {
@@ -303,6 +291,8 @@
            [this](PeerCall&& c) {
              return peers->TrySend(ToExchange(std::move(c), directory));
            }});
+  settings_runtime->Start();
+  settings_runtime->WaitReady();
   lifecycle->Dispatch("ready");
   logger.Write(core::LogLine("entry_ready")
                    .Add("entry", settings.entry)
@@ -322,6 +312,7 @@
     peers->Shutdown();
   }
   store.reset();
+  settings_runtime.reset();
   if (router) {
     router->Stop();
   }
--- /dev/null
+++ b/packages/entry/src/settings_duty.cc
@@ -0,0 +1,115 @@
+#include "settings_duty_p.h"
+
+#include <chrono>
+#include <utility>
+
+#include "core/overloaded.h"
+
+namespace hickoryusher::entry {
+namespace {
+
+constexpr std::string_view kRpcPath = "/rpc/settings";
+
+core::TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+SettingsDuty::SettingsDuty(SettingsDesk::Parts parts, std::size_t ring_slots)
+    : desk_(std::move(parts)), inputs_(ring_slots) {}
+
+SettingsDuty::~SettingsDuty() {
+  Stop();
+}
+
+void SettingsDuty::Start(Outputs outputs) {
+  outputs_ = std::move(outputs);
+  thread_ = runtime::DutyThread("settings", [this] { Run(); });
+}
+
+void SettingsDuty::Stop() {
+  inputs_.Close();
+  thread_.Join();
+}
+
+bool SettingsDuty::WaitReady(core::TimePoint until) {
+  std::unique_lock lock(ready_mutex_);
+  return ready_changed_.wait_until(lock, until, [this] { return ready_; });
+}
+
+void SettingsDuty::Run() {
+  std::vector<SettingsInput> inputs;
+  while (!inputs_.finished()) {
+    desk_.Advance(Now());
+    CarryOut(Now());
+    inputs_.WaitDrain(inputs, desk_.next_timer());
+    for (const SettingsInput& input : inputs) {
+      Take(input, Now());
+    }
+    inputs.clear();
+    CarryOut(Now());
+    NoteReady();
+  }
+}
+
+void SettingsDuty::Take(const SettingsInput& input, core::TimePoint now) {
+  std::visit(
+      core::Overloaded{[&](const http::IncomingRequest& r) {
+                         if (r.path == kRpcPath) {
+                           desk_.TakeCall(r);
+                         } else {
+                           desk_.Take(r, now);
+                         }
+                       },
+                       [&](const store::Event& e) { desk_.Handle(e, now); },
+                       [&](const PeerReply& r) { desk_.Handle(r, now); }},
+      input);
+}
+
+void SettingsDuty::CarryOut(core::TimePoint now) {
+  auto commands = desk_.TakeCommands();
+  while (!commands.empty()) {
+    for (SettingsCommand& command : commands) {
+      std::visit([&](auto& c) { Run(c, now); }, command);
+    }
+    commands = desk_.TakeCommands();
+  }
+}
+
+void SettingsDuty::NoteReady() {
+  if (!desk_.ready()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(ready_mutex_);
+    ready_ = true;
+  }
+  ready_changed_.notify_all();
+}
+
+void SettingsDuty::Run(http::Response& response, core::TimePoint) {
+  outputs_.respond(std::move(response));
+}
+
+void SettingsDuty::Run(store::Command& command, core::TimePoint now) {
+  const store::CommandId id = store::IdOf(command);
+  if (!outputs_.store(std::move(command))) {
+    desk_.Handle(store::Event(store::Refused{
+                     .id = id, .reason = store::RefusalReason::kRingFull}),
+                 now);
+  }
+}
+
+void SettingsDuty::Run(PeerCall& call, core::TimePoint now) {
+  const PeerCallId id = call.id;
+  if (!outputs_.call(std::move(call))) {
+    desk_.Handle(PeerReply{.id = id, .text = std::nullopt}, now);
+  }
+}
+
+void SettingsDuty::Run(const TreeMoved&, core::TimePoint) {
+  outputs_.apply(desk_.tree());
+}
+
+}  // namespace hickoryusher::entry
