Let settings change the floors and first-byte timeout of a service

Cause: accepted settings reached every process but no decision used them.

The settings thread hands the policies of all services to the router's ring. Admission takes new floors as an event; a request carries the first-byte timeout of its service. Ruled out: mixing floors of the settings and of the settings file, because their sum could exceed all slots. Only the team named by the settings file decides for a service, because any team could otherwise use another's service name.

Fault found: first_byte_timeout_ms of the settings file was read and never used; requests had the 1 s of the retry policy. It is used now, and its default is 1,000 instead of 2,000 so that files without it keep their behaviour. connect_timeout_ms has the same fault and is not changed here.

--- a/packages/admission/include/admission/controller.h
+++ b/packages/admission/include/admission/controller.h
@@ -45,11 +45,20 @@
   std::size_t slots = 0;
 };
 
+/// The classes' floors have changed. Running requests keep their slots.
+struct FloorsChanged {
+  /// From 0 to 1 per class; the sum is at most 1.
+  std::array<double, core::kWorkClasses.size()> floor_shares{};
+};
+
 /// Refuses what waits and what arrives; running requests go on.
 struct ShutdownStarted {};
 
-using Event =
-    std::variant<RequestQueued, RequestFinished, SlotsChanged, ShutdownStarted>;
+using Event = std::variant<RequestQueued,
+                           RequestFinished,
+                           SlotsChanged,
+                           FloorsChanged,
+                           ShutdownStarted>;
 
 // Commands.
 
@@ -138,6 +147,7 @@
   void On(const RequestQueued& event);
   void On(const RequestFinished& event);
   void On(const SlotsChanged& event);
+  void On(const FloorsChanged& event);
   void On(const ShutdownStarted& event);
 
   ClassState& Of(core::WorkClass work_class) {
--- a/packages/admission/src/controller.cc
+++ b/packages/admission/src/controller.cc
@@ -113,6 +113,13 @@
   SetFloors();
 }
 
+void Controller::On(const FloorsChanged& event) {
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    classes_[i].settings.floor_share = event.floor_shares[i];
+  }
+  SetFloors();
+}
+
 void Controller::On(const ShutdownStarted& /*event*/) {
   shutting_down_ = true;
   for (ClassState& state : classes_) {
--- a/packages/admission/tests/controller_test.cc
+++ b/packages/admission/tests/controller_test.cc
@@ -59,6 +59,22 @@
   CHECK(h.controller->InUse(WorkClass::kLatencyCritical) == 4);
 }
 
+// Guards against changed floors that are not used, and against running requests
+// that lose their slots.
+TEST_CASE("changed floors hold for the requests that wait") {
+  Harness h;
+  h.QueueBatch(8);
+  REQUIRE(h.controller->InUse(WorkClass::kBatch) == 6);
+  FloorsChanged change;
+  change.floor_shares[core::Index(WorkClass::kLatencyCritical)] = 0.3;
+  CHECK(h.Send(change).size() == 1);
+  CHECK(h.controller->InUse(WorkClass::kBatch) == 7);
+  change.floor_shares[core::Index(WorkClass::kLatencyCritical)] = 0.9;
+  CHECK(h.Send(change).empty());
+  CHECK(h.controller->InUse(WorkClass::kBatch) == 7);
+  CHECK(h.controller->Floor(WorkClass::kLatencyCritical) == 9);
+}
+
 // Guards against a request that waits although it cannot be served in time.
 TEST_CASE("a request that would wait too long is refused with a retry time") {
   Harness h;
--- a/packages/config/include/config/process_settings.h
+++ b/packages/config/include/config/process_settings.h
@@ -26,6 +26,9 @@
 
 struct ServiceSettings {
   std::string name;
+  /// The settings below `/teams/<team>/services/<name>` apply to the service;
+  /// empty for none.
+  std::string team;
   /// Guaranteed share of the entry's slots per class, 0 to 1, sum at most 1.
   std::array<double, core::kWorkClasses.size()> floors{};
   core::Duration first_byte_timeout{};
--- a/packages/config/src/process_settings.cc
+++ b/packages/config/src/process_settings.cc
@@ -98,12 +98,13 @@
                             const std::string& path,
                             Faults& faults) {
   Section section(node, path, faults,
-                  {"name", "floors", "first_byte_timeout_ms",
+                  {"name", "team", "floors", "first_byte_timeout_ms",
                    "connect_timeout_ms", "endpoints"});
   ServiceSettings service;
   service.name = section.Text("name");
+  service.team = section.TextOr("team", "");
   service.first_byte_timeout =
-      section.MillisOr("first_byte_timeout_ms", 2'000, kTimeoutMillis);
+      section.MillisOr("first_byte_timeout_ms", 1'000, kTimeoutMillis);
   service.connect_timeout =
       section.MillisOr("connect_timeout_ms", 500, kTimeoutMillis);
   Section floors(section.Child("floors"), section.PathOf("floors"), faults,
--- a/packages/config/tests/process_settings_test.cc
+++ b/packages/config/tests/process_settings_test.cc
@@ -42,6 +42,21 @@
         0.3);
 }
 
+// Guards against a correct key hash or team that is refused or lost.
+TEST_CASE("the administrator's key hash and a service's team are read") {
+  const std::string hash =
+      "sha256:" + std::string(32, 'a') + ":" + std::string(64, '0');
+  Loader loader;
+  const auto settings = loader.LoadText(
+      Replace("entry: e1", "entry: e1\nadmin_key_hash: " + hash), "s.yaml");
+  REQUIRE(settings.has_value());
+  CHECK(settings->admin_key_hash == hash);
+  const auto owned = loader.LoadText(
+      Replace("- name: carnet", "- name: carnet\n    team: bruit"), "s.yaml");
+  REQUIRE(owned.has_value());
+  CHECK(owned->services[0].team == "bruit");
+}
+
 // Guards against faults that are accepted or reported without place and reason.
 TEST_CASE("each fault is reported with path, line, expected and found") {
   struct Row {
@@ -74,6 +89,9 @@
        "'table.example:1'"},
       {"entry: e1", "entry: e1\ntimeout: 5",
        "s.yaml:2: timeout: expected a known key, found an unknown one"},
+      {"entry: e1", "entry: e1\nadmin_key_hash: sha256:ab:cd",
+       "s.yaml:2: admin_key_hash: expected sha256:<32 hex digits>:<64 hex "
+       "digits> in lower case, found 'sha256:ab:cd'"},
       {"entry: e1", "entry: [", "s.yaml:3: expected YAML, found: "},
   };
   for (const Row& row : rows) {
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -53,6 +53,14 @@
   return total;
 }
 
+std::vector<ServicePolicy> FilePolicies(
+    const config::ProcessSettings& settings) {
+  std::vector<ServicePolicy> policies;
+  std::ranges::transform(settings.services, std::back_inserter(policies),
+                         FilePolicy);
+  return policies;
+}
+
 /// Numbers the runs of this process. Entry VMs keep nothing, so the wall clock
 /// is the only source that grows across restarts.
 core::Incarnation MakeIncarnation() {
@@ -193,7 +201,8 @@
       .metrics = metrics,
       .log = [this](const core::LogLine& line) { logger.Write(line); },
       .longest_deadline = settings.limits.longest_deadline,
-      .max_response_bytes = settings.limits.response_bytes});
+      .max_response_bytes = settings.limits.response_bytes,
+      .policies = FilePolicies(settings)});
   router = std::make_unique<RouterDuty>(std::move(path), metrics,
                                         settings.limits.ring_slots);
   metrics.AddGauge(
@@ -243,7 +252,10 @@
        .respond =
            [this](http::Response r) { return front->Respond(std::move(r)); },
        .log = [this](const core::LogLine& line) { logger.Write(line); },
-       .apply = [](const settings::Tree&) {}},
+       .apply =
+           [this](PoliciesChanged&& change) {
+             return router->inputs().TryPush(RouterInput(std::move(change)));
+           }},
       errors);
   return settings_runtime != nullptr;
 }
--- a/packages/entry/src/request_path.cc
+++ b/packages/entry/src/request_path.cc
@@ -104,7 +104,9 @@
       .work_class = read->work_class,
       .deadline = request.arrived + read->time_left,
       .idempotent = read->idempotent,
-      .key = read->key};
+      .key = read->key,
+      .first_byte_timeout =
+          parts_.policies[service.value()].first_byte_timeout};
   callers_.emplace(id, Caller{.request = std::move(request),
                               .service = service,
                               .work_class = arrived.work_class,
--- a/packages/entry/src/request_path_fleet.cc
+++ b/packages/entry/src/request_path_fleet.cc
@@ -1,5 +1,5 @@
-// The part of the request path that follows the fleet: VM list, slot shares and
-// calls of other entry processes.
+// The part of the request path that follows the fleet and the settings: VM
+// list, slot shares, calls of other entry processes and policies of services.
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -63,6 +63,27 @@
   });
 }
 
+void RequestPath::Handle(const PoliciesChanged& change, core::TimePoint now) {
+  for (std::uint32_t i = 0; i < parts_.policies.size(); ++i) {
+    const ServicePolicy& policy = change.policies[i];
+    if (policy == parts_.policies[i]) {
+      continue;
+    }
+    parts_.policies[i] = policy;
+    const core::ServiceId service(i);
+    core::LogLine line("service_policy");
+    line.Add("service", parts_.directory.ServiceName(service));
+    for (const core::WorkClass work_class : core::kWorkClasses) {
+      line.Add("floor_" + std::string(core::ToString(work_class)),
+               policy.floors[core::Index(work_class)]);
+    }
+    parts_.log(line.Add("first_byte_timeout_ms",
+                        core::ToMillis(policy.first_byte_timeout)));
+    RunAdmission(service, admission::FloorsChanged{policy.floors}, now);
+  }
+  DispatchQueued(now);
+}
+
 void RequestPath::ReleaseShares(core::TimePoint now) {
   ShareOutput output;
   parts_.shares.Release(parts_.router.slots(), now, output);
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -22,6 +22,7 @@
 #include "retry/request_table.h"
 #include "routing/router.h"
 #include "rpc/codec.h"
+#include "service_policy_p.h"
 #include "share_desk_p.h"
 #include "telemetry/metrics.h"
 #include "timer_queue_p.h"
@@ -47,6 +48,7 @@
     std::function<void(const core::LogLine&)> log;
     core::Duration longest_deadline;
     std::size_t max_response_bytes;
+    std::vector<ServicePolicy> policies;  ///< By service.
   };
 
   explicit RequestPath(Parts parts);
@@ -67,6 +69,10 @@
   /// Takes a complete read of the VM list.
   void TakeVmList(const store::VmListRead& list, core::TimePoint now);
 
+  /// Puts changed policies into effect for the requests that arrive from now
+  /// on.
+  void Handle(const PoliciesChanged& change, core::TimePoint now);
+
   /// Adds the methods that other entry processes call.
   /// @param clock gives the time of a call.
   void AddMethods(rpc::Dispatcher& dispatcher,
--- a/packages/entry/src/router_duty.cc
+++ b/packages/entry/src/router_duty.cc
@@ -63,6 +63,7 @@
           [&](const store::Event& e) { TakeStoreEvent(e, now); },
           [&](const PeerReply& r) { path_->Handle(r, now); },
           [&](const routing::MembershipEvent& e) { path_->Handle(e, now); },
+          [&](const PoliciesChanged& e) { path_->Handle(e, now); },
           [&](const StopRequested&) { path_->StartShutdown(now); },
           [&](const ReleaseRequested&) { path_->ReleaseShares(now); }},
       std::move(input));
--- a/packages/entry/src/router_duty_p.h
+++ b/packages/entry/src/router_duty_p.h
@@ -31,6 +31,7 @@
                                  store::Event,
                                  PeerReply,
                                  routing::MembershipEvent,
+                                 PoliciesChanged,
                                  StopRequested,
                                  ReleaseRequested>;
 
--- a/packages/entry/src/settings_desk_p.h
+++ b/packages/entry/src/settings_desk_p.h
@@ -2,7 +2,9 @@
 #define ENTRY_SRC_SETTINGS_DESK_P_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
--- a/packages/entry/src/settings_duty.cc
+++ b/packages/entry/src/settings_duty.cc
@@ -1,5 +1,6 @@
 #include "settings_duty_p.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -10,6 +11,10 @@
 
 constexpr std::string_view kRpcPath = "/rpc/settings";
 
+// The router's ring is full only for moments; settings must be in effect within
+// 3 s.
+constexpr core::Duration kApplyRetry = std::chrono::milliseconds(50);
+
 core::TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -43,12 +48,13 @@
   while (!inputs_.finished()) {
     desk_.Advance(Now());
     CarryOut(Now());
-    inputs_.WaitDrain(inputs, desk_.next_timer());
+    inputs_.WaitDrain(inputs, std::min(desk_.next_timer(), next_apply_));
     for (const SettingsInput& input : inputs) {
       Take(input, Now());
     }
     inputs.clear();
     CarryOut(Now());
+    Apply(Now());
     NoteReady();
   }
 }
@@ -78,7 +84,8 @@
 }
 
 void SettingsDuty::NoteReady() {
-  if (!desk_.ready()) {
+  // The process is ready once the settings are also with the router.
+  if (ready_ || !desk_.ready() || next_apply_ != core::TimePoint::max()) {
     return;
   }
   {
@@ -108,8 +115,15 @@
   }
 }
 
-void SettingsDuty::Run(const TreeMoved&, core::TimePoint) {
-  outputs_.apply(desk_.tree());
+void SettingsDuty::Run(const TreeMoved&, core::TimePoint now) {
+  next_apply_ = now;
+}
+
+void SettingsDuty::Apply(core::TimePoint now) {
+  if (next_apply_ <= now) {
+    next_apply_ = outputs_.apply(desk_.tree()) ? core::TimePoint::max()
+                                               : now + kApplyRetry;
+  }
 }
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/settings_duty_p.h
+++ b/packages/entry/src/settings_duty_p.h
@@ -28,8 +28,9 @@
     std::function<bool(store::Command&&)> store;
     /// @returns false if the peers' ring is full.
     std::function<bool(PeerCall&&)> call;
-    /// Puts the settings into effect.
-    std::function<void(const settings::Tree&)> apply;
+    /// Puts the settings into effect. @returns false if this has to be tried
+    /// again.
+    std::function<bool(const settings::Tree&)> apply;
   };
 
   SettingsDuty(SettingsDesk::Parts parts, std::size_t ring_slots);
@@ -58,12 +59,14 @@
   void Run(store::Command& command, core::TimePoint now);
   void Run(PeerCall& call, core::TimePoint now);
   void Run(const TreeMoved& moved, core::TimePoint now);
+  void Apply(core::TimePoint now);
 
   SettingsDesk desk_;
   runtime::Ring<SettingsInput> inputs_;
   std::mutex ready_mutex_;
   std::condition_variable ready_changed_;
   bool ready_ = false;
+  core::TimePoint next_apply_ = core::TimePoint::max();
   Outputs outputs_;
   runtime::DutyThread thread_;
 };
--- a/packages/entry/src/settings_runtime.cc
+++ b/packages/entry/src/settings_runtime.cc
@@ -109,7 +109,17 @@
            [this](PeerCall&& c) {
              return peers_->TrySend(ToExchange(std::move(c), parts_.directory));
            },
-       .apply = parts_.apply});
+       .apply = [this](const settings::Tree& tree) { return Apply(tree); }});
+}
+
+bool SettingsRuntime::Apply(const settings::Tree& tree) const {
+  PoliciesChanged change;
+  std::ranges::transform(parts_.settings.services,
+                         std::back_inserter(change.policies),
+                         [&tree](const config::ServiceSettings& service) {
+                           return EffectivePolicy(service, tree);
+                         });
+  return parts_.apply(std::move(change));
 }
 
 void SettingsRuntime::WaitReady() {
--- a/packages/entry/src/settings_runtime_p.h
+++ b/packages/entry/src/settings_runtime_p.h
@@ -12,6 +12,7 @@
 #include "directory_p.h"
 #include "http/message.h"
 #include "http/upstream.h"
+#include "service_policy_p.h"
 #include "settings_duty_p.h"
 #include "store/http_adapter.h"
 
@@ -28,7 +29,9 @@
     const chart::Chart& chart;  ///< `settings_revision`.
     std::function<bool(http::Response)> respond;
     std::function<void(const core::LogLine&)> log;
-    std::function<void(const settings::Tree&)> apply;
+    /// Hands the policies of the services to the router.
+    /// @returns false if its ring is full.
+    std::function<bool(PoliciesChanged&&)> apply;
   };
 
   /// @returns nothing after adding to @p errors.
@@ -52,6 +55,7 @@
 
  private:
   SettingsRuntime(Parts parts, settings::Editor editor);
+  bool Apply(const settings::Tree& tree) const;
   bool StartPeers(std::vector<std::string>& errors);
 
   Parts parts_;
--- a/packages/retry/include/retry/request_events.h
+++ b/packages/retry/include/retry/request_events.h
@@ -22,6 +22,9 @@
   bool idempotent = false;
   Key key;
   core::TeamId team;
+  /// For idempotent requests, instead of the policy's; zero waits until the
+  /// deadline.
+  std::optional<core::Duration> first_byte_timeout{};
 };
 
 struct AdmissionGranted {
--- a/packages/retry/src/request_scope.cc
+++ b/packages/retry/src/request_scope.cc
@@ -159,8 +159,10 @@
 }
 
 core::Duration Scope::FirstByteTimeout() const {
-  return instance_->arrival.idempotent ? shared_->policy.first_byte_timeout
-                                       : core::Duration::zero();
+  return instance_->arrival.idempotent
+             ? instance_->arrival.first_byte_timeout.value_or(
+                   shared_->policy.first_byte_timeout)
+             : core::Duration::zero();
 }
 
 core::Duration Scope::Backoff() const {
--- a/packages/retry/tests/request_table_test.cc
+++ b/packages/retry/tests/request_table_test.cc
@@ -71,6 +71,19 @@
   CHECK(f.Fresh<DeliverOutcome>()[0].outcome == Outcome::kUnknown);
 }
 
+// Guards against a service's own timeout that is not used.
+TEST_CASE("a request's first-byte timeout replaces that of the policy") {
+  Fixture f;
+  f.Send(RequestArrived{.request = kRequest,
+                        .deadline = f.now + seconds(5),
+                        .idempotent = true,
+                        .first_byte_timeout = std::chrono::milliseconds(321)});
+  f.Send(AdmissionGranted{kRequest});
+  Connect(f, 1);
+  CHECK(f.All<StartTimer>().back().at ==
+        f.now + std::chrono::milliseconds(321));
+}
+
 // Guards against a retry at the same endpoint or first in the same rack.
 TEST_CASE("a retry avoids endpoints and racks that failed") {
   Fixture f;
--- a/packages/settings/include/settings/schema.h
+++ b/packages/settings/include/settings/schema.h
@@ -22,12 +22,16 @@
   double min = std::numeric_limits<double>::lowest();
   double max = std::numeric_limits<double>::max();
   std::vector<std::string> choices;  ///< Allowed texts; empty for any.
+  std::vector<std::string> names{};  ///< Allowed last names; empty for any.
   /// Texts must name an existing subtree: `/failure_domains` requires that
   /// `/failure_domains/<text>` has a value at it or below it.
   std::string reference;
   /// The sum over all paths of this rule must not exceed the value at this
   /// path, for quotas. Empty for no sum.
   std::string sum_limit;
+  /// Largest sum of the values with the same parent path, for shares of one
+  /// whole.
+  double siblings_max = std::numeric_limits<double>::max();
 };
 
 /// The known paths.
@@ -47,6 +51,9 @@
   void CheckSum(const Rule& rule,
                 const Tree& tree,
                 std::vector<Mistake>& mistakes) const;
+  void CheckSiblings(const Rule& rule,
+                     const Tree& tree,
+                     std::vector<Mistake>& mistakes) const;
 
   std::vector<Rule> rules_;
 };
--- a/packages/settings/src/schema.cc
+++ b/packages/settings/src/schema.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
+#include <map>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -76,6 +78,12 @@
   return joined;
 }
 
+bool AllowsName(const Rule& rule, std::string_view path) {
+  const std::string_view name = path.substr(path.rfind('/') + 1);
+  return rule.names.empty() ||
+         std::ranges::find(rule.names, name) != rule.names.end();
+}
+
 void CheckRange(const Rule& rule,
                 std::string_view path,
                 const Value& value,
@@ -122,7 +130,7 @@
   std::vector<Mistake> mistakes;
   tree.ForEach([&](std::string_view path, const Value& value) {
     const Rule* rule = FindRule(path);
-    if (rule == nullptr) {
+    if (rule == nullptr || !AllowsName(*rule, path)) {
       mistakes.push_back({.path = std::string(path),
                           .expected = "a known path",
                           .found = "an unknown path"});
@@ -140,8 +148,10 @@
     }
     CheckTexts(*rule, path, value, tree, mistakes);
   });
-  std::ranges::for_each(
-      rules_, [&](const Rule& rule) { CheckSum(rule, tree, mistakes); });
+  for (const Rule& rule : rules_) {
+    CheckSum(rule, tree, mistakes);
+    CheckSiblings(rule, tree, mistakes);
+  }
   return mistakes;
 }
 
@@ -191,6 +201,28 @@
   }
 }
 
+void Schema::CheckSiblings(const Rule& rule,
+                           const Tree& tree,
+                           std::vector<Mistake>& mistakes) const {
+  if (rule.siblings_max == std::numeric_limits<double>::max()) {
+    return;
+  }
+  std::map<std::string, double, std::less<>> sums;
+  tree.ForEach([&](std::string_view path, const Value& value) {
+    if (Matches(rule.pattern, path)) {
+      sums[std::string(path.substr(0, path.rfind('/')))] += NumberOf(value);
+    }
+  });
+  for (const auto& [parent, sum] : sums) {
+    if (sum > rule.siblings_max) {
+      mistakes.push_back(
+          {.path = parent,
+           .expected = "a sum of at most " + FormatNumber(rule.siblings_max),
+           .found = FormatNumber(sum)});
+    }
+  }
+}
+
 Schema KnownSettings() {
   constexpr double kMaxTeamCpuMillis = 32'000.0 * 1000;
   constexpr double kMaxDeadlineMs = 600'000;
@@ -229,7 +261,17 @@
       .Add({.pattern = "/teams/*/services/*/share",
             .type = Type::kNumber,
             .min = 0,
-            .max = 1});
+            .max = 1})
+      .Add({.pattern = "/teams/*/services/*/first_byte_timeout_ms",
+            .type = Type::kInteger,
+            .min = 1,
+            .max = kMaxDeadlineMs})
+      .Add({.pattern = "/teams/*/services/*/floors/*",
+            .type = Type::kNumber,
+            .min = 0,
+            .max = 1,
+            .names = {"latency_critical", "batch", "watcher"},
+            .siblings_max = 1});
   return schema;
 }
 
--- a/packages/settings/tests/schema_test.cc
+++ b/packages/settings/tests/schema_test.cc
@@ -23,6 +23,8 @@
   for (int team = 0; team < kTeams; ++team) {
     set(QuotaOf(team), std::int64_t{100});
   }
+  set("/teams/team0/services/carnet/floors/batch", 0.75);
+  set("/teams/team1/services/carnet/floors/batch", 0.75);
   set("/teams/team0/services/carnet/failure_domains",
       std::vector<std::string>{"dakar-yoff"});
   return tree;
@@ -68,6 +70,16 @@
        std::int64_t{2299},
        {"/teams/*/quota/cpu_millis",
         "a sum of at most 2299 (/capacity/cpu_millis)", "2300"}},
+      {service + "first_byte_timeout_ms",
+       std::int64_t{0},
+       {service + "first_byte_timeout_ms", "a value from 1 to 600000", "0"}},
+      {service + "floors/urgent",
+       0.1,
+       {service + "floors/urgent", "a known path", "an unknown path"}},
+      {service + "floors/watcher",
+       0.5,
+       {"/teams/team0/services/carnet/floors", "a sum of at most 1",
+        "1.250000"}},
       {"/Teams//x",
        true,
        {"/Teams//x", "a path of names of a-z, 0-9, _, - and .", "/Teams//x"}},
--- a/tests/process/settings.sh
+++ b/tests/process/settings.sh
@@ -62,6 +62,7 @@
   cat <<END
 services:
   - name: carnet
+    team: bruit
     floors: {latency_critical: 0.5, batch: 0.25, watcher: 0.05}
     endpoints:
       - {name: x0, url: "http://127.0.0.1:19720", vm: endpoint-vm0, rack: rack0, failure_domain: domain0}
@@ -134,6 +135,18 @@
 echo '{"/capacity/cpu_millis": 65000}' > "$work/wanted.json"
 settings 2 diff "$work/wanted.json" | grep -qF '/capacity/cpu_millis: 64000 -> 65000' || fail "wrong diff"
 
+# The router of every process reports the policy that it uses from now on.
+began=$(millis)
+settings 1 set /teams/bruit/services/carnet/floors/batch 0.75 > "$work/set.out"
+settings 1 set /teams/bruit/services/carnet/first_byte_timeout_ms 321 > "$work/set.out"
+for e in 0 1 2; do
+  until grep -qF 'event=service_policy service=carnet floor_latency_critical=0 floor_batch=0.75 floor_watcher=0 first_byte_timeout_ms=321' "$work/e$e.log"; do
+    [ $(($(millis) - began)) -lt 3000 ] || fail "e$e's router does not use the settings after 3 s"
+    sleep 0.05
+  done
+done
+echo "settings: service policy in use on e0, e1, e2 after $(($(millis) - began)) ms"
+
 # Two operators change one path on the same base through two processes: one is
 # accepted, the other learns the revision that it lost to.
 settings 0 set /capacity/accelerators 1 --base 0 > "$work/a.out" 2> "$work/a.log" &
