Run the settings desk's tests on the shared platform fake

Cause: the tests had a second table in memory beside store_fake, which the contract test of package store does not cover. They now use the shared fake, with its delays and lost answers. No check was removed; the case of the unknown outcome additionally requires that the write took effect.

--- a/packages/entry/tests/settings_desk_test.cc
+++ b/packages/entry/tests/settings_desk_test.cc
@@ -9,11 +9,11 @@
 constexpr core::Duration kPollInterval = std::chrono::seconds(1);
 constexpr std::string_view kCapacity = "/capacity/cpu_millis";
 
-/// A table, the administrator's key and one process that has started.
+/// The platform, the administrator's key and one process that has started.
 struct Fixture {
-  FakeTable table;
+  store::FakePlatform platform;
   settings::NewKey admin = *settings::Keys::Create("admin", "bootstrap");
-  SettingsProcess process{table, admin.hash};
+  SettingsProcess process{platform, admin.hash};
 
   Fixture() { process.Settle(); }
 
@@ -101,7 +101,7 @@
   CHECK(f.Status() == 422);
   CHECK(f.Body().find(R"("path":"/capacity/cpu_millis")") != std::string::npos);
 
-  f.table.outage = true;
+  f.platform.Switch({.outage = true});
   f.process.Submit("c4", kCapacity, "7", 1, key);
   f.process.Pass(std::chrono::seconds(11));
   CHECK(f.Status() == 503);
@@ -109,16 +109,19 @@
         R"({"outcome":"not_written","reason":"store_unavailable"})");
 
   // The table runs the write and the answer is lost; the id is read back.
-  f.table.outage = false;
-  f.table.loses_answers = true;
+  f.platform.Switch({.lost_answers = 1});
   f.process.Submit("c4", kCapacity, "7", 1, key, true);
-  f.process.Pass(kPollInterval);
+  f.process.Pass(std::chrono::seconds(3));
   CHECK(f.Status() == 200);
   CHECK(f.Body() == R"({"revision":2})");
 
   // The table is out of order before the id can be read back.
-  f.table.outage_after_write = true;
+  f.platform.Switch(
+      {.delay = std::chrono::milliseconds(100), .lost_answers = 1});
   f.process.Submit("c5", kCapacity, "8", 2, key);
+  f.process.Pass(std::chrono::milliseconds(500));
+  REQUIRE(f.platform.Find("settings/change_id/c5").has_value());
+  f.platform.Switch({.outage = true});
   f.process.Pass(std::chrono::seconds(11));
   CHECK(f.Status() == 504);
   CHECK(f.Body() == R"({"outcome":"unknown","reason":"store_did_not_answer"})");
@@ -131,7 +134,7 @@
 // is still under way.
 TEST_CASE("a change under way is not accepted twice") {
   Fixture f;
-  f.process.holds_store = true;
+  f.platform.Switch({.delay = std::chrono::seconds(1)});
   f.process.Submit("c1", kCapacity, "5", 0, f.admin.bearer);
   CHECK(f.process.responses.empty());
   f.process.Submit("c1", kCapacity, "5", 0, f.admin.bearer, true);
@@ -144,7 +147,7 @@
 // one that answers for settings that it does not know.
 TEST_CASE("a process without the store learns the settings from a peer") {
   Fixture f;
-  SettingsProcess cut_off(f.table, f.admin.hash);
+  SettingsProcess cut_off(f.platform, f.admin.hash);
   cut_off.reaches_store = false;
   cut_off.Settle();
   CHECK_FALSE(cut_off.desk().ready());
@@ -201,7 +204,7 @@
   }
   CHECK(found == kChanges);
 
-  f.table.outage = true;
+  f.platform.Switch({.outage = true});
   f.process.Send("GET", "/v1/settings/history?path=/", f.admin.bearer);
   CHECK(f.Status() == 503);
   CHECK(f.Body() == R"({"reason":"store_unavailable"})");
--- a/packages/entry/tests/settings_fakes.cc
+++ b/packages/entry/tests/settings_fakes.cc
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <iterator>
+#include <utility>
 
 #include "chart_yaml/load.h"
-#include "core/overloaded.h"
 
 namespace hickoryusher::entry {
 namespace {
@@ -31,62 +30,9 @@
 
 }  // namespace
 
-store::Event FakeTable::Run(const store::Command& command) {
-  const store::CommandId id = store::IdOf(command);
-  if (outage) {
-    return store::Unavailable{id};
-  }
-  return std::visit(
-      core::Overloaded{
-          [&](const store::Transact& c) { return Write(c); },
-          [&](const store::ReadRow& c) -> store::Event {
-            const auto row = rows.find(c.key);
-            return store::RowRead{.id = id,
-                                  .row = row == rows.end()
-                                             ? std::nullopt
-                                             : std::optional(row->second),
-                                  .as_of = last};
-          },
-          [&](const store::ReadRange& c) { return Read(c); },
-          [&](const auto&) -> store::Event { return store::Unavailable{id}; }},
-      command);
-}
-
-store::Event FakeTable::Read(const store::ReadRange& command) const {
-  store::RangeRead read{.id = command.id, .as_of = last};
-  for (auto row = rows.upper_bound(std::max(command.after, command.prefix));
-       row != rows.end() && row->first.starts_with(command.prefix); ++row) {
-    if (read.rows.size() == command.limit) {
-      read.more = true;
-      break;
-    }
-    read.rows.push_back(row->second);
-  }
-  return read;
-}
-
-store::Event FakeTable::Write(const store::Transact& command) {
-  for (const store::KeyVersion& condition : command.conditions) {
-    const auto row = rows.find(condition.key);
-    const auto version = row == rows.end() ? 0 : row->second.version;
-    if (version != condition.version) {
-      return store::Conflicted{.id = command.id};
-    }
-  }
-  ++last;
-  for (store::Row row : command.puts) {
-    row.version = last;
-    rows[row.key] = row;
-  }
-  outage = outage_after_write;
-  if (loses_answers) {
-    return store::TimedOut{command.id};
-  }
-  return store::Committed{.id = command.id, .version = last};
-}
-
-SettingsProcess::SettingsProcess(FakeTable& table, std::string admin)
-    : table_(table) {
+SettingsProcess::SettingsProcess(store::FakePlatform& platform,
+                                 std::string admin)
+    : platform_(platform) {
   desk_.emplace(SettingsDesk::Parts{.editor = MakeEditor(),
                                     .peers = {core::EntryId(1)},
                                     .admin_key_hash = std::move(admin),
@@ -131,16 +77,32 @@
 void SettingsProcess::Pass(core::Duration duration) {
   const core::TimePoint end = now_ + duration;
   Settle();
-  while (desk_->next_timer() < end) {
-    now_ = std::max(now_, desk_->next_timer());
+  while (next_due() < end) {
+    now_ = std::max(now_, next_due());
     Settle();
   }
   now_ = end;
   Settle();
 }
 
+core::TimePoint SettingsProcess::next_due() const {
+  return std::min(desk_->next_timer(),
+                  platform_.next_due().value_or(core::TimePoint::max()));
+}
+
 void SettingsProcess::Settle() {
   desk_->Advance(now_);
+  RunCommands();
+  for (auto events = platform_.Advance(now_); !events.empty();
+       events = platform_.Advance(now_)) {
+    for (const store::Event& event : events) {
+      desk_->Handle(event, now_);
+    }
+    RunCommands();
+  }
+}
+
+void SettingsProcess::RunCommands() {
   for (auto commands = desk_->TakeCommands(); !commands.empty();
        commands = desk_->TakeCommands()) {
     for (SettingsCommand& command : commands) {
@@ -159,14 +121,12 @@
   responses.push_back(std::move(response));
 }
 
-void SettingsProcess::Run(const store::Command& command) {
-  if (holds_store) {
-    return;
+void SettingsProcess::Run(store::Command& command) {
+  if (reaches_store) {
+    platform_.Send(now_, std::move(command));
+  } else {
+    desk_->Handle(store::Unavailable{store::IdOf(command)}, now_);
   }
-  desk_->Handle(reaches_store
-                    ? table_.Run(command)
-                    : store::Event(store::Unavailable{store::IdOf(command)}),
-                now_);
 }
 
 void SettingsProcess::Run(const PeerCall& call) {
--- a/packages/entry/tests/settings_fakes.h
+++ b/packages/entry/tests/settings_fakes.h
@@ -1,7 +1,6 @@
 #ifndef ENTRY_TESTS_SETTINGS_FAKES_H_
 #define ENTRY_TESTS_SETTINGS_FAKES_H_
 
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,30 +10,16 @@
 #include "settings_desk_p.h"
 #include "store/command.h"
 #include "store/event.h"
+#include "store_fake/fake_platform.h"
 
 namespace hickoryusher::entry {
 
-/// The table service in memory.
-struct FakeTable {
-  bool outage = false;
-  bool loses_answers = false;  ///< Transactions take effect without an answer.
-  bool outage_after_write = false;
-  std::map<std::string, store::Row> rows;
-  store::RowVersion last = 0;
-
-  store::Event Run(const store::Command& command);
-
- private:
-  store::Event Read(const store::ReadRange& command) const;
-  store::Event Write(const store::Transact& command);
-};
-
-/// A settings desk with its table, one peer and a manual clock. Responses and
-/// log lines are kept.
+/// A settings desk with the platform in memory, one peer and a manual clock.
+/// Responses and log lines are kept.
 class SettingsProcess {
  public:
   /// @param admin hash of the key `admin.bootstrap`.
-  SettingsProcess(FakeTable& table, std::string admin);
+  SettingsProcess(store::FakePlatform& platform, std::string admin);
 
   /// Sends a request and runs until nothing is left to do at this moment.
   void Send(std::string_view method,
@@ -62,18 +47,19 @@
 
   SettingsProcess* peer = nullptr;  ///< Unreachable if null.
   bool reaches_store = true;
-  bool holds_store = false;  ///< Keeps the commands unanswered.
   std::vector<http::Response> responses;
   std::vector<std::string> log;
   std::size_t moves = 0;
 
  private:
+  core::TimePoint next_due() const;
+  void RunCommands();
   void Run(http::Response& response);
-  void Run(const store::Command& command);
+  void Run(store::Command& command);
   void Run(const PeerCall& call);
   void Run(const TreeMoved& moved);
 
-  FakeTable& table_;
+  store::FakePlatform& platform_;
   core::TimePoint now_{std::chrono::seconds(1000)};
   std::uint64_t next_request_ = 1;
   std::optional<SettingsDesk> desk_;
