--- a/packages/entry/src/settings_desk.cc
+++ b/packages/entry/src/settings_desk.cc
@@ -96,7 +96,7 @@
   }
   principal_ = principal->name;
   std::visit([&](const auto& r) { Run(r, request); }, *read);
-  Collect(now);
+  Collect();
 }
 
 void SettingsDesk::TakeCall(const http::IncomingRequest& request) {
@@ -232,7 +232,7 @@
         history_store_.TakeEditEvents(),
         [this](const settings::EditEvent& e) { TakeHistory(e); });
   }
-  Collect(now);
+  Collect();
 }
 
 void SettingsDesk::Handle(const PeerReply& reply, core::TimePoint now) {
@@ -246,13 +246,13 @@
   } else {
     follower_.Handle(now, settings::PeerFailed{.peer = peer});
   }
-  Collect(now);
+  Collect();
 }
 
 void SettingsDesk::Advance(core::TimePoint now) {
   parts_.editor.Advance(now);
   follower_.Advance(now);
-  Collect(now);
+  Collect();
 }
 
 core::TimePoint SettingsDesk::next_timer() const {
@@ -264,7 +264,7 @@
   commands_.emplace_back(std::move(response));
 }
 
-void SettingsDesk::Collect(core::TimePoint) {
+void SettingsDesk::Collect() {
   for (const settings::FollowCommand& command : follower_.TakeCommands()) {
     if (const auto* ask = std::get_if<settings::AskPeer>(&command)) {
       Json::Value params;
--- a/packages/entry/src/settings_desk_p.h
+++ b/packages/entry/src/settings_desk_p.h
@@ -101,9 +101,8 @@
                         std::string_view reason);
   void AskHistory(HistoryRead read, settings::Revision after);
   void TakeHistory(const settings::EditEvent& event);
-  void Follow(core::TimePoint now);
   void Respond(http::Response response);
-  void Collect(core::TimePoint now);
+  void Collect();
   void CollectStore();
   void CollectResults();
   void NoteHead();
