--- a/packages/config/src/process_settings.cc
+++ b/packages/config/src/process_settings.cc
@@ -98,12 +98,13 @@
                             const std::string& path,
                             Faults& faults) {
   Section section(node, path, faults,
-                  {"name", "floors", "first_byte_timeout_ms",
+                  {"name", "team", "floors", "first_byte_timeout_ms",
                    "connect_timeout_ms", "endpoints"});
   ServiceSettings service;
   service.name = section.Text("name");
+  service.team = section.TextOr("team", "");
   service.first_byte_timeout =
-      section.MillisOr("first_byte_timeout_ms", 2'000, kTimeoutMillis);
+      section.MillisOr("first_byte_timeout_ms", 1'000, kTimeoutMillis);
   service.connect_timeout =
       section.MillisOr("connect_timeout_ms", 500, kTimeoutMillis);
   Section floors(section.Child("floors"), section.PathOf("floors"), faults,
@@ -146,11 +147,12 @@
 
 ProcessSettings ReadSettings(const YAML::Node& root, Faults& faults) {
   Section section(root, "", faults,
-                  {"entry", "chart_folder", "http_threads", "limits",
-                   "platform", "entries", "services"});
+                  {"entry", "chart_folder", "admin_key_hash", "http_threads",
+                   "limits", "platform", "entries", "services"});
   ProcessSettings settings;
   settings.entry = section.Text("entry");
   settings.chart_folder = section.TextOr("chart_folder", "charts");
+  settings.admin_key_hash = section.KeyHashOr("admin_key_hash");
   settings.http_threads = static_cast<int>(
       section.IntegerOr("http_threads", 2, {.least = 1, .most = 64}));
   settings.limits = ReadLimits(section.Child("limits"), faults);
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -11,7 +11,9 @@
 #include "directory_p.h"
 #include "http/front.h"
 #include "lifecycle_p.h"
+#include "peer_exchange_p.h"
 #include "router_duty_p.h"
+#include "settings_runtime_p.h"
 #include "store/http_adapter.h"
 #include "telemetry/logger.h"
 
@@ -19,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kLogRingSlots = 16'384;
-constexpr std::size_t kPeerConnections = 4;
 
 // A JSON-RPC call over HTTP is several hundred bytes, and a node may spend 3
 // KB/s on control. Nothing waits for a hello but the first proof of life.
@@ -56,6 +57,14 @@
   return total;
 }
 
+std::vector<ServicePolicy> FilePolicies(
+    const config::ProcessSettings& settings) {
+  std::vector<ServicePolicy> policies;
+  std::ranges::transform(settings.services, std::back_inserter(policies),
+                         FilePolicy);
+  return policies;
+}
+
 /// Numbers the runs of this process. Entry VMs keep nothing, so the wall clock
 /// is the only source that grows across restarts.
 core::Incarnation MakeIncarnation() {
@@ -65,38 +74,6 @@
           .count()));
 }
 
-http::UpstreamCommand ToExchange(PeerCall&& call, const Directory& directory) {
-  const config::EntrySettings& to = directory.entry(call.to);
-  return http::StartExchange{
-      .id = core::AttemptId(call.id.value()),
-      .url = "http://" + to.address + ":" + std::to_string(to.port) + "/rpc",
-      .method = "POST",
-      .headers = {{"Content-Type", "application/json"}},
-      .body = std::move(call.text),
-      .idempotent = true,
-      .connect_timeout =
-          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
-      .total_timeout =
-          std::chrono::ceil<std::chrono::milliseconds>(call.timeout),
-      .max_connections_per_host = kPeerConnections};
-}
-
-/// @returns the end of a call, or nothing for an event in its course.
-std::optional<PeerReply> ToPeerReply(const http::UpstreamEvent& event) {
-  using Result = std::optional<PeerReply>;
-  return std::visit(
-      core::Overloaded{
-          [](const http::FirstByte&) -> Result { return std::nullopt; },
-          [](const http::Completed& e) -> Result {
-            return PeerReply{.id = PeerCallId(e.id.value()), .text = e.body};
-          },
-          [](const http::Failed& e) -> Result {
-            return PeerReply{.id = PeerCallId(e.id.value()),
-                             .text = std::nullopt};
-          }},
-      event);
-}
-
 }  // namespace
 
 struct Process::Impl {
@@ -111,6 +88,7 @@
   std::unique_ptr<http::Upstream> upstream;
   std::unique_ptr<http::Upstream> peers;
   std::unique_ptr<store::HttpAdapter> store;
+  std::unique_ptr<SettingsRuntime> settings_runtime;
   std::unique_ptr<http::Front> front;
   std::optional<Lifecycle> lifecycle;
 
@@ -123,7 +101,7 @@
   bool Start(std::vector<std::string>& errors) {
     MakeStore();
     return MakeRouter(errors) && MakeUpstream(errors) && MakePeers(errors) &&
-           MakeLifecycle(errors) && MakeFront(errors);
+           MakeSettings(errors) && MakeLifecycle(errors) && MakeFront(errors);
   }
 
   std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
@@ -131,6 +109,7 @@
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
   void MakeStore();
+  bool MakeSettings(std::vector<std::string>& errors);
   bool MakeLifecycle(std::vector<std::string>& errors);
   bool MakeFront(std::vector<std::string>& errors);
   std::optional<std::vector<admission::Controller>> MakeAdmission(
@@ -227,7 +206,8 @@
       .metrics = metrics,
       .log = [this](const core::LogLine& line) { logger.Write(line); },
       .longest_deadline = settings.limits.longest_deadline,
-      .max_response_bytes = settings.limits.response_bytes});
+      .max_response_bytes = settings.limits.response_bytes,
+      .policies = FilePolicies(settings)});
   router = std::make_unique<RouterDuty>(std::move(path), metrics,
                                         settings.limits.ring_slots);
   metrics.AddGauge(
@@ -269,6 +249,22 @@
       });
 }
 
+bool Process::Impl::MakeSettings(std::vector<std::string>& errors) {
+  settings_runtime = SettingsRuntime::Create(
+      {.settings = settings,
+       .directory = directory,
+       .chart = charts.settings_revision,
+       .respond =
+           [this](http::Response r) { return front->Respond(std::move(r)); },
+       .log = [this](const core::LogLine& line) { logger.Write(line); },
+       .apply =
+           [this](PoliciesChanged&& change) {
+             return router->inputs().TryPush(RouterInput(std::move(change)));
+           }},
+      errors);
+  return settings_runtime != nullptr;
+}
+
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   lifecycle = Lifecycle::Create(
@@ -288,7 +284,11 @@
 bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
-      .requests(router->inputs())
+      .on_request([this](http::IncomingRequest& request) {
+        return SettingsRuntime::Serves(request)
+                   ? settings_runtime->Take(request)
+                   : http::PushInto(router->inputs(), request);
+      })
       .log([this](std::string line) { logger.WriteText(std::move(line)); });
   front = builder.Start();
   if (!front) {
@@ -308,6 +308,8 @@
            [this](PeerCall&& c) {
              return peers->TrySend(ToExchange(std::move(c), directory));
            }});
+  settings_runtime->Start();
+  settings_runtime->WaitReady();
   lifecycle->Dispatch("ready");
   logger.Write(core::LogLine("entry_ready")
                    .Add("entry", settings.entry)
@@ -327,6 +329,7 @@
     peers->Shutdown();
   }
   store.reset();
+  settings_runtime.reset();
   if (router) {
     router->Stop();
   }
