Add the settings chart to the fault matrix

Cause: the cells of settings_revision were open for lack of a rig. The rig takes one change through the real Editor of one process while the real Followers of two processes learn it; the checker of P9 compares what the operator was told with the log and with what each process serves. Editor gains StateOf, which the rig needs to see that a state was reached.

Ruled out: two cells of not_written first reported a refused change that is written; the fake operator had sent a change again whose outcome it knew.

--- a/packages/settings/include/settings/editor.h
+++ b/packages/settings/include/settings/editor.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -142,6 +143,16 @@
   void Advance(core::TimePoint now);
 
   std::optional<core::TimePoint> next_due() const;
+
+  /// @returns the chart state of a change under way, for logs and tests.
+  std::optional<std::string_view> StateOf(std::string_view id) const {
+    const auto found = instances_.find(ChangeId(id));
+    return found == instances_.end()
+               ? std::nullopt
+               : std::optional(
+                     interpreter_.chart().StateName(found->second.state));
+  }
+
   std::vector<EditCommand> TakeCommands() {
     return std::exchange(commands_, {});
   }
--- a/tests/matrix/cells.cc
+++ b/tests/matrix/cells.cc
@@ -10,6 +10,7 @@
 #include "core/overloaded.h"
 #include "lease_rig.h"
 #include "request_rig.h"
+#include "settings_rig.h"
 
 namespace hickoryusher::matrix {
 namespace {
@@ -21,7 +22,8 @@
                             RigType<RequestRig>,
                             RigType<WorkerLeaseRig>,
                             RigType<SliceLeaseRig>,
-                            RigType<TaskRig>>;
+                            RigType<TaskRig>,
+                            RigType<SettingsRig>>;
 
 AnyRig RigOf(std::string_view chart) {
   if (chart == "request_attempt") {
@@ -36,6 +38,9 @@
   if (chart == "task") {
     return RigType<TaskRig>{};
   }
+  if (chart == "settings_revision") {
+    return RigType<SettingsRig>{};
+  }
   return std::monostate{};
 }
 
@@ -106,7 +111,11 @@
            const Fault& fault,
            const Progress& progress,
            Cell& cell) {
-  std::vector<std::string> concerned = fault.checks;
+  std::vector<std::string> concerned;
+  if (const auto more = fault.checks.find(cell.chart);
+      more != fault.checks.end()) {
+    concerned = more->second;
+  }
   if (const auto row = table.concerned.find(cell.chart);
       row != table.concerned.end()) {
     concerned.insert(concerned.end(), row->second.begin(), row->second.end());
--- a/tests/matrix/checkers.cc
+++ b/tests/matrix/checkers.cc
@@ -4,6 +4,7 @@
 
 #include "lease_checkers.h"
 #include "request_checkers.h"
+#include "settings_checkers.h"
 
 namespace hickoryusher::matrix {
 
@@ -17,7 +18,7 @@
       {"P6", "a non-idempotent request runs at most once", CheckAtMostOnce},
       {"P7", "a leaving VM receives no new work", nullptr},
       {"P8", "a graceful shutdown interrupts nothing", CheckShutdown},
-      {"P9", "an accepted configuration takes effect and stays", nullptr},
+      {"P9", "an accepted configuration takes effect and stays", CheckSettings},
   }};
   return kCheckers;
 }
--- a/tests/matrix/defects.cc
+++ b/tests/matrix/defects.cc
@@ -53,6 +53,7 @@
 std::vector<DefectResult> RunDefects(const FaultTable& table,
                                      const std::string& chart_folder) {
   std::vector<DefectResult> results;
+  results.reserve(table.defects.size());
   for (const Defect& defect : table.defects) {
     results.push_back(RunDefect(defect, table, chart_folder));
   }
--- a/tests/matrix/fault_table.cc
+++ b/tests/matrix/fault_table.cc
@@ -17,7 +17,7 @@
 using Reader = std::function<Step(const YAML::Node&)>;
 
 const std::map<std::string, Reader, std::less<>>& Readers() {
-  static const std::map<std::string, Reader, std::less<>> readers = {
+  static const std::map<std::string, Reader, std::less<>> kReaders = {
       {"kill", [](const YAML::Node&) { return Kill{}; }},
       {"pause", [](const YAML::Node& n) { return Pause{Millis(n, "ms")}; }},
       {"cut",
@@ -61,7 +61,7 @@
       {"terminate", [](const YAML::Node&) { return Terminate{}; }},
       {"advance", [](const YAML::Node& n) { return Advance{Millis(n, "ms")}; }},
   };
-  return readers;
+  return kReaders;
 }
 
 Step ReadStep(const YAML::Node& node) {
@@ -87,8 +87,10 @@
              std::vector<std::string>{}),
          .reason = row["reason"].as<std::string>()});
   }
-  fault.checks =
-      node["checks"].as<std::vector<std::string>>(std::vector<std::string>{});
+  for (const auto& row : node["checks"]) {
+    fault.checks[row.first.as<std::string>()] =
+        row.second.as<std::vector<std::string>>();
+  }
   return fault;
 }
 
@@ -103,7 +105,7 @@
     pair.name += (pair.name.empty() ? "" : " + ") + name;
     std::ranges::copy(found->steps, std::back_inserter(pair.steps));
     std::ranges::copy(found->exemptions, std::back_inserter(pair.exemptions));
-    std::ranges::copy(found->checks, std::back_inserter(pair.checks));
+    pair.checks.insert(found->checks.begin(), found->checks.end());
   }
   return pair;
 }
--- a/tests/matrix/fault_table.h
+++ b/tests/matrix/fault_table.h
@@ -22,8 +22,8 @@
   std::string name;
   std::vector<Step> steps;
   std::vector<Exemption> exemptions;
-  std::vector<std::string> checks;  ///< Guarantees concerned besides those of
-                                    ///< the chart.
+  /// Guarantees concerned besides those of the chart, by chart.
+  std::map<std::string, std::vector<std::string>, std::less<>> checks;
 
   /// @returns why the fault cannot occur in this state, or nothing.
   std::optional<std::string> ReasonNotApplicable(std::string_view chart,
--- a/tests/matrix/history.h
+++ b/tests/matrix/history.h
@@ -1,6 +1,7 @@
 #ifndef MATRIX_HISTORY_H_
 #define MATRIX_HISTORY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -88,7 +89,38 @@
   core::TaskId task;
 };
 
-using Record = std::variant<TaskStarted,
+/// The store's log holds a change of the settings.
+struct SettingWritten {
+  std::string change;
+  std::uint64_t revision = 0;
+};
+/// The operator was told that the change is accepted.
+struct SettingAccepted {
+  std::string change;
+  std::uint64_t revision = 0;
+};
+/// The operator was told that the change is not in effect and will not be.
+struct SettingRefused {
+  std::string change;
+};
+/// A run of a process serves the settings of this revision.
+struct SettingsShown {
+  std::size_t process = 0;
+  std::uint64_t run = 0;
+  std::uint64_t head = 0;
+};
+/// What a process serves once every part has worked for some seconds.
+struct SettingsAtEnd {
+  std::size_t process = 0;
+  std::uint64_t head = 0;
+};
+
+using Record = std::variant<SettingWritten,
+                            SettingAccepted,
+                            SettingRefused,
+                            SettingsShown,
+                            SettingsAtEnd,
+                            TaskStarted,
                             TaskStopped,
                             SliceHeld,
                             TaskMustRun,
--- a/tests/matrix/lease_rig.cc
+++ b/tests/matrix/lease_rig.cc
@@ -42,18 +42,18 @@
 }
 
 const chart::Chart& ShippedSliceChart() {
-  static const chart::Chart chart = LoadShipped("slice_lease");
-  return chart;
+  static const chart::Chart kChart = LoadShipped("slice_lease");
+  return kChart;
 }
 
 const chart::Chart& ShippedTaskChart() {
-  static const chart::Chart chart = LoadShipped("task");
-  return chart;
+  static const chart::Chart kChart = LoadShipped("task");
+  return kChart;
 }
 
 const chart::Chart& ShippedWorkerChart() {
-  static const chart::Chart chart = LoadShipped("worker_lease");
-  return chart;
+  static const chart::Chart kChart = LoadShipped("worker_lease");
+  return kChart;
 }
 
 }  // namespace
--- a/tests/matrix/lease_world_parts.cc
+++ b/tests/matrix/lease_world_parts.cc
@@ -108,6 +108,7 @@
     return;
   }
   std::vector<placement::AttemptReport> attempts;
+  attempts.reserve(worker.runs.size());
   for (const auto& [attempt, run] : worker.runs) {
     attempts.push_back({.task = attempt.task,
                         .attempt = attempt.attempt,
