--- a/tests/matrix/settings_rig.cc
+++ b/tests/matrix/settings_rig.cc
@@ -249,8 +249,9 @@
   for (settings::EditCommand& command : process.editor->TakeCommands()) {
     Send(index, std::move(command));
   }
-  for (settings::FollowCommand& command : process.follower->TakeCommands()) {
-    Send(index, std::move(command));
+  for (const settings::FollowCommand& command :
+       process.follower->TakeCommands()) {
+    Send(index, command);
   }
   const settings::Revision head = process.follower->tree().head();
   if (process.follower->ready() && head != process.shown) {
