Run jobs submitted over HTTP on worker processes

Cause: the packages lease and placement had no process around them; jobs ran only in the simulation of packages/placement/tests.

The entry process gets a scheduler thread with its own ring, store adapter and upstream. It answers /v1/jobs and drives SliceOwner, WorkerLeases and one Scheduler per slice. standins/worker serves several workers from one program.

Ruled out: a condition on the slice row for each claim. The row changes with every renewal, so a claim would conflict with the owner's own renewal; a row slice_epoch/<domain>/<n>, rewritten only on a takeover, is the condition instead. Also ruled out: a counter row for job numbers. The version of the transaction that adds a job is unique already.

Before, /v1/jobs gave 404.

--- a/packages/config/include/config/process_settings.h
+++ b/packages/config/include/config/process_settings.h
@@ -43,6 +43,18 @@
   std::uint16_t port = 0;
 };
 
+/// A VM of the fleet that runs tasks.
+struct WorkerSettings {
+  std::string name;
+  std::string url;  ///< `http://IP:PORT`, without a path.
+  std::string vm;
+  std::string rack;
+  std::string failure_domain;
+  std::int64_t cpu_millis = 0;
+  std::int64_t memory_bytes = 0;
+  int accelerators = 0;
+};
+
 struct LimitSettings {
   std::size_t header_bytes = 16'384;
   std::size_t body_bytes = 4'194'304;
@@ -68,6 +80,7 @@
   PlatformSettings platform;
   std::vector<EntrySettings> entries;
   std::vector<ServiceSettings> services;
+  std::vector<WorkerSettings> workers;  ///< May be empty.
 
   /// @returns this process's element of entries.
   const EntrySettings& self() const;
--- a/packages/config/src/process_settings.cc
+++ b/packages/config/src/process_settings.cc
@@ -17,6 +17,10 @@
 constexpr IntegerRange kByteRange = {.least = 1024, .most = 1'073'741'824};
 constexpr IntegerRange kRingRange = {.least = 16, .most = 1'048'576};
 constexpr IntegerRange kSlotRange = {.least = 1, .most = 10'000};
+constexpr IntegerRange kCpuRange = {.least = 1, .most = 10'000'000};
+constexpr IntegerRange kMemoryRange = {.least = 1,
+                                       .most = 1'000'000'000'000'000};
+constexpr IntegerRange kAcceleratorRange = {.least = 0, .most = 1024};
 constexpr IntegerRange kSeatRange = {.least = 0, .most = 63};
 
 LimitSettings ReadLimits(const YAML::Node& node, Faults& faults) {
@@ -82,6 +86,23 @@
               section.IntegerOr("connections", 64, kSlotRange))};
 }
 
+WorkerSettings ReadWorker(const YAML::Node& node,
+                          const std::string& path,
+                          Faults& faults) {
+  Section section(node, path, faults,
+                  {"name", "url", "vm", "rack", "failure_domain", "cpu_millis",
+                   "memory_bytes", "accelerators"});
+  return {.name = section.Text("name"),
+          .url = section.Url("url"),
+          .vm = section.Text("vm"),
+          .rack = section.Text("rack"),
+          .failure_domain = section.Text("failure_domain"),
+          .cpu_millis = section.Integer("cpu_millis", kCpuRange),
+          .memory_bytes = section.Integer("memory_bytes", kMemoryRange),
+          .accelerators = static_cast<int>(
+              section.IntegerOr("accelerators", 0, kAcceleratorRange))};
+}
+
 template <typename Read>
 auto ReadAll(std::span<const YAML::Node> nodes,
              const std::string& path,
@@ -139,6 +160,13 @@
                      " of '" + entry.failure_domain + "' twice");
     }
   }
+  std::set<std::string> workers;
+  for (const WorkerSettings& worker : settings.workers) {
+    if (!workers.insert(worker.name).second) {
+      faults.Add(root["workers"], "workers",
+                 "unique names, '" + worker.name + "' twice");
+    }
+  }
   if (!settings.entry.empty() && !names.contains(settings.entry)) {
     faults.Add(root["entry"], "entry", "a name listed under entries");
   }
@@ -147,7 +175,7 @@
 ProcessSettings ReadSettings(const YAML::Node& root, Faults& faults) {
   Section section(root, "", faults,
                   {"entry", "chart_folder", "http_threads", "limits",
-                   "platform", "entries", "services"});
+                   "platform", "entries", "services", "workers"});
   ProcessSettings settings;
   settings.entry = section.Text("entry");
   settings.chart_folder = section.TextOr("chart_folder", "charts");
@@ -159,6 +187,10 @@
       ReadAll(section.List("entries"), "entries", faults, ReadEntry);
   settings.services =
       ReadAll(section.List("services"), "services", faults, ReadService);
+  if (section.Child("workers").IsDefined()) {
+    settings.workers =
+        ReadAll(section.List("workers"), "workers", faults, ReadWorker);
+  }
   CheckReferences(section.node(), settings, faults);
   return settings;
 }
--- a/packages/entry/src/charts.cc
+++ b/packages/entry/src/charts.cc
@@ -18,12 +18,21 @@
   auto request_attempt = load("request_attempt");
   auto endpoint_health = load("endpoint_health");
   auto entry_lifecycle = load("entry_lifecycle");
+  auto slice_lease = load("slice_lease");
+  auto worker_lease = load("worker_lease");
+  auto task = load("task");
+  if (!slice_lease || !worker_lease || !task) {
+    return std::nullopt;
+  }
   if (!request_attempt || !endpoint_health || !entry_lifecycle) {
     return std::nullopt;
   }
   return Charts{.request_attempt = *std::move(request_attempt),
                 .endpoint_health = *std::move(endpoint_health),
-                .entry_lifecycle = *std::move(entry_lifecycle)};
+                .entry_lifecycle = *std::move(entry_lifecycle),
+                .slice_lease = *std::move(slice_lease),
+                .worker_lease = *std::move(worker_lease),
+                .task = *std::move(task)};
 }
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/charts_p.h
+++ b/packages/entry/src/charts_p.h
@@ -15,6 +15,9 @@
   chart::Chart request_attempt;
   chart::Chart endpoint_health;
   chart::Chart entry_lifecycle;
+  chart::Chart slice_lease;
+  chart::Chart worker_lease;
+  chart::Chart task;
 };
 
 /// Loads `NAME.yaml` for every chart from @p folder.
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -12,6 +12,7 @@
 #include "http/front.h"
 #include "lifecycle_p.h"
 #include "router_duty_p.h"
+#include "scheduler_duty_p.h"
 #include "store/http_adapter.h"
 #include "telemetry/logger.h"
 
@@ -104,6 +105,7 @@
   telemetry::Logger logger{kLogRingSlots};
   telemetry::Metrics metrics;
   std::unique_ptr<RouterDuty> router;
+  std::unique_ptr<SchedulerDuty> scheduler;
   std::unique_ptr<http::Upstream> upstream;
   std::unique_ptr<http::Upstream> peers;
   std::unique_ptr<store::HttpAdapter> store;
@@ -119,13 +121,15 @@
   bool Start(std::vector<std::string>& errors) {
     MakeStore();
     return MakeRouter(errors) && MakeUpstream(errors) && MakePeers(errors) &&
-           MakeLifecycle(errors) && MakeFront(errors);
+           MakeScheduler(errors) && MakeLifecycle(errors) && MakeFront(errors);
   }
 
   std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
   bool MakeRouter(std::vector<std::string>& errors);
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
+  bool MakeScheduler(std::vector<std::string>& errors);
+  bool TakeRequest(http::IncomingRequest& request);
   void MakeStore();
   bool MakeLifecycle(std::vector<std::string>& errors);
   bool MakeFront(std::vector<std::string>& errors);
@@ -264,6 +268,22 @@
       });
 }
 
+bool Process::Impl::MakeScheduler(std::vector<std::string>& errors) {
+  scheduler = SchedulerDuty::Create(
+      {.settings = settings,
+       .directory = directory,
+       .charts = charts,
+       .incarnation = incarnation,
+       .log = [this](const core::LogLine& line) { logger.Write(line); }},
+      errors);
+  return scheduler != nullptr;
+}
+
+bool Process::Impl::TakeRequest(http::IncomingRequest& request) {
+  return IsJobPath(request.path) ? http::PushInto(scheduler->inputs(), request)
+                                 : http::PushInto(router->inputs(), request);
+}
+
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   lifecycle = Lifecycle::Create(
@@ -283,7 +303,7 @@
 bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
-      .requests(router->inputs())
+      .on_request([this](http::IncomingRequest& r) { return TakeRequest(r); })
       .log([this](std::string line) { logger.WriteText(std::move(line)); });
   front = builder.Start();
   if (!front) {
@@ -303,6 +323,8 @@
            [this](PeerCall&& c) {
              return peers->TrySend(ToExchange(std::move(c), directory));
            }});
+  scheduler->Start(
+      [this](http::Response r) { return front->Respond(std::move(r)); });
   lifecycle->Dispatch("ready");
   logger.Write(core::LogLine("entry_ready")
                    .Add("entry", settings.entry)
@@ -322,6 +344,9 @@
     peers->Shutdown();
   }
   store.reset();
+  if (scheduler) {
+    scheduler->Stop();
+  }
   if (router) {
     router->Stop();
   }
@@ -346,6 +371,7 @@
     impl_->router->WaitReleased(std::chrono::steady_clock::now() +
                                 kReleaseTimeout);
   }
+  impl_->scheduler->Release(std::chrono::steady_clock::now() + kReleaseTimeout);
   lifecycle.Dispatch(idle ? "idle" : "drain_expired");
   impl_->logger.Write(core::LogLine("entry_stopped")
                           .Add("state", lifecycle.state())
--- /dev/null
+++ b/packages/entry/src/slice_desk.cc
@@ -0,0 +1,327 @@
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "slice_desk_p.h"
+
+namespace hickoryusher::entry {
+namespace {
+
+// A leaving VM must get no new work after 3 s.
+constexpr core::Duration kVmInterval = std::chrono::seconds(1);
+
+// Two heartbeats. A worker without an answer for longer is about to be silent.
+constexpr std::chrono::milliseconds kExchangeTimeout{2000};
+
+}  // namespace
+
+SliceDesk::SliceDesk(Parts parts,
+                     lease::SliceOwner owner,
+                     lease::WorkerLeases leases)
+    : parts_(std::move(parts)),
+      fleet_(parts_.fleet),
+      store_(parts_.fleet, parts_.directory),
+      owner_(std::move(owner)),
+      leases_(std::move(leases)),
+      next_vm_read_(parts_.now) {}
+
+std::unique_ptr<SliceDesk> SliceDesk::Create(Parts parts,
+                                             std::vector<std::string>& errors) {
+  std::vector<chart::Problem> problems;
+  auto owner = lease::SliceOwner::Create(parts.charts.slice_lease,
+                                         {.self = parts.directory.own_entry(),
+                                          .incarnation = parts.incarnation,
+                                          .slices = parts.fleet.slices()},
+                                         parts.now, problems);
+  auto leases = lease::WorkerLeases::Create(parts.charts.worker_lease,
+                                            lease::Timing(), problems);
+  const auto scheduler =
+      placement::Scheduler::Create(parts.charts.task, {}, problems);
+  if (!owner || !leases || !scheduler) {
+    std::ranges::transform(problems, std::back_inserter(errors),
+                           &chart::Problem::text);
+    return nullptr;
+  }
+  return std::unique_ptr<SliceDesk>(
+      new SliceDesk(std::move(parts), *std::move(owner), *std::move(leases)));
+}
+
+std::vector<http::StartExchange> SliceDesk::TakeExchanges() {
+  return std::exchange(exchanges_, {});
+}
+
+void SliceDesk::RunOwner(const lease::SliceEvent& event, core::TimePoint now) {
+  std::vector<lease::SliceCommand> out;
+  owner_.Handle(event, now, out);
+  Execute(out, now);
+}
+
+void SliceDesk::Tick(core::TimePoint now) {
+  if (fleet_.workers().empty()) {
+    return;
+  }
+  RunOwner(lease::Tick{}, now);
+  if (now >= next_vm_read_) {
+    next_vm_read_ = now + kVmInterval;
+    store_.ReadVms();
+  }
+  TickWorkers(now);
+  TickTerms(now);
+}
+
+void SliceDesk::TickWorkers(core::TimePoint now) {
+  std::vector<lease::WorkerCommand> out;
+  for (const FleetWorker& worker : fleet_.workers()) {
+    if (!terms_.contains(worker.slice)) {
+      continue;
+    }
+    const core::WorkerId id = worker.spec.worker;
+    leases_.AddWorker(id, worker.slice, now, out);
+    if (workers_[id].gone) {
+      leases_.VmGone(id, now, out);
+    }
+  }
+  leases_.Tick(now, out);
+  Execute(out, now);
+}
+
+void SliceDesk::Release(core::TimePoint now) {
+  RunOwner(lease::Release{}, now);
+}
+
+bool SliceDesk::IsIdle(core::TimePoint now) const {
+  return std::ranges::all_of(fleet_.slices(), [&](core::SliceId slice) {
+    return owner_.OwnershipAt(slice, now) == lease::Ownership::kNone;
+  });
+}
+
+void SliceDesk::Handle(const store::Event& event, core::TimePoint now) {
+  // A process that was frozen first learns that its leases have ended.
+  RunOwner(lease::Tick{}, now);
+  std::vector<FleetEvent> events;
+  store_.Handle(event, events);
+  for (const FleetEvent& fleet_event : events) {
+    std::visit(core::Overloaded{
+                   [&](const lease::SliceEvent& e) { RunOwner(e, now); },
+                   [&](const TermLoaded& e) { Fill(e, now); },
+                   [](const TermNotLoaded&) {},  // TickTerms loads it again.
+                   [&](const OpenJobsListed& e) {
+                     if (Term* term = FindTerm(e.term)) {
+                       TakeJobs(*term, e.jobs, now);
+                     }
+                   },
+                   [&](const GroupAnswered& e) {
+                     if (Term* term = FindTerm(e.term)) {
+                       RunScheduler(*term, e.event, now);
+                     }
+                   },
+                   [&](const JobClosed& e) {
+                     Term* term = FindTerm(e.term);
+                     if (term != nullptr && e.written) {
+                       term->jobs[e.number].closed = true;
+                       term->jobs[e.number].close_at.reset();
+                     }
+                   },
+                   [&](const VmsListed& e) { TakeVms(e); }},
+               fleet_event);
+  }
+}
+
+void SliceDesk::Execute(std::span<const lease::SliceCommand> commands,
+                        core::TimePoint now) {
+  const auto hold = [&](core::SliceId slice, bool on) {
+    const auto term = terms_.find(slice);
+    if (term != terms_.end()) {
+      RunScheduler(term->second, placement::SetHold{.hold = on}, now);
+    }
+    parts_.log(core::LogLine("slice_hold")
+                   .Add("slice", slice.value())
+                   .Add("hold", on));
+  };
+  for (const lease::SliceCommand& command : commands) {
+    std::visit(
+        core::Overloaded{
+            [&](const lease::ReadRows& c) { store_.ReadSlices(c); },
+            [&](const lease::WriteRows& c) { store_.WriteSlices(c); },
+            [&](const lease::SliceBegun& c) { Begin(c, now); },
+            [&](const lease::HoldBegun& c) { hold(c.slice, true); },
+            [&](const lease::HoldEnded& c) { hold(c.slice, false); },
+            [&](const lease::SliceEnded& c) { End(c); },
+            // Sent only in answer to YieldAsked, which no message carries yet.
+            [](const lease::YieldAnswer&) {}},
+        command);
+  }
+}
+
+void SliceDesk::Begin(const lease::SliceBegun& begun, core::TimePoint now) {
+  leases_.BeginSlice(lease::TermOf(begun));
+  Term& term = terms_[begun.slice];
+  term = Term{.key = {.slice = begun.slice, .epoch = begun.epoch},
+              .next_load = now};
+  parts_.log(core::LogLine("slice_begun")
+                 .Add("slice", begun.slice.value())
+                 .Add("epoch", begun.epoch.value()));
+}
+
+void SliceDesk::End(const lease::SliceEnded& ended) {
+  leases_.EndSlice(ended.slice);
+  terms_.erase(ended.slice);
+  for (const FleetWorker& worker : fleet_.workers()) {
+    if (worker.slice == ended.slice) {
+      DropOrders(worker.spec.worker);
+      workers_[worker.spec.worker].run.reset();
+    }
+  }
+  parts_.log(core::LogLine("slice_ended")
+                 .Add("slice", ended.slice.value())
+                 .Add("epoch", ended.epoch.value()));
+}
+
+void SliceDesk::DropOrders(core::WorkerId worker) {
+  WorkerState& state = workers_[worker];
+  state.orders.clear();
+  state.throttle.reset();
+}
+
+void SliceDesk::Execute(std::span<const lease::WorkerCommand> commands,
+                        core::TimePoint now) {
+  const auto forward = [&](std::string_view state, core::WorkerId worker,
+                           const placement::Event& event) {
+    parts_.log(core::LogLine("worker_lease")
+                   .Add("worker", fleet_.Name(worker))
+                   .Add("state", state));
+    if (Term* term = TermOfWorker(worker)) {
+      RunScheduler(*term, event, now);
+    }
+  };
+  for (const lease::WorkerCommand& command : commands) {
+    std::visit(
+        core::Overloaded{
+            [&](const lease::Heartbeat& c) { SendHeartbeat(c); },
+            // Not sent yet: without an answer the leases wait as long as for a
+            // previous owner that cannot be reached.
+            [](const lease::AskYield&) {},
+            [&](const lease::WorkerLive& c) {
+              if (!workers_[c.worker].leaving) {
+                forward("live", c.worker,
+                        placement::WorkerUp{fleet_.Find(c.worker)->spec});
+              }
+            },
+            [&](const lease::WorkerSilent& c) {
+              DropOrders(c.worker);
+              forward("silent", c.worker, placement::WorkerPaused{c.worker});
+            },
+            [&](const lease::WorkerLost& c) {
+              DropOrders(c.worker);
+              workers_[c.worker].run.reset();
+              forward("lost", c.worker, placement::WorkerTasksLost{c.worker});
+            }},
+        command);
+  }
+}
+
+void SliceDesk::SendHeartbeat(const lease::Heartbeat& heartbeat) {
+  WorkerState& state = workers_[heartbeat.worker];
+  if (state.in_flight) {
+    return;
+  }
+  std::vector<WorkerOrder> orders = std::exchange(state.orders, {});
+  // A worker whose lease is not renewed takes no commands; the scheduler
+  // repeats those that still count.
+  if (!heartbeat.echo) {
+    orders.clear();
+  } else if (state.throttle) {
+    orders.emplace_back(*state.throttle);
+  }
+  const core::AttemptId id(++next_exchange_);
+  state.in_flight = true;
+  in_flight_.emplace(id, heartbeat.worker);
+  exchanges_.push_back(
+      {.id = id,
+       .url = fleet_.Find(heartbeat.worker)->url + "/v1/exchange",
+       .method = "POST",
+       .headers = {{"Content-Type", "application/json"}},
+       .body = EncodeExchange(heartbeat, orders),
+       .idempotent = true,
+       .connect_timeout = kExchangeTimeout,
+       .total_timeout = kExchangeTimeout});
+}
+
+void SliceDesk::Handle(const http::UpstreamEvent& event, core::TimePoint now) {
+  const auto finish = [this](core::AttemptId id) {
+    const auto found = in_flight_.extract(id);
+    if (found.empty()) {
+      return core::WorkerId();
+    }
+    workers_[found.mapped()].in_flight = false;
+    return found.mapped();
+  };
+  RunOwner(lease::Tick{}, now);
+  std::visit(
+      core::Overloaded{[](const http::FirstByte&) {},
+                       [&](const http::Failed& e) { finish(e.id); },
+                       [&](const http::Completed& e) {
+                         const core::WorkerId worker = finish(e.id);
+                         const auto reply = DecodeExchange(e.body);
+                         if (worker.valid() && e.status == 200 && reply) {
+                           TakeReply(worker, *reply, now);
+                         }
+                       }},
+      event);
+}
+
+bool SliceDesk::IsSameRun(core::WorkerId worker, const ExchangeReply& reply) {
+  // A worker that started again does not know which attempts it ran. Its
+  // reports count only once the lease of its predecessor has ended.
+  std::optional<std::uint64_t>& run = workers_[worker].run;
+  run = run.value_or(reply.run);
+  return *run == reply.run;
+}
+
+void SliceDesk::TakeReply(core::WorkerId worker,
+                          const ExchangeReply& reply,
+                          core::TimePoint now) {
+  Term* term = TermOfWorker(worker);
+  if (term == nullptr) {
+    return;
+  }
+  if (!reply.accepted) {
+    RunOwner(lease::Fenced{.slice = term->key.slice, .epoch = reply.epoch},
+             now);
+    return;
+  }
+  if (!IsSameRun(worker, reply)) {
+    return;
+  }
+  std::vector<lease::WorkerCommand> out;
+  const bool accepted =
+      leases_.Report(worker, reply.epoch, reply.worker_time, now, out);
+  Execute(out, now);
+  if (accepted) {
+    RunScheduler(
+        *term,
+        placement::WorkerReport{.worker = worker, .attempts = reply.attempts},
+        now);
+  }
+}
+
+void SliceDesk::TakeVms(const VmsListed& list) {
+  // An answer to an earlier read may be older than one already taken.
+  if (list.revision < vm_revision_) {
+    return;
+  }
+  vm_revision_ = list.revision;
+  for (const FleetWorker& worker : fleet_.workers()) {
+    WorkerState& state = workers_[worker.spec.worker];
+    const auto found = std::ranges::find(list.vms, worker.vm, &store::Vm::name);
+    const bool listed = found != list.vms.end();
+    state.gone = state.gone || (state.listed && !listed);
+    state.listed = state.listed || listed;
+    state.leaving =
+        listed ? found->state == store::VmState::kLeaving : state.leaving;
+  }
+}
+
+}  // namespace hickoryusher::entry
--- a/standins/platform/fault_server.cc
+++ b/standins/platform/fault_server.cc
@@ -142,7 +142,8 @@
   void Run(const Request& request, http::ResponseWriter& writer) {
     const Reply reply = handler_(request);
     // Without an answer the connection stays open until the client closes it.
-    if (!(request.write && reply.status == 200 && TakeLostAnswer())) {
+    if (reply.answer &&
+        !(request.write && reply.status == 200 && TakeLostAnswer())) {
       Answer(writer, reply);
     }
   }
--- a/standins/platform/fault_server.h
+++ b/standins/platform/fault_server.h
@@ -18,6 +18,7 @@
 struct Reply {
   int status = 200;
   std::string body;
+  bool answer = true;  ///< False leaves the connection open without a reply.
 };
 
 /// Faults of a platform service; POST /faults sets the ones it names.
--- /dev/null
+++ b/tests/process/jobs.sh
@@ -0,0 +1,164 @@
+#!/usr/bin/env bash
+# Jobs over HTTP with separate processes: two entries, four workers and the
+# platform's stand-ins. One owner is killed, one worker dies and one stops
+# answering. Guards against tasks that are lost, that run twice at a time or
+# that are not started again.
+#
+#   tests/process/jobs.sh BUILD_FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+build=${1:-build}
+platform_port=19800
+worker_port=19810
+entry_port=19820
+workers=4
+state=$(mktemp -d)
+pids=()
+
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2> /dev/null || true; done
+  sleep 0.5
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2> /dev/null || true; done
+  wait 2> /dev/null || true
+}
+
+fail() {
+  echo "jobs: FAILED: $*" >&2
+  for log in "$state"/e*.log; do
+    echo "== $log" >&2
+    tail -n 60 "$log" >&2
+  done
+  for ((i = 0; i < workers; i++)); do runs "$i" >&2 || true; done
+  exit 1
+}
+trap 'stop_all; rm -rf "$state"' EXIT
+
+start() {  # name, command...
+  local name=$1
+  shift
+  "$@" > "$state/$name.out" 2> "$state/$name.log" < /dev/null &
+  pids+=("$!")
+  echo "$!" > "$state/$name.pid"
+}
+
+entry_url() { echo "http://127.0.0.1:$((entry_port + $1))"; }
+worker_url() { echo "http://127.0.0.1:$((worker_port + $1))"; }
+
+write_settings() {  # entry index
+  local i
+  cat <<END
+entry: e$1
+chart_folder: $PWD/charts
+platform:
+  table_url: http://127.0.0.1:$platform_port
+  object_url: http://127.0.0.1:$((platform_port + 1))
+  vm_list_url: http://127.0.0.1:$((platform_port + 2))
+entries:
+  - {name: e0, vm: entry-vm0, failure_domain: d0, seat: 0, address: 127.0.0.1, port: $entry_port}
+  - {name: e1, vm: entry-vm1, failure_domain: d0, seat: 1, address: 127.0.0.1, port: $((entry_port + 1))}
+services:
+  - name: carnet
+    floors: {latency_critical: 0.5}
+    endpoints:
+      - {name: x0, url: "http://127.0.0.1:19890", vm: endpoint-vm0, rack: rack0, failure_domain: d0}
+workers:
+END
+  for ((i = 0; i < workers; i++)); do
+    echo "  - {name: w$i, url: \"$(worker_url "$i")\", vm: worker-vm$i, rack: rack$((i / 2)), failure_domain: d0, cpu_millis: 4000, memory_bytes: 8000000000}"
+  done
+}
+
+add_vm() {  # name
+  curl -sf -o /dev/null "http://127.0.0.1:$((platform_port + 2))/v1/vms" \
+    -d "{\"name\":\"$1\",\"address\":\"127.0.0.1\",\"failure_domain\":\"d0\",\"state\":\"live\"}"
+}
+
+within() {  # seconds, description, command...
+  local until=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@"; do
+    [ "$SECONDS" -lt "$until" ] || fail "$what"
+    sleep 0.2
+  done
+}
+
+submit() {  # entry, id, kind, run_ms, tasks, cpu_millis; prints the status
+  curl -s -m 5 -o "$state/answer" -w '%{http_code}' "$(entry_url "$1")/v1/jobs" -d \
+    "{\"id\":\"$2\",\"kind\":\"$3\",\"team\":\"t\",\"cpu_millis\":$6,\"memory_bytes\":1000000,\"expected_run_ms\":$4,\"tasks\":$5}"
+}
+
+expect() {  # description, expected, found
+  [ "$2" = "$3" ] || fail "$1: expected $2, found $3 $(cat "$state/answer")"
+}
+
+job_state() {  # entry, id
+  curl -s -m 5 "$(entry_url "$1")/v1/jobs/$2" | sed -n 's/.*"state":"\([a-z]*\)".*/\1/p'
+}
+
+job_is() { [ "$(job_state "$1" "$2")" = "$3" ]; }
+
+# One line per run: worker task attempt started ended end.
+runs() {  # worker
+  curl -sf -m 5 "$(worker_url "$1")/runs" | grep -o '{[^{}]*}' |
+    sed 's/.*"attempt":\([0-9]*\).*"end":"\([a-z]*\)","ended_ms":\([0-9]*\).*"started_ms":\([0-9]*\),"task":\([0-9]*\).*/w'"$1"' \5 \1 \4 \3 \2/' || true
+}
+
+all_runs() {
+  local i
+  for ((i = 0; i < workers; i++)); do runs "$i"; done
+}
+
+running_worker() {  # task; prints the worker that runs it
+  all_runs | awk -v task="$1" '$2 == task && $5 == 0 {print $1}'
+}
+
+set_mode() {  # worker name, mode
+  curl -sf -o /dev/null "$(worker_url "${1#w}")/behaviour" -d "{\"mode\":\"$2\"}"
+}
+
+owner() { sed -n 's/.*event=slice_begun.*/x/p' "$state/$1.log" | grep -q x; }
+
+is_up() { [ -n "$(running_worker "$1")" ]; }
+is_up_elsewhere() { all_runs | awk -v t="$1" -v w="$2" '$2 == t && $5 == 0 && $1 != w {f = 1} END {exit !f}'; }
+ready() { curl -sf -o /dev/null "$(entry_url "$1")/healthz"; }
+
+# Every task of the batch jobs ended as done exactly once, and the runs of one
+# task do not overlap. Times are of one machine's wall clock.
+check_runs() {
+  all_runs | sort -k2,2n -k4,4n | awk -v want="$1" '
+    $2 == last && ($4 < ended || ended == 0) {print "task " $2 " ran twice at a time"; bad = 1}
+    {last = $2; ended = $5}
+    $6 == "done" {if (++done[$2] > 1) {print "task " $2 " was done twice"; bad = 1}}
+    END {
+      for (task in done) n++
+      if (n != want) {print "done tasks: expected " want ", found " n; bad = 1}
+      exit bad
+    }'
+}
+
+start table "$build/standins/platform/table_standin" --port "$platform_port"
+start object "$build/standins/platform/object_standin" --port $((platform_port + 1))
+start vm_list "$build/standins/platform/vm_list_standin" --port $((platform_port + 2))
+start workers "$build/standins/worker/worker_standin" --port "$worker_port" --count "$workers" \
+  --per-rack 2 --failure-domain d0 --cpu-millis 4000 --memory-bytes 8000000000
+within 10 "the VM list is up" add_vm entry-vm0
+add_vm entry-vm1
+for ((i = 0; i < workers; i++)); do add_vm "worker-vm$i"; done
+for e in 0 1; do
+  write_settings "$e" > "$state/e$e.yaml"
+  start "e$e" "$build/packages/entry/hickoryusher" --config "$state/e$e.yaml" --first-start
+done
+within 15 "entry e0 is ready" ready 0
+within 15 "entry e1 is ready" ready 1
+
+# A batch job runs; submitting it again does not run it again.
+expect "submit" 201 "$(submit 0 first batch 1000 4 1000)"
+expect "submit again" 200 "$(submit 1 first batch 1000 4 1000)"
+expect "other job with the same id" 409 "$(submit 1 first batch 1000 5 1000)"
+expect "zero tasks" 400 "$(submit 1 bad batch 1000 0 1000)"
+expect "too large for every worker" 422 "$(submit 1 huge batch 1000 1 4001)"
+within 30 "job first is done" job_is 1 first done
+
+echo "jobs: first job done after $SECONDS s"
