Test jobs with separate processes; let a new owner ask the previous one to yield

Cause: nothing showed, with processes and sockets, that tasks survive the death of their worker and of their owner, and an owner that could not reach a worker never asked its predecessor to release the slice.

tests/process/jobs.sh kills an owner, lets one worker die and one stop answering, and checks the workers' records; the check is first shown four records that it has to reject. slice.yield is a call to /rpc/slices, which the scheduler thread answers itself; the router thread keeps /rpc.

Ruled out: a worker that starts again under its old name is not accepted at once. It does not know which attempts it ran, so its reports count only after the lease of its predecessor has ended.

--- a/packages/config/tests/process_settings_test.cc
+++ b/packages/config/tests/process_settings_test.cc
@@ -89,6 +89,29 @@
 }
 
 // Guards against a check that stops at the first fault.
+// Guards against workers that are lost or accepted with wrong values.
+TEST_CASE("workers are optional and checked") {
+  const std::string good =
+      std::string(kGood) +
+      "workers:\n"
+      "  - {name: w1, url: \"http://127.0.0.1:9201\", vm: v2, rack: r1, "
+      "failure_domain: dakar-yoff, cpu_millis: 32000, memory_bytes: 1000}\n";
+  Loader loader;
+  CHECK(loader.LoadText(kGood, "s.yaml")->workers.empty());
+  const auto settings = loader.LoadText(good, "s.yaml");
+  REQUIRE(settings.has_value());
+  REQUIRE(settings->workers.size() == 1);
+  CHECK(settings->workers[0].cpu_millis == 32'000);
+  CHECK(settings->workers[0].accelerators == 0);
+  std::string none = good;
+  none.replace(none.find("32000"), 5, "0");
+  CHECK_FALSE(loader.LoadText(none, "s.yaml").has_value());
+  CHECK(loader.errors()[0].find("workers[0].cpu_millis") != std::string::npos);
+  const std::string twice = good + good.substr(good.find("  - {name: w1"));
+  CHECK_FALSE(loader.LoadText(twice, "s.yaml").has_value());
+  CHECK(loader.errors()[0].find("'w1' twice") != std::string::npos);
+}
+
 TEST_CASE("all faults of a file are reported together") {
   Loader loader;
   CHECK_FALSE(loader.LoadText("entry: e1\n", "s.yaml").has_value());
--- a/packages/entry/src/fleet_store.cc
+++ b/packages/entry/src/fleet_store.cc
@@ -33,6 +33,12 @@
   return std::exchange(commands_, {});
 }
 
+bool FleetStore::IsWritingSlices() const {
+  return std::ranges::any_of(pending_, [](const auto& entry) {
+    return std::holds_alternative<SliceWriting>(entry.second);
+  });
+}
+
 void FleetStore::ReadSlices(const lease::ReadRows& read) {
   IssueRange(SlicePrefix(fleet_.domain()), {}, SliceReading{read});
 }
--- a/packages/entry/src/fleet_store_p.h
+++ b/packages/entry/src/fleet_store_p.h
@@ -88,6 +88,9 @@
 
   std::vector<store::Command> TakeCommands();
 
+  /// @returns true while a write of slice rows is unanswered.
+  bool IsWritingSlices() const;
+
  private:
   struct SliceReading {
     lease::ReadRows read;
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -280,8 +280,9 @@
 }
 
 bool Process::Impl::TakeRequest(http::IncomingRequest& request) {
-  return IsJobPath(request.path) ? http::PushInto(scheduler->inputs(), request)
-                                 : http::PushInto(router->inputs(), request);
+  return SchedulerDuty::Answers(request.path)
+             ? http::PushInto(scheduler->inputs(), request)
+             : http::PushInto(router->inputs(), request);
 }
 
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
--- a/packages/entry/src/scheduler_duty.cc
+++ b/packages/entry/src/scheduler_duty.cc
@@ -49,6 +49,7 @@
   if (!desk_) {
     return false;
   }
+  desk_->AddMethods(dispatcher_, Now);
   const config::PlatformSettings& platform = parts.settings.platform;
   store_ = std::make_unique<store::HttpAdapter>(
       store::HttpAdapter::Options{.table_url = platform.table_url,
@@ -125,9 +126,7 @@
 void SchedulerDuty::Take(SchedulerInput&& input) {
   std::visit(
       core::Overloaded{
-          [this](const http::IncomingRequest& r) {
-            api_.Handle(r, UnixMillis());
-          },
+          [this](const http::IncomingRequest& r) { TakeRequest(r); },
           [this](const store::Event& e) { TakeStoreEvent(e); },
           [this](const http::UpstreamEvent& e) { desk_->Handle(e, Now()); },
           [this](const SliceReleaseRequested&) {
@@ -137,6 +136,17 @@
       std::move(input));
 }
 
+void SchedulerDuty::TakeRequest(const http::IncomingRequest& request) {
+  if (request.path != kSliceRpcPath) {
+    api_.Handle(request, UnixMillis());
+    return;
+  }
+  respond_({.id = request.id,
+            .status = 200,
+            .headers = {{"Content-Type", "application/json"}},
+            .body = dispatcher_.Handle(request.body)});
+}
+
 void SchedulerDuty::TakeStoreEvent(const store::Event& event) {
   if (store::IdOf(event).value() >= kFirstApiId) {
     api_.Handle(event);
--- a/packages/entry/src/scheduler_duty_p.h
+++ b/packages/entry/src/scheduler_duty_p.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "http/message.h"
 #include "http/upstream.h"
 #include "job_api_p.h"
+#include "rpc/codec.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
 #include "slice_desk_p.h"
@@ -59,6 +61,11 @@
 
   void Stop();
 
+  /// @returns true if this duty answers requests for @p path.
+  static bool Answers(std::string_view path) {
+    return IsJobPath(path) || path == kSliceRpcPath;
+  }
+
   runtime::Ring<SchedulerInput>& inputs() { return inputs_; }
 
  private:
@@ -67,6 +74,7 @@
   bool Build(Parts parts, std::vector<std::string>& errors);
   void Run();
   void Take(SchedulerInput&& input);
+  void TakeRequest(const http::IncomingRequest& request);
   void TakeStoreEvent(const store::Event& event);
   void CarryOut();
   void Send(store::Command&& command);
@@ -75,6 +83,7 @@
   Fleet fleet_;
   JobApi api_;
   std::unique_ptr<SliceDesk> desk_;
+  rpc::Dispatcher dispatcher_;
   runtime::Ring<SchedulerInput> inputs_;
   std::unique_ptr<store::HttpAdapter> store_;
   std::unique_ptr<http::Upstream> upstream_;
--- a/packages/entry/src/slice_desk.cc
+++ b/packages/entry/src/slice_desk.cc
@@ -1,3 +1,5 @@
+#include <json/value.h>
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -12,6 +14,8 @@
 // A leaving VM must get no new work after 3 s.
 constexpr core::Duration kVmInterval = std::chrono::seconds(1);
 
+constexpr int kOk = 200;
+
 // Two heartbeats. A worker without an answer for longer is about to be silent.
 constexpr std::chrono::milliseconds kExchangeTimeout{2000};
 
@@ -92,9 +96,10 @@
 }
 
 bool SliceDesk::IsIdle(core::TimePoint now) const {
-  return std::ranges::all_of(fleet_.slices(), [&](core::SliceId slice) {
-    return owner_.OwnershipAt(slice, now) == lease::Ownership::kNone;
-  });
+  return !store_.IsWritingSlices() &&
+         std::ranges::all_of(fleet_.slices(), [&](core::SliceId slice) {
+           return owner_.OwnershipAt(slice, now) == lease::Ownership::kNone;
+         });
 }
 
 void SliceDesk::Handle(const store::Event& event, core::TimePoint now) {
@@ -141,17 +146,15 @@
                    .Add("hold", on));
   };
   for (const lease::SliceCommand& command : commands) {
-    std::visit(
-        core::Overloaded{
-            [&](const lease::ReadRows& c) { store_.ReadSlices(c); },
-            [&](const lease::WriteRows& c) { store_.WriteSlices(c); },
-            [&](const lease::SliceBegun& c) { Begin(c, now); },
-            [&](const lease::HoldBegun& c) { hold(c.slice, true); },
-            [&](const lease::HoldEnded& c) { hold(c.slice, false); },
-            [&](const lease::SliceEnded& c) { End(c); },
-            // Sent only in answer to YieldAsked, which no message carries yet.
-            [](const lease::YieldAnswer&) {}},
-        command);
+    std::visit(core::Overloaded{
+                   [&](const lease::ReadRows& c) { store_.ReadSlices(c); },
+                   [&](const lease::WriteRows& c) { store_.WriteSlices(c); },
+                   [&](const lease::SliceBegun& c) { Begin(c, now); },
+                   [&](const lease::HoldBegun& c) { hold(c.slice, true); },
+                   [&](const lease::HoldEnded& c) { hold(c.slice, false); },
+                   [&](const lease::SliceEnded& c) { End(c); },
+                   [&](const lease::YieldAnswer&) { yield_answered_ = true; }},
+               command);
   }
 }
 
@@ -200,9 +203,7 @@
     std::visit(
         core::Overloaded{
             [&](const lease::Heartbeat& c) { SendHeartbeat(c); },
-            // Not sent yet: without an answer the leases wait as long as for a
-            // previous owner that cannot be reached.
-            [](const lease::AskYield&) {},
+            [&](const lease::AskYield& c) { AskYield(c); },
             [&](const lease::WorkerLive& c) {
               if (!workers_[c.worker].leaving) {
                 forward("live", c.worker,
@@ -249,29 +250,104 @@
        .total_timeout = kExchangeTimeout});
 }
 
+void SliceDesk::AskYield(const lease::AskYield& ask) {
+  if (ask.previous == parts_.directory.own_entry() ||
+      ask.previous.value() >= parts_.directory.entry_count()) {
+    return;
+  }
+  const config::EntrySettings& to = parts_.directory.entry(ask.previous);
+  Json::Value params;
+  params["domain"] = fleet_.domain();
+  params["slice"] = ask.slice.value();
+  params["epoch"] = Json::UInt64(ask.epoch.value());
+  params["from"] =
+      std::string(parts_.directory.EntryName(parts_.directory.own_entry()));
+  const core::AttemptId id(++next_exchange_);
+  in_flight_.emplace(
+      id, YieldCall{.term = {.slice = ask.slice, .epoch = ask.epoch}});
+  exchanges_.push_back({.id = id,
+                        .url = "http://" + to.address + ":" +
+                               std::to_string(to.port) +
+                               std::string(kSliceRpcPath),
+                        .method = "POST",
+                        .headers = {{"Content-Type", "application/json"}},
+                        .body = rpc::EncodeCall("slice.yield", params),
+                        .idempotent = true,
+                        .connect_timeout = kExchangeTimeout,
+                        .total_timeout = kExchangeTimeout});
+}
+
+void SliceDesk::AddMethods(rpc::Dispatcher& dispatcher,
+                           std::function<core::TimePoint()> clock) {
+  dispatcher.Add("slice.yield", [this, clock = std::move(clock)](
+                                    const Json::Value& params,
+                                    Json::Value& result, std::string& error) {
+    if (!params.isObject() || !params["slice"].isUInt() ||
+        !params["epoch"].isUInt64() || !params["from"].isString() ||
+        params["domain"] != Json::Value(fleet_.domain())) {
+      error = "slice.yield: malformed or of another failure domain";
+      return false;
+    }
+    result = Json::Value(Json::objectValue);
+    result["yielded"] = AnswerYield(params, clock());
+    return true;
+  });
+}
+
+bool SliceDesk::AnswerYield(const Json::Value& params, core::TimePoint now) {
+  RunOwner(lease::Tick{}, now);
+  yield_answered_ = false;
+  RunOwner(lease::YieldAsked{.slice = core::SliceId(params["slice"].asUInt()),
+                             .epoch = core::Epoch(params["epoch"].asUInt64()),
+                             .from = parts_.directory.FindEntry(
+                                 params["from"].asString())},
+           now);
+  return yield_answered_;
+}
+
 void SliceDesk::Handle(const http::UpstreamEvent& event, core::TimePoint now) {
-  const auto finish = [this](core::AttemptId id) {
+  const auto finish = [&](core::AttemptId id, const http::Completed* reply) {
     const auto found = in_flight_.extract(id);
-    if (found.empty()) {
-      return core::WorkerId();
+    if (!found.empty()) {
+      std::visit([&](const auto& call) { Finish(call, reply, now); },
+                 found.mapped());
     }
-    workers_[found.mapped()].in_flight = false;
-    return found.mapped();
   };
   RunOwner(lease::Tick{}, now);
   std::visit(
       core::Overloaded{[](const http::FirstByte&) {},
-                       [&](const http::Failed& e) { finish(e.id); },
-                       [&](const http::Completed& e) {
-                         const core::WorkerId worker = finish(e.id);
-                         const auto reply = DecodeExchange(e.body);
-                         if (worker.valid() && e.status == 200 && reply) {
-                           TakeReply(worker, *reply, now);
-                         }
-                       }},
+                       [&](const http::Failed& e) { finish(e.id, nullptr); },
+                       [&](const http::Completed& e) { finish(e.id, &e); }},
       event);
 }
 
+void SliceDesk::Finish(core::WorkerId worker,
+                       const http::Completed* reply,
+                       core::TimePoint now) {
+  workers_[worker].in_flight = false;
+  if (reply == nullptr || reply->status != kOk) {
+    return;
+  }
+  if (const auto report = DecodeExchange(reply->body)) {
+    TakeReply(worker, *report, now);
+  }
+}
+
+void SliceDesk::Finish(const YieldCall& call,
+                       const http::Completed* reply,
+                       core::TimePoint now) {
+  Json::Value result;
+  std::string error;
+  if (reply == nullptr || FindTerm(call.term) == nullptr ||
+      !rpc::DecodeResponse(reply->body, result, error) || !result.isObject() ||
+      result["yielded"] != Json::Value(true)) {
+    return;
+  }
+  std::vector<lease::WorkerCommand> out;
+  leases_.Yielded(call.term.slice, now, out);
+  Execute(out, now);
+}
+
 bool SliceDesk::IsSameRun(core::WorkerId worker, const ExchangeReply& reply) {
   // A worker that started again does not know which attempts it ran. Its
   // reports count only once the lease of its predecessor has ended.
--- a/packages/entry/src/slice_desk_p.h
+++ b/packages/entry/src/slice_desk_p.h
@@ -9,6 +9,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include "charts_p.h"
@@ -20,9 +22,13 @@
 #include "lease/slice_owner.h"
 #include "lease/worker_leases.h"
 #include "placement/scheduler.h"
+#include "rpc/codec.h"
 
 namespace hickoryusher::entry {
 
+/// Calls between scheduler threads. The router thread answers `/rpc`.
+inline constexpr std::string_view kSliceRpcPath = "/rpc/slices";
+
 /// Joins slice ownership, worker leases and placement for the slices of the
 /// own failure domain, and turns their commands into messages.
 ///
@@ -48,7 +54,10 @@
 
   /// Gives up every slice, for shutdown.
   void Release(core::TimePoint now);
-  /// @returns true if no slice is owned or held.
+  /// Adds method `slice.yield`, which a newer owner of a slice calls.
+  void AddMethods(rpc::Dispatcher& dispatcher,
+                  std::function<core::TimePoint()> clock);
+  /// @returns true if no slice is owned or held and the table says so.
   bool IsIdle(core::TimePoint now) const;
 
   std::vector<store::Command> TakeCommands() { return store_.TakeCommands(); }
@@ -83,6 +92,12 @@
     bool leaving = false;
   };
 
+  /// A call in flight: to a worker or to the previous owner of a slice.
+  struct YieldCall {
+    TermKey term;
+  };
+  using Call = std::variant<core::WorkerId, YieldCall>;
+
   SliceDesk(Parts parts, lease::SliceOwner owner, lease::WorkerLeases leases);
 
   // slice_desk.cc
@@ -96,6 +111,14 @@
   void Begin(const lease::SliceBegun& begun, core::TimePoint now);
   void End(const lease::SliceEnded& ended);
   void SendHeartbeat(const lease::Heartbeat& heartbeat);
+  void AskYield(const lease::AskYield& ask);
+  bool AnswerYield(const Json::Value& params, core::TimePoint now);
+  void Finish(core::WorkerId worker,
+              const http::Completed* reply,
+              core::TimePoint now);
+  void Finish(const YieldCall& call,
+              const http::Completed* reply,
+              core::TimePoint now);
   void TakeReply(core::WorkerId worker,
                  const ExchangeReply& reply,
                  core::TimePoint now);
@@ -137,7 +160,9 @@
   std::uint64_t vm_revision_ = 0;
   core::TimePoint next_vm_read_;
   std::uint64_t next_exchange_ = 0;
-  std::map<core::AttemptId, core::WorkerId> in_flight_;
+  std::map<core::AttemptId, Call> in_flight_;
+  /// Set by the command that answers a YieldAsked.
+  bool yield_answered_ = false;
   std::vector<http::StartExchange> exchanges_;
   core::NameTable<core::TeamId> teams_;
   core::NameTable<placement::KindId> kinds_;
--- a/tests/process/jobs.sh
+++ b/tests/process/jobs.sh
@@ -118,16 +118,25 @@
   curl -sf -o /dev/null "$(worker_url "${1#w}")/behaviour" -d "{\"mode\":\"$2\"}"
 }
 
-owner() { sed -n 's/.*event=slice_begun.*/x/p' "$state/$1.log" | grep -q x; }
-
+owns() { grep -q event=slice_loaded "$state/e$1.log"; }
+owner_of_last_term() { if owns 0; then echo 0; else echo 1; fi; }
 is_up() { [ -n "$(running_worker "$1")" ]; }
+# Task i of a job has the number of the job x 65536 + i.
+first_task() {  # entry, job
+  local number
+  number=$(curl -sf -m 5 "$(entry_url "$1")/v1/jobs/$2" | sed -n 's/.*"number":\([0-9]*\).*/\1/p')
+  echo $((number * 65536))
+}
+has_running() { [ "$(all_runs | awk '$5 == 0' | wc -l)" -ge "$1" ]; }
+starts_of() { all_runs | awk -v task="$1" '$2 == task' | wc -l; }
 is_up_elsewhere() { all_runs | awk -v t="$1" -v w="$2" '$2 == t && $5 == 0 && $1 != w {f = 1} END {exit !f}'; }
 ready() { curl -sf -o /dev/null "$(entry_url "$1")/healthz"; }
 
-# Every task of the batch jobs ended as done exactly once, and the runs of one
-# task do not overlap. Times are of one machine's wall clock.
-check_runs() {
-  all_runs | sort -k2,2n -k4,4n | awk -v want="$1" '
+# Reads lines of all_runs. Every task of the batch jobs ended as done exactly
+# once, and the runs of one task do not overlap. Times are of one machine's wall
+# clock.
+check_runs() {  # number of tasks
+  sort -k2,2n -k4,4n | awk -v want="$1" '
     $2 == last && ($4 < ended || ended == 0) {print "task " $2 " ran twice at a time"; bad = 1}
     {last = $2; ended = $5}
     $6 == "done" {if (++done[$2] > 1) {print "task " $2 " was done twice"; bad = 1}}
@@ -138,6 +147,13 @@
     }'
 }
 
+# The check can fail: an overlap, a task done twice, a task not done.
+expect_bad() { if check_runs "$1" > /dev/null; then fail "check_runs missed: $2"; fi; }
+printf '%s\n' 'w0 5 1 100 300 killed' 'w1 5 2 200 400 done' | expect_bad 1 "overlap"
+printf '%s\n' 'w0 5 1 100 200 done' 'w1 5 2 300 400 done' | expect_bad 1 "done twice"
+printf '%s\n' 'w0 5 1 100 0 ' 'w1 5 2 300 400 done' | expect_bad 1 "still running"
+printf '%s\n' 'w0 5 1 100 200 killed' | expect_bad 1 "not done"
+
 start table "$build/standins/platform/table_standin" --port "$platform_port"
 start object "$build/standins/platform/object_standin" --port $((platform_port + 1))
 start vm_list "$build/standins/platform/vm_list_standin" --port $((platform_port + 2))
@@ -161,4 +177,43 @@
 expect "too large for every worker" 422 "$(submit 1 huge batch 1000 1 4001)"
 within 30 "job first is done" job_is 1 first done
 
-echo "jobs: first job done after $SECONDS s"
+# Which entry owns the slice; it is the only one so far.
+owner=$(owner_of_last_term)
+survivor=$((1 - owner))
+
+# The owner dies while a watcher and a batch job run. Both go on running, and
+# the other entry takes over and finishes what was still waiting.
+expect "submit watcher" 201 "$(submit "$survivor" watch watcher 0 1 1000)"
+expect "submit second" 201 "$(submit "$survivor" second batch 3000 20 1000)"
+watch_task=$(first_task "$survivor" watch)
+within 10 "the watcher is up" is_up "$watch_task"
+within 10 "job second has started" has_running 8
+kill -KILL "$(cat "$state/e$owner.pid")"
+wait "$(cat "$state/e$owner.pid")" 2> /dev/null || true
+killed_at=$SECONDS
+within 20 "e$survivor owns the slice" owns "$survivor"
+echo "jobs: slice taken over after $((SECONDS - killed_at)) s"
+within 60 "job second is done" job_is "$survivor" second done
+[ "$(starts_of "$watch_task")" -eq 1 ] || fail "the watcher was restarted when its owner died"
+
+# The watcher's worker dies; a second worker keeps running but does not answer,
+# so that its tasks may start elsewhere only after its lease.
+expect "submit third" 201 "$(submit "$survivor" third batch 15000 8 1000)"
+within 10 "job third has started" has_running 9
+dead=$(running_worker "$watch_task")
+silent=$(all_runs | awk -v dead="$dead" '$5 == 0 && $1 != dead {print $1}' | sort | tail -n 1)
+[ -n "$silent" ] || fail "no second worker runs a task"
+set_mode "$dead" dead
+set_mode "$silent" silent
+died_at=$SECONDS
+within 30 "the watcher is up again" is_up_elsewhere "$watch_task" "$dead"
+echo "jobs: watcher up again after $((SECONDS - died_at)) s"
+within 90 "job third is done" job_is "$survivor" third done
+
+# A job of a cancelled watcher ends.
+expect "cancel" 202 "$(curl -s -o "$state/answer" -w '%{http_code}' -X DELETE "$(entry_url "$survivor")/v1/jobs/watch")"
+within 20 "the watcher is cancelled" job_is "$survivor" watch cancelled
+expect "unknown job" 404 "$(curl -s -o "$state/answer" -w '%{http_code}' "$(entry_url "$survivor")/v1/jobs/none")"
+
+all_runs | check_runs 32 || fail "the workers' records are wrong"
+echo "jobs: ok after $SECONDS s; runs=$(all_runs | wc -l) restarted=$(all_runs | awk '$3 > 1' | wc -l)"
