--- a/packages/entry/src/job_codec.cc
+++ b/packages/entry/src/job_codec.cc
@@ -15,7 +15,7 @@
 constexpr std::string_view kKeys[] = {
     "id",          "kind",         "team",         "program",
     "cpu_millis",  "memory_bytes", "accelerators", "expected_run_ms",
-    "deadline_ms", "tasks"};
+    "deadline_ms", "tasks",        "urgent"};
 constexpr JobState kStates[] = {JobState::kOpen, JobState::kDone,
                                 JobState::kFailed, JobState::kCancelled,
                                 JobState::kRefused};
@@ -100,6 +100,12 @@
       reader.Integer("deadline_ms", {.most = kMaxRunMillis}, 0);
   request.tasks = static_cast<std::uint32_t>(
       reader.Integer("tasks", {.least = 1, .most = kTaskLimit}, 1));
+  const Json::Value& urgent = value["urgent"];
+  if (!urgent.isNull() && !urgent.isBool()) {
+    problems.emplace_back("urgent: expected true or false");
+  } else {
+    request.urgent = urgent.asBool();
+  }
   return request;
 }
 
@@ -159,6 +165,7 @@
   value["expected_run_ms"] = Json::Int64(request.expected_run_ms);
   value["deadline_ms"] = Json::Int64(request.deadline_ms);
   value["tasks"] = request.tasks;
+  value["urgent"] = request.urgent;
   value["slice"] = job.slice.value();
   if (job.number != 0) {
     value["number"] = Json::UInt64(job.number);
--- a/packages/entry/src/job_codec_p.h
+++ b/packages/entry/src/job_codec_p.h
@@ -23,6 +23,7 @@
   std::int64_t expected_run_ms = 0;
   std::int64_t deadline_ms = 0;  ///< From the submission; 0 for none.
   std::uint32_t tasks = 1;
+  bool urgent = false;
 
   bool operator==(const JobRequest&) const = default;
 };
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -276,6 +276,11 @@
        .incarnation = incarnation,
        .log = [this](const core::LogLine& line) { logger.Write(line); }},
       errors);
+  if (scheduler) {
+    metrics.AddGauge(
+        "hickoryusher_ring_depth", "Elements waiting in a ring", "scheduler",
+        [this] { return static_cast<double>(scheduler->inputs().size()); });
+  }
   return scheduler != nullptr;
 }
 
--- a/packages/entry/src/slice_desk_jobs.cc
+++ b/packages/entry/src/slice_desk_jobs.cc
@@ -185,6 +185,7 @@
       .team = teams_.Intern(request.team),
       .kind = kinds_.Intern(request.team + "/" + request.program),
       .work_class = request.work_class,
+      .urgent = request.urgent,
       .declared = request.size,
       .first_task = TaskOf(job.number, 0),
       .tasks = request.tasks};
--- a/packages/entry/tests/job_api_test.cc
+++ b/packages/entry/tests/job_api_test.cc
@@ -110,6 +110,7 @@
       {Job("a", 0, 1), 400, "cpu_millis: expected an integer from 1"},
       {Job("a", 1, 1001), 400, "tasks: expected an integer from 1 to 1000"},
       {R"({"shelf":1})", 400, "shelf: unknown key"},
+      {R"({"urgent":1})", 400, "urgent: expected true or false"},
       {R"({"kind":"service"})", 400, "kind: expected batch or watcher"},
       {Job("a", 4001, 1), 422, "larger than every worker"}};
   for (const Row& row : rows) {
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -24,6 +24,7 @@
   int count = 1;
   int per_rack = 8;
   std::string name_prefix;
+  std::string object_url;
   WorkerOptions worker;
 };
 
@@ -36,7 +37,8 @@
     worker.rack = "rack" + std::to_string(i / options.per_rack);
     const auto port =
         static_cast<std::uint16_t>(options.port == 0 ? 0 : options.port + i);
-    servers.push_back(std::make_unique<WorkerServer>(port, worker));
+    servers.push_back(
+        std::make_unique<WorkerServer>(port, worker, options.object_url));
     std::cout << "name=" << worker.name << " port=" << servers.back()->port()
               << " rack=" << worker.rack
               << " failure_domain=" << worker.failure_domain << std::endl;
@@ -66,7 +68,8 @@
                         "thousandths of a core of each worker")(
       "memory-bytes",
       po::value(&capacity.memory_bytes)->default_value(125'000'000'000),
-      "memory of each worker")(
+      "memory of each worker")("object-url", po::value(&options.object_url),
+                               "object store for checkpoints")(
       "accelerators", po::value(&capacity.accelerators)->default_value(0),
       "accelerators of each worker");
   try {
--- a/standins/worker/worker.cc
+++ b/standins/worker/worker.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "worker/checkpoint.h"
+
 namespace hickoryusher::standins {
 namespace {
 
@@ -41,9 +43,10 @@
                                    : std::optional(found->second);
 }
 
-Worker::Worker(WorkerOptions options)
+Worker::Worker(WorkerOptions options, ObjectSink objects)
     : options_(std::move(options)),
-      run_(static_cast<std::uint64_t>(WallMillis())) {}
+      run_(static_cast<std::uint64_t>(WallMillis())),
+      objects_(std::move(objects)) {}
 
 void Worker::SetBehaviour(Behaviour behaviour) {
   const std::lock_guard lock(mutex_);
@@ -140,8 +143,7 @@
   } else if (type == "checkpoint") {
     Run* run = Find(attempt);
     if (run != nullptr && run->phase == "running") {
-      // Checkpoints are not stored yet, so the work starts again.
-      End(*run, "stopped", now);
+      Checkpoint(*run, now);
     }
   } else if (type == "throttle") {
     throttle_ = command["level"].asInt();
@@ -173,7 +175,7 @@
     }
   }
   if (command.isMember("run_ms")) {
-    run.due = now + std::chrono::milliseconds(command["run_ms"].asInt64());
+    run.run_ms = command["run_ms"].asInt64();
   }
   if (!core::Fits(assigned, options_.capacity)) {
     run.phase = "stopped";
@@ -181,9 +183,85 @@
     runs_[attempt] = run;
     return;
   }
-  runs_[attempt] = run;
+  Run& started = runs_[attempt] = run;
   records_.push_back(
       {.attempt = attempt, .epoch = epoch.value(), .started_ms = WallMillis()});
+  const std::uint32_t source = command["checkpoint_attempt"].asUInt();
+  if (source != 0) {
+    Resume(started, source, now);
+  } else if (started.run_ms.has_value()) {
+    started.due = now + std::chrono::milliseconds(*started.run_ms);
+  }
+}
+
+void Worker::Checkpoint(Run& run, core::TimePoint now) {
+  if (run.checkpointing) {
+    return;
+  }
+  run.checkpointing = true;
+  const std::int64_t done_ms =
+      run.resumed_ms + core::ToMillis(now - run.started);
+  const store::CommandId id(next_object_++);
+  if (objects_ &&
+      objects_(store::PutObject{.id = id,
+                                .name = CheckpointName(run.attempt),
+                                .content = EncodeCheckpoint(done_ms)})) {
+    object_calls_[id] = {.attempt = run.attempt};
+  } else {
+    End(run, "stopped", now);
+  }
+}
+
+void Worker::Resume(Run& run,
+                    std::uint32_t checkpoint_attempt,
+                    core::TimePoint now) {
+  const store::CommandId id(next_object_++);
+  if (objects_ &&
+      objects_(store::GetObject{
+          .id = id,
+          .name = CheckpointName(
+              {.task = run.attempt.task, .attempt = checkpoint_attempt})})) {
+    object_calls_[id] = {.attempt = run.attempt};
+  } else {
+    End(run, "stopped", now);
+  }
+}
+
+void Worker::TakeObject(const store::Event& event, core::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto call = object_calls_.extract(store::IdOf(event));
+  Run* run = call.empty() ? nullptr : Find(call.mapped().attempt);
+  if (run == nullptr || run->phase != "running") {
+    return;
+  }
+  if (run->checkpointing) {
+    const bool stored = std::holds_alternative<store::ObjectStored>(event);
+    End(*run, stored ? "checkpointed" : "stopped", now);
+  } else {
+    TakeCheckpoint(*run, event, now);
+  }
+}
+
+void Worker::TakeCheckpoint(Run& run,
+                            const store::Event& event,
+                            core::TimePoint now) {
+  const auto* read = std::get_if<store::ObjectRead>(&event);
+  const auto done_ms = read != nullptr && read->content.has_value()
+                           ? DecodeCheckpoint(*read->content)
+                           : std::nullopt;
+  if (!done_ms || !run.run_ms) {
+    End(run, "stopped", now);
+    return;
+  }
+  run.resumed_ms = *done_ms;
+  run.started = now;
+  run.due = now + std::chrono::milliseconds(
+                      std::max<std::int64_t>(0, *run.run_ms - *done_ms));
+  const auto record =
+      std::ranges::find(records_, run.attempt, &Record::attempt);
+  if (record != records_.end()) {
+    record->resumed_ms = *done_ms;
+  }
 }
 
 void Worker::End(Run& run, std::string_view phase, core::TimePoint now) {
@@ -240,6 +318,7 @@
     run["epoch"] = Json::UInt64(record.epoch);
     run["started_ms"] = Json::Int64(record.started_ms);
     run["ended_ms"] = Json::Int64(record.ended_ms);
+    run["resumed_ms"] = Json::Int64(record.resumed_ms);
     run["end"] = record.end;
   }
   return reply;
--- a/standins/worker/worker.h
+++ b/standins/worker/worker.h
@@ -4,6 +4,7 @@
 #include <json/json.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -13,6 +14,8 @@
 
 #include "core/resources.h"
 #include "lease/worker_guard.h"
+#include "store/command.h"
+#include "store/event.h"
 
 namespace hickoryusher::standins {
 
@@ -38,10 +41,18 @@
 
 /// One worker: runs each task as a timer of its run time.
 ///
-/// @remarks Thread-safe. While the worker is paused, callers get no reply.
+/// @remarks Thread-safe. While the worker is paused, callers get no reply. A
+/// checkpoint is the object `checkpoint/<task>/<attempt>`.
 class Worker {
  public:
-  explicit Worker(WorkerOptions options);
+  /// Hands a command to the object store. @returns false if it was not taken.
+  using ObjectSink = std::function<bool(store::Command&&)>;
+
+  /// @param objects may be empty: then no checkpoint is written or found.
+  Worker(WorkerOptions options, ObjectSink objects);
+
+  /// Takes the answer to a command of the object sink.
+  void TakeObject(const store::Event& event, core::TimePoint now);
 
   /// Runs the timers that are due.
   void Tick(core::TimePoint now);
@@ -60,7 +71,11 @@
     lease::TaskAttempt attempt;
     core::Resources size;
     core::TimePoint started;
-    std::optional<core::TimePoint> due;  ///< Nothing for a watcher.
+    /// Nothing for a watcher, and until a checkpoint was read.
+    std::optional<core::TimePoint> due;
+    std::optional<std::int64_t> run_ms;  ///< Nothing for a watcher.
+    std::int64_t resumed_ms = 0;         ///< Work done by earlier attempts.
+    bool checkpointing = false;
     std::string phase = "running";
   };
   struct Record {
@@ -68,7 +83,12 @@
     std::uint64_t epoch = 0;
     std::int64_t started_ms = 0;
     std::int64_t ended_ms = 0;  ///< 0 while the task runs.
-    std::string end;
+    std::int64_t resumed_ms = 0;
+    std::string end = "running";
+  };
+  /// A command to the object store without an answer.
+  struct ObjectCall {
+    lease::TaskAttempt attempt;
   };
 
   bool Answers() const;
@@ -82,6 +102,9 @@
              core::TimePoint echo,
              core::TimePoint now);
   void End(Run& run, std::string_view phase, core::TimePoint now);
+  void Checkpoint(Run& run, core::TimePoint now);
+  void Resume(Run& run, std::uint32_t checkpoint_attempt, core::TimePoint now);
+  void TakeCheckpoint(Run& run, const store::Event& event, core::TimePoint now);
   Run* Find(lease::TaskAttempt attempt);
   Json::Value Report(core::TimePoint now) const;
 
@@ -93,6 +116,9 @@
   std::map<lease::TaskAttempt, Run> runs_;
   std::vector<Record> records_;
   int throttle_ = 0;
+  ObjectSink objects_;
+  std::uint64_t next_object_ = 0;
+  std::map<store::CommandId, ObjectCall> object_calls_;
   /// While the worker is frozen its tasks do not run, so they count as ended
   /// when it was frozen if their lease is over when it resumes.
   std::optional<std::int64_t> paused_ms_;
--- a/standins/worker/worker_server.cc
+++ b/standins/worker/worker_server.cc
@@ -7,8 +7,23 @@
 
 namespace hickoryusher::standins {
 
-WorkerServer::WorkerServer(std::uint16_t port, WorkerOptions options)
-    : worker_(std::move(options)),
+WorkerServer::WorkerServer(std::uint16_t port,
+                           WorkerOptions options,
+                           const std::string& object_url)
+    : worker_(std::move(options),
+              [this](store::Command&& command) {
+                return objects_ != nullptr &&
+                       objects_->Send(std::move(command));
+              }),
+      objects_(object_url.empty()
+                   ? nullptr
+                   : std::make_unique<store::HttpAdapter>(
+                         store::HttpAdapter::Options{.object_url = object_url},
+                         [this](store::Event&& event) {
+                           worker_.TakeObject(event,
+                                              std::chrono::steady_clock::now());
+                           return true;
+                         })),
       server_(
           port,
           [](const Request& r) { return r.path == "/v1/exchange"; },
--- a/standins/worker/worker_server.h
+++ b/standins/worker/worker_server.h
@@ -2,8 +2,11 @@
 #define STANDINS_WORKER_WORKER_SERVER_H_
 
 #include <cstdint>
+#include <memory>
+#include <string>
 
 #include "platform/fault_server.h"
+#include "store/http_adapter.h"
 #include "worker/worker.h"
 
 namespace hickoryusher::standins {
@@ -16,7 +19,10 @@
 /// POST /behaviour `{"mode"}`: normal, fail_tasks, silent, paused or dead.
 class WorkerServer {
  public:
-  WorkerServer(std::uint16_t port, WorkerOptions options);
+  /// @param object_url of the object store; without it, no checkpoints.
+  WorkerServer(std::uint16_t port,
+               WorkerOptions options,
+               const std::string& object_url);
 
   Worker& worker() { return worker_; }
   std::uint16_t port() const { return server_.port(); }
@@ -25,6 +31,7 @@
   Reply Handle(const Request& request);
 
   Worker worker_;
+  std::unique_ptr<store::HttpAdapter> objects_;
   FaultServer server_;  ///< Last, so that no request outlives the worker.
 };
 
--- a/tests/process/jobs.sh
+++ b/tests/process/jobs.sh
@@ -84,9 +84,9 @@
   done
 }
 
-submit() {  # entry, id, kind, run_ms, tasks, cpu_millis; prints the status
+submit() {  # entry, id, kind, run_ms, tasks, cpu_millis, urgent; prints the status
   curl -s -m 5 -o "$state/answer" -w '%{http_code}' "$(entry_url "$1")/v1/jobs" -d \
-    "{\"id\":\"$2\",\"kind\":\"$3\",\"team\":\"t\",\"cpu_millis\":$6,\"memory_bytes\":1000000,\"expected_run_ms\":$4,\"tasks\":$5}"
+    "{\"id\":\"$2\",\"kind\":\"$3\",\"team\":\"t\",\"cpu_millis\":$6,\"memory_bytes\":1000000,\"expected_run_ms\":$4,\"tasks\":$5,\"urgent\":${7:-false}}"
 }
 
 expect() {  # description, expected, found
@@ -99,10 +99,10 @@
 
 job_is() { [ "$(job_state "$1" "$2")" = "$3" ]; }
 
-# One line per run: worker task attempt started ended end.
+# One line per run: worker task attempt started ended end resumed.
 runs() {  # worker
   curl -sf -m 5 "$(worker_url "$1")/runs" | grep -o '{[^{}]*}' |
-    sed 's/.*"attempt":\([0-9]*\).*"end":"\([a-z]*\)","ended_ms":\([0-9]*\).*"started_ms":\([0-9]*\),"task":\([0-9]*\).*/w'"$1"' \5 \1 \4 \3 \2/' || true
+    sed 's/.*"attempt":\([0-9]*\).*"end":"\([a-z]*\)","ended_ms":\([0-9]*\).*"resumed_ms":\([0-9]*\),"started_ms":\([0-9]*\),"task":\([0-9]*\).*/w'"$1"' \6 \1 \5 \3 \2 \4/' || true
 }
 
 all_runs() {
@@ -158,7 +158,7 @@
 start object "$build/standins/platform/object_standin" --port $((platform_port + 1))
 start vm_list "$build/standins/platform/vm_list_standin" --port $((platform_port + 2))
 start workers "$build/standins/worker/worker_standin" --port "$worker_port" --count "$workers" \
-  --per-rack 2 --failure-domain d0 --cpu-millis 4000 --memory-bytes 8000000000
+  --per-rack 2 --failure-domain d0 --cpu-millis 4000 --memory-bytes 8000000000 --object-url "http://127.0.0.1:$((platform_port + 1))"
 within 10 "the VM list is up" add_vm entry-vm0
 add_vm entry-vm1
 for ((i = 0; i < workers; i++)); do add_vm "worker-vm$i"; done
@@ -210,10 +210,23 @@
 echo "jobs: watcher up again after $((SECONDS - died_at)) s"
 within 90 "job third is done" job_is "$survivor" third done
 
+# Urgent work evicts batch work, which resumes from its checkpoint. The two
+# workers that still answer have room for eight tasks.
+expect "submit fourth" 201 "$(submit "$survivor" fourth batch 9000 8 1000)"
+fourth=$(first_task "$survivor" fourth)
+within 20 "job fourth runs" has_running 8
+sleep 2
+expect "submit urgent" 201 "$(submit "$survivor" urgent batch 1000 1 2000 true)"
+within 15 "the urgent job is done" job_is "$survivor" urgent done
+within 60 "job fourth is done" job_is "$survivor" fourth done
+resumed=$(all_runs | awk -v first="$fourth" '$2 >= first && $2 < first + 8 && $7 > 0 && $6 == "done"' | wc -l)
+[ "$resumed" -ge 1 ] || fail "no task of job fourth resumed from a checkpoint"
+echo "jobs: tasks resumed from a checkpoint: $resumed"
+
 # A job of a cancelled watcher ends.
 expect "cancel" 202 "$(curl -s -o "$state/answer" -w '%{http_code}' -X DELETE "$(entry_url "$survivor")/v1/jobs/watch")"
 within 20 "the watcher is cancelled" job_is "$survivor" watch cancelled
 expect "unknown job" 404 "$(curl -s -o "$state/answer" -w '%{http_code}' "$(entry_url "$survivor")/v1/jobs/none")"
 
-all_runs | check_runs 32 || fail "the workers' records are wrong"
+all_runs | check_runs 41 || fail "the workers' records are wrong"
 echo "jobs: ok after $SECONDS s; runs=$(all_runs | wc -l) restarted=$(all_runs | awk '$3 > 1' | wc -l)"
