--- a/packages/entry/src/job_codec.cc
+++ b/packages/entry/src/job_codec.cc
@@ -26,9 +26,9 @@
 };
 
 /// Reads members and collects every fault.
-class Reader {
+class FieldReader {
  public:
-  Reader(const Json::Value& value, std::vector<std::string>& problems)
+  FieldReader(const Json::Value& value, std::vector<std::string>& problems)
       : value_(value), problems_(problems) {}
 
   std::int64_t Integer(const char* key,
@@ -80,7 +80,7 @@
 
 JobRequest ReadRequest(const Json::Value& value,
                        std::vector<std::string>& problems) {
-  Reader reader(value, problems);
+  FieldReader reader(value, problems);
   JobRequest request;
   request.id = reader.Name("id", std::nullopt);
   request.work_class = ReadKind(value, problems);
