--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -13,6 +13,7 @@
 #include "lifecycle_p.h"
 #include "peer_exchange_p.h"
 #include "router_duty_p.h"
+#include "scheduler_duty_p.h"
 #include "settings_runtime_p.h"
 #include "store/http_adapter.h"
 #include "telemetry/logger.h"
@@ -85,6 +86,7 @@
   telemetry::Logger logger{kLogRingSlots};
   telemetry::Metrics metrics;
   std::unique_ptr<RouterDuty> router;
+  std::unique_ptr<SchedulerDuty> scheduler;
   std::unique_ptr<http::Upstream> upstream;
   std::unique_ptr<http::Upstream> peers;
   std::unique_ptr<store::HttpAdapter> store;
@@ -101,13 +103,16 @@
   bool Start(std::vector<std::string>& errors) {
     MakeStore();
     return MakeRouter(errors) && MakeUpstream(errors) && MakePeers(errors) &&
-           MakeSettings(errors) && MakeLifecycle(errors) && MakeFront(errors);
+           MakeSettings(errors) && MakeScheduler(errors) &&
+           MakeLifecycle(errors) && MakeFront(errors);
   }
 
   std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
   bool MakeRouter(std::vector<std::string>& errors);
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
+  bool MakeScheduler(std::vector<std::string>& errors);
+  bool TakeRequest(http::IncomingRequest& request);
   void MakeStore();
   bool MakeSettings(std::vector<std::string>& errors);
   bool MakeLifecycle(std::vector<std::string>& errors);
@@ -265,6 +270,28 @@
   return settings_runtime != nullptr;
 }
 
+bool Process::Impl::MakeScheduler(std::vector<std::string>& errors) {
+  scheduler = SchedulerDuty::Create(
+      {.settings = settings,
+       .directory = directory,
+       .charts = charts,
+       .incarnation = incarnation,
+       .log = [this](const core::LogLine& line) { logger.Write(line); }},
+      errors);
+  if (scheduler) {
+    metrics.AddGauge(
+        "hickoryusher_ring_depth", "Elements waiting in a ring", "scheduler",
+        [this] { return static_cast<double>(scheduler->inputs().size()); });
+  }
+  return scheduler != nullptr;
+}
+
+bool Process::Impl::TakeRequest(http::IncomingRequest& request) {
+  return SchedulerDuty::Answers(request.path)
+             ? http::PushInto(scheduler->inputs(), request)
+             : http::PushInto(router->inputs(), request);
+}
+
 bool Process::Impl::MakeLifecycle(std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   lifecycle = Lifecycle::Create(
@@ -284,11 +311,7 @@
 bool Process::Impl::MakeFront(std::vector<std::string>& errors) {
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
-      .on_request([this](http::IncomingRequest& request) {
-        return SettingsRuntime::Serves(request)
-                   ? settings_runtime->Take(request)
-                   : http::PushInto(router->inputs(), request);
-      })
+      .on_request([this](http::IncomingRequest& r) { return TakeRequest(r); })
       .log([this](std::string line) { logger.WriteText(std::move(line)); });
   front = builder.Start();
   if (!front) {
@@ -308,6 +331,8 @@
            [this](PeerCall&& c) {
              return peers->TrySend(ToExchange(std::move(c), directory));
            }});
+  scheduler->Start(
+      [this](http::Response r) { return front->Respond(std::move(r)); });
   settings_runtime->Start();
   settings_runtime->WaitReady();
   lifecycle->Dispatch("ready");
@@ -328,11 +353,15 @@
   if (peers) {
     peers->Shutdown();
   }
-  store.reset();
+  if (scheduler) {
+    scheduler->Stop();
+  }
   settings_runtime.reset();
   if (router) {
     router->Stop();
   }
+  // The router thread sends store commands until it ends.
+  store.reset();
 }
 
 Process::Process(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -354,6 +383,7 @@
     impl_->router->WaitReleased(std::chrono::steady_clock::now() +
                                 kReleaseTimeout);
   }
+  impl_->scheduler->Release(std::chrono::steady_clock::now() + kReleaseTimeout);
   lifecycle.Dispatch(idle ? "idle" : "drain_expired");
   impl_->logger.Write(core::LogLine("entry_stopped")
                           .Add("state", lifecycle.state())
