Route settings requests to the settings duty again

Cause: joining the settings and the scheduler duty dropped the choice of the settings ring, so /v1/settings and /rpc/settings were answered 404.

Measured: 'tests/process/settings.sh build' failed in the joined tree (entry processes were not ready, /rpc/settings unknown_path) and passes now.

--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -287,6 +287,9 @@
 }
 
 bool Process::Impl::TakeRequest(http::IncomingRequest& request) {
+  if (SettingsRuntime::Serves(request)) {
+    return settings_runtime->Take(request);
+  }
   return SchedulerDuty::Answers(request.path)
              ? http::PushInto(scheduler->inputs(), request)
              : http::PushInto(router->inputs(), request);
