Ask peers for settings one at a time, and rarely while the store answers

Cause: after the settings duty joined, each process asked each peer for changes every 500 ms: 17,627 bytes/s and 0.878% of a core for one idle process of nine, against 3 KB/s for control and 0.5% of a core for an idle process.

Ruled out: no peers at all while the store answers (a store that answers with an old state would then decide alone), and a longer interval for all (a process without the store must have a change within 3 s).

Measured with 'MEASURE_SECONDS=10 scripts/measure-control build', lint running: before entries=9 core_percent=0.878 peer_bytes_per_second=17627; after entries=9 core_percent=0.233 peer_bytes_per_second=619. 'tests/process/settings.sh build': changes in effect on all three processes after 0.87 to 1.0 s, one of them without the store; before 0.82 to 1.02 s.

Conclusion: both budgets are met by an idle process; the new test counts the questions.

--- a/packages/settings/include/settings/follower.h
+++ b/packages/settings/include/settings/follower.h
@@ -62,7 +62,13 @@
   struct Options {
     std::size_t peers = 0;
     core::Duration store_interval = std::chrono::seconds(1);
+    /// Between questions to any peer, which take turns, while the store does
+    /// not answer.
     core::Duration peer_interval = std::chrono::milliseconds(500);
+    /// The same while the store answers. Peers then only make up for a store
+    /// that answers with an old state, and each question costs several hundred
+    /// bytes of the 3 KB/s that a node may spend on control.
+    core::Duration quiet_peer_interval = std::chrono::seconds(10);
   };
 
   explicit Follower(const Options& options);
@@ -92,11 +98,14 @@
   void Ask(std::size_t index);
   void Hear(core::TimePoint now, std::size_t index, const Delta* delta);
   void UpdateReady();
+  core::Duration PeerInterval() const;
+  void SpreadPeers(core::TimePoint now);
 
   Options options_;
   Tree tree_;
   bool ready_ = false;
   bool has_snapshot_ = false;
+  bool store_answers_ = false;
   std::vector<Source> sources_;  ///< The peers, then the store.
   std::vector<FollowCommand> commands_;
 };
--- a/packages/settings/src/follower.cc
+++ b/packages/settings/src/follower.cc
@@ -47,8 +47,10 @@
   const bool is_store = index == options_.peers;
   source.asked = false;
   source.heard = true;
-  source.due =
-      now + (is_store ? options_.store_interval : options_.peer_interval);
+  const core::Duration peer_pause =
+      ready_ ? PeerInterval() * static_cast<std::int64_t>(options_.peers)
+             : options_.peer_interval;
+  source.due = now + (is_store ? options_.store_interval : peer_pause);
   if (delta != nullptr) {
     const bool moved = tree_.Apply(*delta);
     source.answered = true;
@@ -58,7 +60,24 @@
       source.due = now;
     }
   }
+  const bool was_ready = ready_;
   UpdateReady();
+  const bool store_changed = is_store && store_answers_ != (delta != nullptr);
+  store_answers_ = is_store ? delta != nullptr : store_answers_;
+  if (ready_ && (store_changed || !was_ready)) {
+    SpreadPeers(now);
+  }
+}
+
+core::Duration Follower::PeerInterval() const {
+  return ready_ && store_answers_ ? options_.quiet_peer_interval
+                                  : options_.peer_interval;
+}
+
+void Follower::SpreadPeers(core::TimePoint now) {
+  for (std::size_t i = 0; i < options_.peers; ++i) {
+    sources_[i].due = now + PeerInterval() * static_cast<std::int64_t>(i + 1);
+  }
 }
 
 void Follower::UpdateReady() {
--- a/packages/settings/tests/follower_test.cc
+++ b/packages/settings/tests/follower_test.cc
@@ -1,5 +1,6 @@
 #include "settings/follower.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "settings/keys.h"
@@ -80,6 +81,43 @@
   CHECK(follower.next_due() == now);
 }
 
+// Guards against peers that are asked all the time although the store answers,
+// and against a process without the store that waits for the quiet interval.
+TEST_CASE("peers are asked rarely while the store answers") {
+  constexpr std::size_t kPeers = 8;
+  struct Row {
+    bool store_answers;
+    std::size_t least;
+    std::size_t most;
+  };
+  // In 80 s: once per peer, or one peer every 500 ms.
+  const Row rows[] = {{true, 7, 9}, {false, 150, 170}};
+  for (const Row& row : rows) {
+    Follower follower({.peers = kPeers});
+    core::TimePoint now{std::chrono::seconds(100)};
+    const core::TimePoint end = now + std::chrono::seconds(80);
+    std::size_t asked = 0;
+    follower.Advance(now);
+    while (now < end) {
+      for (const FollowCommand& command : follower.TakeCommands()) {
+        if (const auto* ask = std::get_if<AskPeer>(&command)) {
+          ++asked;
+          follower.Handle(now, PeerAnswered{.peer = ask->peer});
+        } else if (row.store_answers) {
+          follower.Handle(now, StoreAnswered{});
+        } else {
+          follower.Handle(now, StoreFailed{});
+        }
+      }
+      now = std::max(now, follower.next_due().value_or(end));
+      follower.Advance(now);
+    }
+    // The first round asks every peer at once.
+    CHECK(asked >= kPeers + row.least);
+    CHECK(asked <= kPeers + row.most);
+  }
+}
+
 // Guards against a key that reaches another team's settings, and against a
 // bearer that can be read from the settings.
 TEST_CASE("a bearer key reaches its team's subtree only") {
