--- a/packages/retry/tests/request_fixture.h
+++ b/packages/retry/tests/request_fixture.h
@@ -35,8 +35,8 @@
 
 /// @returns the chart as it ships, loaded once.
 inline const chart::Chart& ShippedChart() {
-  static const chart::Chart chart = LoadChart(ChartText());
-  return chart;
+  static const chart::Chart kChart = LoadChart(ChartText());
+  return kChart;
 }
 
 /// A change that breaks the chart, and the fault that the walk must report.
