Keep loans from lowering every endpoint's connection limit; list open points

Cause, found by reading: libcurl has one connection limit for all hosts and the upstream sets the smallest. A process without own slots at an endpoint passed its 0 connections (raised to 1) for an exchange on a borrowed slot, so one loan would have let one connection at a time to every endpoint. A borrowed slot now passes the endpoint's own limit; its connection is closed with the request.

Ruled out: a limit per host inside libcurl (it has none).

--- a/packages/entry/src/request_mapping.cc
+++ b/packages/entry/src/request_mapping.cc
@@ -90,4 +90,12 @@
   return flooded ? kTooManyRequests : kServiceUnavailable;
 }
 
+std::size_t ConnectionLimit(const routing::Slot& slot,
+                            const routing::SlotEntry& entry,
+                            int endpoint_connections) {
+  const int limit =
+      slot.loan.valid() ? endpoint_connections : entry.connections;
+  return static_cast<std::size_t>(std::max(1, limit));
+}
+
 }  // namespace hickoryusher::entry
--- a/packages/entry/src/request_path.cc
+++ b/packages/entry/src/request_path.cc
@@ -231,7 +231,10 @@
   const config::ServiceSettings& service =
       parts_.directory.service(caller.service);
   // A connection on a borrowed slot must end with the loan, so it is not kept.
-  const bool borrowed = attempts_.at(command.attempt).slot.loan.valid();
+  const routing::Slot& slot = attempts_.at(command.attempt).slot;
+  // libcurl takes a limit of 0 for no limit.
+  const core::Duration time_left = std::max<core::Duration>(
+      command.limits.deadline - now, std::chrono::milliseconds(1));
   const auto millis = [](core::Duration duration) {
     return std::chrono::ceil<std::chrono::milliseconds>(duration);
   };
@@ -242,12 +245,13 @@
       .method = "POST",
       .headers = caller.request.headers,
       .body = caller.request.body,
-      .idempotent = command.idempotent && !borrowed,
-      .connect_timeout = millis(command.limits.connect),
-      .total_timeout = millis(command.limits.deadline - now),
+      .idempotent = command.idempotent && !slot.loan.valid(),
+      .connect_timeout = millis(std::min(service.connect_timeout, time_left)),
+      .total_timeout = millis(time_left),
       .write_before = command.limits.deadline,
-      .max_connections_per_host = static_cast<std::size_t>(std::max(
-          1, parts_.router.slots().entry(command.endpoint).connections)),
+      .max_connections_per_host = ConnectionLimit(
+          slot, parts_.router.slots().entry(command.endpoint),
+          parts_.directory.endpoint(command.endpoint).connections),
       .max_response_bytes = parts_.max_response_bytes};
   parts_.metrics.CountAttempt(service.name);
   commands_.emplace_back(std::in_place_type<http::UpstreamCommand>,
--- a/packages/http/tests/standin_test.cc
+++ b/packages/http/tests/standin_test.cc
@@ -31,7 +31,7 @@
   RawClient hanging(endpoint->port());
   REQUIRE(hanging.Send(RunRequest("a")));
   while (endpoint->record().stats().slots < 1) {
-    std::this_thread::yield();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
   RawClient second(endpoint->port());
   REQUIRE(second.Send(RunRequest("b")));
--- a/tests/matrix/fault_table.cc
+++ b/tests/matrix/fault_table.cc
@@ -110,16 +110,21 @@
   return pair;
 }
 
-FaultTable Read(const YAML::Node& root) {
-  FaultTable table;
-  for (const auto& row : root["concerned"]) {
-    table.concerned[row.first.as<std::string>()] =
-        row.second.as<std::vector<std::string>>();
-  }
-  for (const auto& row : root["tests"]) {
-    table.tests[row.first.as<std::string>()] =
+/// Reads a map of lists of texts.
+TextLists ReadLists(const YAML::Node& node) {
+  TextLists lists;
+  for (const auto& row : node) {
+    lists[row.first.as<std::string>()] =
         row.second.as<std::vector<std::string>>();
   }
+  return lists;
+}
+
+FaultTable Read(const YAML::Node& root) {
+  FaultTable table;
+  table.concerned = ReadLists(root["concerned"]);
+  table.tests = ReadLists(root["tests"]);
+  table.open_points = ReadLists(root["open_points"]);
   for (const YAML::Node& node : root["faults"]) {
     table.faults.push_back(ReadFault(node));
   }
--- a/tests/matrix/fault_table.h
+++ b/tests/matrix/fault_table.h
@@ -39,12 +39,16 @@
   std::string to;
 };
 
+using TextLists = std::map<std::string, std::vector<std::string>, std::less<>>;
+
 /// Content of faults.yaml.
 struct FaultTable {
   /// Guarantees whose checkers look at every cell of a chart.
-  std::map<std::string, std::vector<std::string>, std::less<>> concerned;
+  TextLists concerned;
   /// Tests of other programs that show a guarantee, for the report.
-  std::map<std::string, std::vector<std::string>, std::less<>> tests;
+  TextLists tests;
+  /// What no cell shows about a guarantee, for the report.
+  TextLists open_points;
   std::vector<Fault> faults;  ///< Single faults, then pairs.
   std::vector<Defect> defects;
 };
--- a/tests/matrix/report.cc
+++ b/tests/matrix/report.cc
@@ -104,6 +104,12 @@
     out << " " << chart << " " << count << " cells;";
   }
   out << (open.empty() ? " no cell" : "") << "\n";
+  const auto points = table.open_points.find(guarantee);
+  if (points != table.open_points.end()) {
+    for (const std::string& point : points->second) {
+      out << "  - " << point << "\n";
+    }
+  }
 }
 
 /// Consecutive cells of a chart with the same fault and reason share a row.
