--- a/packages/entry/src/key_arbiter_p.h
+++ b/packages/entry/src/key_arbiter_p.h
@@ -11,7 +11,7 @@
 #include "retry/request_events.h"
 #include "store/command.h"
 #include "store/event.h"
-#include "ticket_desk_p.h"
+#include "ticket_manager_p.h"
 
 namespace hickoryusher::entry {
 
@@ -40,7 +40,7 @@
   /// Moves the outputs collected so far out.
   KeyOutputs TakeOutputs();
 
-  TicketDesk& tickets() { return tickets_; }
+  TicketManager& tickets() { return tickets_; }
 
  private:
   void RunClaims(const retry::KeyEvent& event, core::TimePoint now);
@@ -51,7 +51,7 @@
 
   const Directory& directory_;
   core::Incarnation incarnation_;
-  TicketDesk tickets_;
+  TicketManager tickets_;
   retry::KeyClaims claims_;
   KeyStore store_;
   KeyOutputs outputs_;
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -107,7 +107,8 @@
            MakeLifecycle(errors) && MakeFront(errors);
   }
 
-  std::optional<ShareDesk> MakeShares(std::vector<std::string>& errors) const;
+  std::optional<ShareManager> MakeShares(
+      std::vector<std::string>& errors) const;
   bool MakeRouter(std::vector<std::string>& errors);
   bool MakeUpstream(std::vector<std::string>& errors);
   bool MakePeers(std::vector<std::string>& errors);
@@ -145,7 +146,7 @@
   return controllers;
 }
 
-std::optional<ShareDesk> Process::Impl::MakeShares(
+std::optional<ShareManager> Process::Impl::MakeShares(
     std::vector<std::string>& errors) const {
   VmTable vms;
   routing::ShareLedger::Builder builder;
@@ -169,7 +170,7 @@
     std::ranges::copy(builder.problems(), std::back_inserter(errors));
     return std::nullopt;
   }
-  return ShareDesk(directory, std::move(vms), *std::move(ledger));
+  return ShareManager(directory, std::move(vms), *std::move(ledger));
 }
 
 bool Process::Impl::MakeRouter(std::vector<std::string>& errors) {
--- a/packages/entry/src/request_path_p.h
+++ b/packages/entry/src/request_path_p.h
@@ -23,7 +23,7 @@
 #include "routing/router.h"
 #include "rpc/codec.h"
 #include "service_policy_p.h"
-#include "share_desk_p.h"
+#include "share_manager_p.h"
 #include "telemetry/metrics.h"
 #include "timer_queue_p.h"
 
@@ -43,7 +43,7 @@
     std::vector<admission::Controller> admission;  ///< By service.
     routing::Router router;
     KeyArbiter keys;
-    ShareDesk shares;
+    ShareManager shares;
     telemetry::Metrics& metrics;
     std::function<void(const core::LogLine&)> log;
     core::Duration longest_deadline;
--- a/packages/entry/src/scheduler_duty.cc
+++ b/packages/entry/src/scheduler_duty.cc
@@ -38,18 +38,18 @@
 }
 
 bool SchedulerDuty::Build(Parts parts, std::vector<std::string>& errors) {
-  desk_ = SliceDesk::Create({.fleet = fleet_,
-                             .directory = parts.directory,
-                             .charts = parts.charts,
-                             .incarnation = parts.incarnation,
-                             .log = std::move(parts.log),
-                             .now = Now(),
-                             .unix_ms = UnixMillis()},
-                            errors);
-  if (!desk_) {
+  manager_ = SliceManager::Create({.fleet = fleet_,
+                                   .directory = parts.directory,
+                                   .charts = parts.charts,
+                                   .incarnation = parts.incarnation,
+                                   .log = std::move(parts.log),
+                                   .now = Now(),
+                                   .unix_ms = UnixMillis()},
+                                  errors);
+  if (!manager_) {
     return false;
   }
-  desk_->AddMethods(dispatcher_, Now);
+  manager_->AddMethods(dispatcher_, Now);
   const config::PlatformSettings& platform = parts.settings.platform;
   store_ = std::make_unique<store::HttpAdapter>(
       store::HttpAdapter::Options{.table_url = platform.table_url,
@@ -96,7 +96,7 @@
 }
 
 void SchedulerDuty::NoteReleased() {
-  if (!releasing_ || !desk_->IsIdle(Now())) {
+  if (!releasing_ || !manager_->IsIdle(Now())) {
     return;
   }
   {
@@ -116,7 +116,7 @@
     inputs.clear();
     if (Now() >= next_tick) {
       next_tick = Now() + kTick;
-      desk_->Tick(Now());
+      manager_->Tick(Now());
     }
     CarryOut();
     NoteReleased();
@@ -128,10 +128,10 @@
       core::Overloaded{
           [this](const http::IncomingRequest& r) { TakeRequest(r); },
           [this](const store::Event& e) { TakeStoreEvent(e); },
-          [this](const http::UpstreamEvent& e) { desk_->Handle(e, Now()); },
+          [this](const http::UpstreamEvent& e) { manager_->Handle(e, Now()); },
           [this](const SliceReleaseRequested&) {
             releasing_ = true;
-            desk_->Release(Now());
+            manager_->Release(Now());
           }},
       std::move(input));
 }
@@ -151,7 +151,7 @@
   if (store::IdOf(event).value() >= kFirstApiId) {
     api_.Handle(event);
   } else {
-    desk_->Handle(event, Now());
+    manager_->Handle(event, Now());
   }
 }
 
@@ -164,21 +164,21 @@
 }
 
 void SchedulerDuty::CarryOut() {
-  for (store::Command& command : desk_->TakeCommands()) {
+  for (store::Command& command : manager_->TakeCommands()) {
     Send(std::move(command));
   }
   for (store::Command& command : api_.TakeCommands()) {
     Send(std::move(command));
   }
-  for (http::StartExchange& exchange : desk_->TakeExchanges()) {
+  for (http::StartExchange& exchange : manager_->TakeExchanges()) {
     const core::AttemptId id = exchange.id;
     if (!upstream_->TrySend(http::UpstreamCommand(std::move(exchange)))) {
-      desk_->Handle(http::UpstreamEvent(
-                        http::Failed{.id = id,
-                                     .stage = http::Stage::kBeforeConnection,
-                                     .reason = "exchange_limit",
-                                     .at = Now()}),
-                    Now());
+      manager_->Handle(http::UpstreamEvent(
+                           http::Failed{.id = id,
+                                        .stage = http::Stage::kBeforeConnection,
+                                        .reason = "exchange_limit",
+                                        .at = Now()}),
+                       Now());
     }
   }
   for (http::Response& response : api_.TakeResponses()) {
--- a/packages/entry/src/scheduler_duty_p.h
+++ b/packages/entry/src/scheduler_duty_p.h
@@ -18,7 +18,7 @@
 #include "rpc/codec.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
-#include "slice_desk_p.h"
+#include "slice_manager_p.h"
 #include "store/http_adapter.h"
 
 namespace hickoryusher::entry {
@@ -82,7 +82,7 @@
 
   Fleet fleet_;
   JobApi api_;
-  std::unique_ptr<SliceDesk> desk_;
+  std::unique_ptr<SliceManager> manager_;
   rpc::Dispatcher dispatcher_;
   runtime::Ring<SchedulerInput> inputs_;
   std::unique_ptr<store::HttpAdapter> store_;
--- a/packages/entry/src/settings_duty.cc
+++ b/packages/entry/src/settings_duty.cc
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-SettingsDuty::SettingsDuty(SettingsDesk::Parts parts, std::size_t ring_slots)
-    : desk_(std::move(parts)), inputs_(ring_slots) {}
+SettingsDuty::SettingsDuty(SettingsManager::Parts parts, std::size_t ring_slots)
+    : manager_(std::move(parts)), inputs_(ring_slots) {}
 
 SettingsDuty::~SettingsDuty() {
   Stop();
@@ -46,9 +46,9 @@
 void SettingsDuty::Run() {
   std::vector<SettingsInput> inputs;
   while (!inputs_.finished()) {
-    desk_.Advance(Now());
+    manager_.Advance(Now());
     CarryOut(Now());
-    inputs_.WaitDrain(inputs, std::min(desk_.next_timer(), next_apply_));
+    inputs_.WaitDrain(inputs, std::min(manager_.next_timer(), next_apply_));
     for (const SettingsInput& input : inputs) {
       Take(input, Now());
     }
@@ -63,29 +63,29 @@
   std::visit(
       core::Overloaded{[&](const http::IncomingRequest& r) {
                          if (r.path == kRpcPath) {
-                           desk_.TakeCall(r);
+                           manager_.TakeCall(r);
                          } else {
-                           desk_.Take(r, now);
+                           manager_.Take(r, now);
                          }
                        },
-                       [&](const store::Event& e) { desk_.Handle(e, now); },
-                       [&](const PeerReply& r) { desk_.Handle(r, now); }},
+                       [&](const store::Event& e) { manager_.Handle(e, now); },
+                       [&](const PeerReply& r) { manager_.Handle(r, now); }},
       input);
 }
 
 void SettingsDuty::CarryOut(core::TimePoint now) {
-  auto commands = desk_.TakeCommands();
+  auto commands = manager_.TakeCommands();
   while (!commands.empty()) {
     for (SettingsCommand& command : commands) {
       std::visit([&](auto& c) { Run(c, now); }, command);
     }
-    commands = desk_.TakeCommands();
+    commands = manager_.TakeCommands();
   }
 }
 
 void SettingsDuty::NoteReady() {
   // The process is ready once the settings are also with the router.
-  if (ready_ || !desk_.ready() || next_apply_ != core::TimePoint::max()) {
+  if (ready_ || !manager_.ready() || next_apply_ != core::TimePoint::max()) {
     return;
   }
   {
@@ -102,16 +102,16 @@
 void SettingsDuty::Run(store::Command& command, core::TimePoint now) {
   const store::CommandId id = store::IdOf(command);
   if (!outputs_.store(std::move(command))) {
-    desk_.Handle(store::Event(store::Refused{
-                     .id = id, .reason = store::RefusalReason::kRingFull}),
-                 now);
+    manager_.Handle(store::Event(store::Refused{
+                        .id = id, .reason = store::RefusalReason::kRingFull}),
+                    now);
   }
 }
 
 void SettingsDuty::Run(PeerCall& call, core::TimePoint now) {
   const PeerCallId id = call.id;
   if (!outputs_.call(std::move(call))) {
-    desk_.Handle(PeerReply{.id = id, .text = std::nullopt}, now);
+    manager_.Handle(PeerReply{.id = id, .text = std::nullopt}, now);
   }
 }
 
@@ -121,8 +121,8 @@
 
 void SettingsDuty::Apply(core::TimePoint now) {
   if (next_apply_ <= now) {
-    next_apply_ = outputs_.apply(desk_.tree()) ? core::TimePoint::max()
-                                               : now + kApplyRetry;
+    next_apply_ = outputs_.apply(manager_.tree()) ? core::TimePoint::max()
+                                                  : now + kApplyRetry;
   }
 }
 
--- a/packages/entry/src/settings_duty_p.h
+++ b/packages/entry/src/settings_duty_p.h
@@ -10,7 +10,7 @@
 #include "peer_message_p.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
-#include "settings_desk_p.h"
+#include "settings_manager_p.h"
 #include "store/event.h"
 
 namespace hickoryusher::entry {
@@ -18,8 +18,8 @@
 using SettingsInput =
     std::variant<http::IncomingRequest, store::Event, PeerReply>;
 
-/// The settings thread: takes inputs from its ring, runs the settings desk and
-/// hands the commands to the HTTP front, the store and the other processes.
+/// The settings thread: takes inputs from its ring, runs the settings manager
+/// and hands the commands to the HTTP front, the store and the other processes.
 class SettingsDuty {
  public:
   struct Outputs {
@@ -33,7 +33,7 @@
     std::function<bool(const settings::Tree&)> apply;
   };
 
-  SettingsDuty(SettingsDesk::Parts parts, std::size_t ring_slots);
+  SettingsDuty(SettingsManager::Parts parts, std::size_t ring_slots);
   ~SettingsDuty();
   SettingsDuty(const SettingsDuty&) = delete;
   SettingsDuty& operator=(const SettingsDuty&) = delete;
@@ -61,7 +61,7 @@
   void Run(const TreeMoved& moved, core::TimePoint now);
   void Apply(core::TimePoint now);
 
-  SettingsDesk desk_;
+  SettingsManager manager_;
   runtime::Ring<SettingsInput> inputs_;
   std::mutex ready_mutex_;
   std::condition_variable ready_changed_;
--- a/packages/entry/src/settings_desk.cc
+++ b/packages/entry/src/settings_manager.cc
@@ -1,4 +1,4 @@
-#include "settings_desk_p.h"
+#include "settings_manager_p.h"
 
 #include <algorithm>
 #include <iterator>
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-SettingsDesk::SettingsDesk(Parts parts)
+SettingsManager::SettingsManager(Parts parts)
     : parts_(std::move(parts)),
       follower_({.peers = parts_.peers.size()}),
       store_(store::CommandId(1)),
@@ -68,8 +68,8 @@
                   });
 }
 
-void SettingsDesk::Take(const http::IncomingRequest& request,
-                        core::TimePoint now) {
+void SettingsManager::Take(const http::IncomingRequest& request,
+                           core::TimePoint now) {
   now_ = now;
   const auto principal = Authenticate(BearerKey(request));
   if (!principal) {
@@ -99,14 +99,14 @@
   Collect();
 }
 
-void SettingsDesk::TakeCall(const http::IncomingRequest& request) {
+void SettingsManager::TakeCall(const http::IncomingRequest& request) {
   Respond({.id = request.id,
            .status = 200,
            .headers = {{"Content-Type", "application/json"}},
            .body = dispatcher_.Handle(request.body)});
 }
 
-std::optional<settings::Principal> SettingsDesk::Authenticate(
+std::optional<settings::Principal> SettingsManager::Authenticate(
     std::string_view bearer) const {
   // An entry at the path, also a removal, revokes the hash of the settings
   // file.
@@ -117,9 +117,9 @@
              : settings::Keys::Authenticate(bootstrap_, bearer);
 }
 
-void SettingsDesk::Refuse(const http::IncomingRequest& request,
-                          int status,
-                          std::string_view reason) {
+void SettingsManager::Refuse(const http::IncomingRequest& request,
+                             int status,
+                             std::string_view reason) {
   parts_.log(core::LogLine("settings_refused")
                  .Add("request", request.id.value())
                  .Add("method", request.method)
@@ -129,18 +129,18 @@
   Respond(SettingsError(request.id, status, reason));
 }
 
-void SettingsDesk::Run(const ListSettings& request,
-                       const http::IncomingRequest& from) {
+void SettingsManager::Run(const ListSettings& request,
+                          const http::IncomingRequest& from) {
   Respond(SettingsList(from.id, tree(), request.path));
 }
 
-void SettingsDesk::Run(const ReadPathRevision& request,
-                       const http::IncomingRequest& from) {
+void SettingsManager::Run(const ReadPathRevision& request,
+                          const http::IncomingRequest& from) {
   Respond(SettingsRevision(from.id, tree().PathRevision(request.path)));
 }
 
-void SettingsDesk::Run(const ReadHistory& request,
-                       const http::IncomingRequest& from) {
+void SettingsManager::Run(const ReadHistory& request,
+                          const http::IncomingRequest& from) {
   if (histories_.size() >= kMaxHistories) {
     Refuse(from, 503, "too_many_reads");
     return;
@@ -148,13 +148,13 @@
   AskHistory({.request = from.id, .path = request.path}, 0);
 }
 
-void SettingsDesk::Run(const ValidateChange& request,
-                       const http::IncomingRequest& from) {
+void SettingsManager::Run(const ValidateChange& request,
+                          const http::IncomingRequest& from) {
   Respond(SettingsMistakes(from.id, schema_.Validate(tree(), request.change)));
 }
 
-void SettingsDesk::Run(const SubmitChange& request,
-                       const http::IncomingRequest& from) {
+void SettingsManager::Run(const SubmitChange& request,
+                          const http::IncomingRequest& from) {
   const settings::Change& change = request.change;
   if (submissions_.contains(change.id)) {
     RefuseSubmission(request, from, true, "change_under_way");
@@ -169,10 +169,10 @@
       Submission{.request = from.id, .path = change.path, .by = principal_});
 }
 
-void SettingsDesk::RefuseSubmission(const SubmitChange& request,
-                                    const http::IncomingRequest& from,
-                                    bool may_be_written,
-                                    std::string_view reason) {
+void SettingsManager::RefuseSubmission(const SubmitChange& request,
+                                       const http::IncomingRequest& from,
+                                       bool may_be_written,
+                                       std::string_view reason) {
   parts_.log(core::LogLine("settings_change")
                  .Add("id", request.change.id)
                  .Add("path", request.change.path)
@@ -183,14 +183,14 @@
                          : SettingsNotWritten(from.id, reason));
 }
 
-void SettingsDesk::AskHistory(HistoryRead read, settings::Revision after) {
+void SettingsManager::AskHistory(HistoryRead read, settings::Revision after) {
   const settings::EditSerial serial = ++last_history_;
   histories_.emplace(serial, std::move(read));
   history_store_.Send(settings::EditCommand(
       settings::ReadChanges{.serial = serial, .after = after}));
 }
 
-void SettingsDesk::TakeHistory(const settings::EditEvent& event) {
+void SettingsManager::TakeHistory(const settings::EditEvent& event) {
   const auto serial = std::visit([](const auto& e) { return e.serial; }, event);
   auto node = histories_.extract(serial);
   if (node.empty()) {
@@ -219,7 +219,7 @@
   Respond(SettingsHistory(read.request, read.changes));
 }
 
-void SettingsDesk::Handle(const store::Event& event, core::TimePoint now) {
+void SettingsManager::Handle(const store::Event& event, core::TimePoint now) {
   if (store_.Handle(event)) {
     for (const settings::EditEvent& e : store_.TakeEditEvents()) {
       parts_.editor.Handle(now, e);
@@ -235,7 +235,7 @@
   Collect();
 }
 
-void SettingsDesk::Handle(const PeerReply& reply, core::TimePoint now) {
+void SettingsManager::Handle(const PeerReply& reply, core::TimePoint now) {
   const auto node = calls_.extract(reply.id);
   if (node.empty()) {
     return;
@@ -249,22 +249,22 @@
   Collect();
 }
 
-void SettingsDesk::Advance(core::TimePoint now) {
+void SettingsManager::Advance(core::TimePoint now) {
   parts_.editor.Advance(now);
   follower_.Advance(now);
   Collect();
 }
 
-core::TimePoint SettingsDesk::next_timer() const {
+core::TimePoint SettingsManager::next_timer() const {
   return std::min(parts_.editor.next_due().value_or(core::TimePoint::max()),
                   follower_.next_due().value_or(core::TimePoint::max()));
 }
 
-void SettingsDesk::Respond(http::Response response) {
+void SettingsManager::Respond(http::Response response) {
   commands_.emplace_back(std::move(response));
 }
 
-void SettingsDesk::Collect() {
+void SettingsManager::Collect() {
   for (const settings::FollowCommand& command : follower_.TakeCommands()) {
     if (const auto* ask = std::get_if<settings::AskPeer>(&command)) {
       Json::Value params;
@@ -289,7 +289,7 @@
   NoteHead();
 }
 
-void SettingsDesk::CollectStore() {
+void SettingsManager::CollectStore() {
   for (settings_store::SettingsStore* store : {&store_, &history_store_}) {
     std::ranges::for_each(store->TakeCommands(),
                           [this](store::Command& command) {
@@ -298,7 +298,7 @@
   }
 }
 
-void SettingsDesk::CollectResults() {
+void SettingsManager::CollectResults() {
   for (const settings::EditResult& result : parts_.editor.TakeResults()) {
     const auto node = submissions_.extract(result.change_id);
     if (node.empty()) {
@@ -319,7 +319,7 @@
   }
 }
 
-void SettingsDesk::NoteHead() {
+void SettingsManager::NoteHead() {
   if (tree().head() <= logged_head_) {
     return;
   }
--- a/packages/entry/src/settings_desk_p.h
+++ b/packages/entry/src/settings_manager_p.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_SRC_SETTINGS_DESK_P_H_
-#define ENTRY_SRC_SETTINGS_DESK_P_H_
+#ifndef ENTRY_SRC_SETTINGS_MANAGER_P_H_
+#define ENTRY_SRC_SETTINGS_MANAGER_P_H_
 
 #include <cstdint>
 #include <functional>
@@ -32,14 +32,14 @@
 /// The settings in effect have changed.
 struct TreeMoved {};
 
-/// What the settings desk asks its threads to do.
+/// What the settings manager asks its threads to do.
 using SettingsCommand =
     std::variant<http::Response, store::Command, PeerCall, TreeMoved>;
 
 /// Answers the administration API and the calls of other processes, and keeps
 /// this process's settings up to date. Runs on the settings thread; its
 /// commands are carried out by the caller.
-class SettingsDesk {
+class SettingsManager {
  public:
   struct Parts {
     settings::Editor editor;
@@ -49,7 +49,7 @@
     std::function<void(const core::LogLine&)> log;
   };
 
-  explicit SettingsDesk(Parts parts);
+  explicit SettingsManager(Parts parts);
 
   /// Takes a request of the administration API.
   void Take(const http::IncomingRequest& request, core::TimePoint now);
@@ -128,4 +128,4 @@
 
 }  // namespace hickoryusher::entry
 
-#endif  // ENTRY_SRC_SETTINGS_DESK_P_H_
+#endif  // ENTRY_SRC_SETTINGS_MANAGER_P_H_
--- a/packages/entry/src/share_desk.cc
+++ b/packages/entry/src/share_manager.cc
@@ -1,4 +1,4 @@
-#include "share_desk_p.h"
+#include "share_manager_p.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,18 +18,18 @@
 
 }  // namespace
 
-ShareDesk::ShareDesk(const Directory& directory,
-                     VmTable vms,
-                     routing::ShareLedger ledger)
+ShareManager::ShareManager(const Directory& directory,
+                           VmTable vms,
+                           routing::ShareLedger ledger)
     : directory_(directory),
       vms_(std::move(vms)),
       ledger_(std::move(ledger)),
       next_call_(kFirstCall) {}
 
-void ShareDesk::TakeVmList(const store::VmListRead& list,
-                           routing::SlotTable& slots,
-                           core::TimePoint now,
-                           ShareOutput& out) {
+void ShareManager::TakeVmList(const store::VmListRead& list,
+                              routing::SlotTable& slots,
+                              core::TimePoint now,
+                              ShareOutput& out) {
   std::vector<core::VmId> ids;
   std::ranges::transform(
       list.vms, std::back_inserter(ids),
@@ -38,29 +38,29 @@
       out);
 }
 
-void ShareDesk::WantLoan(core::EndpointId endpoint,
-                         routing::SlotTable& slots,
-                         core::TimePoint now,
-                         ShareOutput& out) {
+void ShareManager::WantLoan(core::EndpointId endpoint,
+                            routing::SlotTable& slots,
+                            core::TimePoint now,
+                            ShareOutput& out) {
   Run(routing::LoanWanted{.endpoint = endpoint, .slots = 1}, slots, now, out);
 }
 
-void ShareDesk::Wake(routing::SlotTable& slots,
-                     core::TimePoint now,
-                     ShareOutput& out) {
+void ShareManager::Wake(routing::SlotTable& slots,
+                        core::TimePoint now,
+                        ShareOutput& out) {
   Run(routing::Wake{}, slots, now, out);
 }
 
-void ShareDesk::Release(routing::SlotTable& slots,
-                        core::TimePoint now,
-                        ShareOutput& out) {
+void ShareManager::Release(routing::SlotTable& slots,
+                           core::TimePoint now,
+                           ShareOutput& out) {
   Run(routing::ReleaseShares{}, slots, now, out);
 }
 
-bool ShareDesk::TakeMessage(const Json::Value& params,
-                            routing::SlotTable& slots,
-                            core::TimePoint now,
-                            ShareOutput& out) {
+bool ShareManager::TakeMessage(const Json::Value& params,
+                               routing::SlotTable& slots,
+                               core::TimePoint now,
+                               ShareOutput& out) {
   const auto envelope = DecodeEnvelope(params, directory_, vms_);
   if (!envelope) {
     return false;
@@ -69,10 +69,10 @@
   return true;
 }
 
-void ShareDesk::Run(const routing::ShareEvent& event,
-                    routing::SlotTable& slots,
-                    core::TimePoint now,
-                    ShareOutput& out) {
+void ShareManager::Run(const routing::ShareEvent& event,
+                       routing::SlotTable& slots,
+                       core::TimePoint now,
+                       ShareOutput& out) {
   routing::ShareCommands commands;
   ledger_.Handle(event, slots, now, commands);
   for (const routing::ShareCommand& command : commands) {
--- a/packages/entry/src/share_desk_p.h
+++ b/packages/entry/src/share_manager_p.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_SRC_SHARE_DESK_P_H_
-#define ENTRY_SRC_SHARE_DESK_P_H_
+#ifndef ENTRY_SRC_SHARE_MANAGER_P_H_
+#define ENTRY_SRC_SHARE_MANAGER_P_H_
 
 #include <optional>
 #include <vector>
@@ -16,7 +16,7 @@
 
 namespace hickoryusher::entry {
 
-/// What the share desk asks the router thread to do.
+/// What the share manager asks the router thread to do.
 struct ShareOutput {
   std::vector<PeerCall> calls;
   std::vector<core::LogLine> lines;
@@ -26,11 +26,11 @@
 
 /// Runs the share ledger and carries its messages as JSON-RPC `share.message`
 /// calls, whose replies say nothing.
-class ShareDesk {
+class ShareManager {
  public:
-  ShareDesk(const Directory& directory,
-            VmTable vms,
-            routing::ShareLedger ledger);
+  ShareManager(const Directory& directory,
+               VmTable vms,
+               routing::ShareLedger ledger);
 
   /// Takes a complete read of the VM list.
   void TakeVmList(const store::VmListRead& list,
@@ -74,4 +74,4 @@
 
 }  // namespace hickoryusher::entry
 
-#endif  // ENTRY_SRC_SHARE_DESK_P_H_
+#endif  // ENTRY_SRC_SHARE_MANAGER_P_H_
--- a/packages/entry/src/slice_desk.cc
+++ b/packages/entry/src/slice_manager.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
-#include "slice_desk_p.h"
+#include "slice_manager_p.h"
 
 namespace hickoryusher::entry {
 namespace {
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-SliceDesk::SliceDesk(Parts parts,
-                     lease::SliceOwner owner,
-                     lease::WorkerLeases leases)
+SliceManager::SliceManager(Parts parts,
+                           lease::SliceOwner owner,
+                           lease::WorkerLeases leases)
     : parts_(std::move(parts)),
       fleet_(parts_.fleet),
       store_(parts_.fleet, parts_.directory),
@@ -31,8 +31,9 @@
       leases_(std::move(leases)),
       next_vm_read_(parts_.now) {}
 
-std::unique_ptr<SliceDesk> SliceDesk::Create(Parts parts,
-                                             std::vector<std::string>& errors) {
+std::unique_ptr<SliceManager> SliceManager::Create(
+    Parts parts,
+    std::vector<std::string>& errors) {
   std::vector<chart::Problem> problems;
   auto owner = lease::SliceOwner::Create(parts.charts.slice_lease,
                                          {.self = parts.directory.own_entry(),
@@ -48,21 +49,22 @@
                            &chart::Problem::text);
     return nullptr;
   }
-  return std::unique_ptr<SliceDesk>(
-      new SliceDesk(std::move(parts), *std::move(owner), *std::move(leases)));
+  return std::unique_ptr<SliceManager>(new SliceManager(
+      std::move(parts), *std::move(owner), *std::move(leases)));
 }
 
-std::vector<http::StartExchange> SliceDesk::TakeExchanges() {
+std::vector<http::StartExchange> SliceManager::TakeExchanges() {
   return std::exchange(exchanges_, {});
 }
 
-void SliceDesk::RunOwner(const lease::SliceEvent& event, core::TimePoint now) {
+void SliceManager::RunOwner(const lease::SliceEvent& event,
+                            core::TimePoint now) {
   std::vector<lease::SliceCommand> out;
   owner_.Handle(event, now, out);
   Execute(out, now);
 }
 
-void SliceDesk::Tick(core::TimePoint now) {
+void SliceManager::Tick(core::TimePoint now) {
   if (fleet_.workers().empty()) {
     return;
   }
@@ -75,7 +77,7 @@
   TickTerms(now);
 }
 
-void SliceDesk::TickWorkers(core::TimePoint now) {
+void SliceManager::TickWorkers(core::TimePoint now) {
   std::vector<lease::WorkerCommand> out;
   for (const FleetWorker& worker : fleet_.workers()) {
     if (!terms_.contains(worker.slice)) {
@@ -91,18 +93,18 @@
   Execute(out, now);
 }
 
-void SliceDesk::Release(core::TimePoint now) {
+void SliceManager::Release(core::TimePoint now) {
   RunOwner(lease::Release{}, now);
 }
 
-bool SliceDesk::IsIdle(core::TimePoint now) const {
+bool SliceManager::IsIdle(core::TimePoint now) const {
   return !store_.IsWritingSlices() &&
          std::ranges::all_of(fleet_.slices(), [&](core::SliceId slice) {
            return owner_.OwnershipAt(slice, now) == lease::Ownership::kNone;
          });
 }
 
-void SliceDesk::Handle(const store::Event& event, core::TimePoint now) {
+void SliceManager::Handle(const store::Event& event, core::TimePoint now) {
   // A process that was frozen first learns that its leases have ended.
   RunOwner(lease::Tick{}, now);
   std::vector<FleetEvent> events;
@@ -134,8 +136,8 @@
   }
 }
 
-void SliceDesk::Execute(std::span<const lease::SliceCommand> commands,
-                        core::TimePoint now) {
+void SliceManager::Execute(std::span<const lease::SliceCommand> commands,
+                           core::TimePoint now) {
   const auto hold = [&](core::SliceId slice, bool on) {
     const auto term = terms_.find(slice);
     if (term != terms_.end()) {
@@ -158,7 +160,7 @@
   }
 }
 
-void SliceDesk::Begin(const lease::SliceBegun& begun, core::TimePoint now) {
+void SliceManager::Begin(const lease::SliceBegun& begun, core::TimePoint now) {
   leases_.BeginSlice(lease::TermOf(begun));
   Term& term = terms_[begun.slice];
   term = Term{.key = {.slice = begun.slice, .epoch = begun.epoch},
@@ -168,7 +170,7 @@
                  .Add("epoch", begun.epoch.value()));
 }
 
-void SliceDesk::End(const lease::SliceEnded& ended) {
+void SliceManager::End(const lease::SliceEnded& ended) {
   leases_.EndSlice(ended.slice);
   terms_.erase(ended.slice);
   for (const FleetWorker& worker : fleet_.workers()) {
@@ -182,14 +184,14 @@
                  .Add("epoch", ended.epoch.value()));
 }
 
-void SliceDesk::DropOrders(core::WorkerId worker) {
+void SliceManager::DropOrders(core::WorkerId worker) {
   WorkerState& state = workers_[worker];
   state.orders.clear();
   state.throttle.reset();
 }
 
-void SliceDesk::Execute(std::span<const lease::WorkerCommand> commands,
-                        core::TimePoint now) {
+void SliceManager::Execute(std::span<const lease::WorkerCommand> commands,
+                           core::TimePoint now) {
   const auto forward = [&](std::string_view state, core::WorkerId worker,
                            const placement::Event& event) {
     parts_.log(core::LogLine("worker_lease")
@@ -223,7 +225,7 @@
   }
 }
 
-void SliceDesk::SendHeartbeat(const lease::Heartbeat& heartbeat) {
+void SliceManager::SendHeartbeat(const lease::Heartbeat& heartbeat) {
   WorkerState& state = workers_[heartbeat.worker];
   if (state.in_flight) {
     return;
@@ -250,7 +252,7 @@
        .total_timeout = kExchangeTimeout});
 }
 
-void SliceDesk::AskYield(const lease::AskYield& ask) {
+void SliceManager::AskYield(const lease::AskYield& ask) {
   if (ask.previous == parts_.directory.own_entry() ||
       ask.previous.value() >= parts_.directory.entry_count()) {
     return;
@@ -277,8 +279,8 @@
                         .total_timeout = kExchangeTimeout});
 }
 
-void SliceDesk::AddMethods(rpc::Dispatcher& dispatcher,
-                           std::function<core::TimePoint()> clock) {
+void SliceManager::AddMethods(rpc::Dispatcher& dispatcher,
+                              std::function<core::TimePoint()> clock) {
   dispatcher.Add("slice.yield", [this, clock = std::move(clock)](
                                     const Json::Value& params,
                                     Json::Value& result, std::string& error) {
@@ -294,7 +296,7 @@
   });
 }
 
-bool SliceDesk::AnswerYield(const Json::Value& params, core::TimePoint now) {
+bool SliceManager::AnswerYield(const Json::Value& params, core::TimePoint now) {
   RunOwner(lease::Tick{}, now);
   yield_answered_ = false;
   RunOwner(lease::YieldAsked{.slice = core::SliceId(params["slice"].asUInt()),
@@ -305,7 +307,8 @@
   return yield_answered_;
 }
 
-void SliceDesk::Handle(const http::UpstreamEvent& event, core::TimePoint now) {
+void SliceManager::Handle(const http::UpstreamEvent& event,
+                          core::TimePoint now) {
   const auto finish = [&](core::AttemptId id, const http::Completed* reply) {
     const auto found = in_flight_.extract(id);
     if (!found.empty()) {
@@ -321,9 +324,9 @@
       event);
 }
 
-void SliceDesk::Finish(core::WorkerId worker,
-                       const http::Completed* reply,
-                       core::TimePoint now) {
+void SliceManager::Finish(core::WorkerId worker,
+                          const http::Completed* reply,
+                          core::TimePoint now) {
   workers_[worker].in_flight = false;
   if (reply == nullptr || reply->status != kOk) {
     return;
@@ -333,9 +336,9 @@
   }
 }
 
-void SliceDesk::Finish(const YieldCall& call,
-                       const http::Completed* reply,
-                       core::TimePoint now) {
+void SliceManager::Finish(const YieldCall& call,
+                          const http::Completed* reply,
+                          core::TimePoint now) {
   Json::Value result;
   std::string error;
   if (reply == nullptr || FindTerm(call.term) == nullptr ||
@@ -348,7 +351,8 @@
   Execute(out, now);
 }
 
-bool SliceDesk::IsSameRun(core::WorkerId worker, const ExchangeReply& reply) {
+bool SliceManager::IsSameRun(core::WorkerId worker,
+                             const ExchangeReply& reply) {
   // A worker that started again does not know which attempts it ran. Its
   // reports count only once the lease of its predecessor has ended.
   std::optional<std::uint64_t>& run = workers_[worker].run;
@@ -356,9 +360,9 @@
   return *run == reply.run;
 }
 
-void SliceDesk::TakeReply(core::WorkerId worker,
-                          const ExchangeReply& reply,
-                          core::TimePoint now) {
+void SliceManager::TakeReply(core::WorkerId worker,
+                             const ExchangeReply& reply,
+                             core::TimePoint now) {
   Term* term = TermOfWorker(worker);
   if (term == nullptr) {
     return;
@@ -383,7 +387,7 @@
   }
 }
 
-void SliceDesk::TakeVms(const VmsListed& list) {
+void SliceManager::TakeVms(const VmsListed& list) {
   // An answer to an earlier read may be older than one already taken.
   if (list.revision < vm_revision_) {
     return;
--- a/packages/entry/src/slice_desk_jobs.cc
+++ b/packages/entry/src/slice_manager_jobs.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
-#include "slice_desk_p.h"
+#include "slice_manager_p.h"
 
 namespace hickoryusher::entry {
 namespace {
@@ -62,20 +62,20 @@
 
 }  // namespace
 
-SliceDesk::Term* SliceDesk::FindTerm(TermKey key) {
+SliceManager::Term* SliceManager::FindTerm(TermKey key) {
   const auto found = terms_.find(key.slice);
   return found != terms_.end() && found->second.key == key ? &found->second
                                                            : nullptr;
 }
 
-SliceDesk::Term* SliceDesk::TermOfWorker(core::WorkerId worker) {
+SliceManager::Term* SliceManager::TermOfWorker(core::WorkerId worker) {
   const FleetWorker* known = fleet_.Find(worker);
   const auto found =
       known == nullptr ? terms_.end() : terms_.find(known->slice);
   return found == terms_.end() ? nullptr : &found->second;
 }
 
-void SliceDesk::TickTerms(core::TimePoint now) {
+void SliceManager::TickTerms(core::TimePoint now) {
   for (auto& [slice, term] : terms_) {
     if (leases_.IsExclusive(slice)) {
       owner_.SetExclusive(slice);
@@ -106,9 +106,9 @@
   }
 }
 
-void SliceDesk::RunScheduler(Term& term,
-                             const placement::Event& event,
-                             core::TimePoint now) {
+void SliceManager::RunScheduler(Term& term,
+                                const placement::Event& event,
+                                core::TimePoint now) {
   if (!term.scheduler) {
     return;
   }
@@ -117,9 +117,9 @@
   Execute(term, out, now);
 }
 
-void SliceDesk::Execute(Term& term,
-                        std::span<const placement::Command> commands,
-                        core::TimePoint now) {
+void SliceManager::Execute(Term& term,
+                           std::span<const placement::Command> commands,
+                           core::TimePoint now) {
   for (const placement::Command& command : commands) {
     std::visit(
         core::Overloaded{
@@ -161,11 +161,11 @@
 }
 
 template <typename Order>
-void SliceDesk::Send(const Order& order) {
+void SliceManager::Send(const Order& order) {
   workers_[order.worker].orders.emplace_back(order);
 }
 
-void SliceDesk::SendStart(Term& term, const placement::StartTask& start) {
+void SliceManager::SendStart(Term& term, const placement::StartTask& start) {
   const auto job = term.jobs.find(JobNumberOf(start.task));
   if (job == term.jobs.end()) {
     return;
@@ -178,7 +178,7 @@
   workers_[start.worker].orders.emplace_back(order);
 }
 
-placement::JobSpec SliceDesk::SpecOf(const JobRecord& job) {
+placement::JobSpec SliceManager::SpecOf(const JobRecord& job) {
   const JobRequest& request = job.request;
   placement::JobSpec spec{
       .job = core::JobId(job.number),
@@ -197,7 +197,7 @@
   return spec;
 }
 
-void SliceDesk::Fill(const TermLoaded& loaded, core::TimePoint now) {
+void SliceManager::Fill(const TermLoaded& loaded, core::TimePoint now) {
   Term* term = FindTerm(loaded.term);
   if (term == nullptr || term->scheduler) {
     return;
@@ -236,7 +236,7 @@
                  .Add("tasks", loaded.tasks.size()));
 }
 
-void SliceDesk::FillWorkers(Term& term, core::TimePoint now) {
+void SliceManager::FillWorkers(Term& term, core::TimePoint now) {
   for (const FleetWorker& worker : fleet_.workers()) {
     if (worker.slice != term.key.slice) {
       continue;
@@ -254,9 +254,9 @@
   }
 }
 
-void SliceDesk::TakeJobs(Term& term,
-                         std::span<const JobRecord> jobs,
-                         core::TimePoint now) {
+void SliceManager::TakeJobs(Term& term,
+                            std::span<const JobRecord> jobs,
+                            core::TimePoint now) {
   if (!term.scheduler) {
     return;
   }
@@ -272,16 +272,16 @@
   }
 }
 
-void SliceDesk::Cancel(Term& term, OpenJob& job, core::TimePoint now) {
+void SliceManager::Cancel(Term& term, OpenJob& job, core::TimePoint now) {
   if (job.record.cancelled && !std::exchange(job.cancel_sent, true)) {
     RunScheduler(term, placement::CancelJob{core::JobId(job.record.number)},
                  now);
   }
 }
 
-void SliceDesk::FinishTask(Term& term,
-                           const placement::TaskFinished& finished,
-                           core::TimePoint now) {
+void SliceManager::FinishTask(Term& term,
+                              const placement::TaskFinished& finished,
+                              core::TimePoint now) {
   parts_.log(core::LogLine("task_finished")
                  .Add("task", finished.task.value())
                  .Add("outcome", ToString(finished.outcome)));
@@ -292,7 +292,7 @@
   }
 }
 
-void SliceDesk::CloseJobs(Term& term, core::TimePoint now) {
+void SliceManager::CloseJobs(Term& term, core::TimePoint now) {
   for (auto& [number, job] : term.jobs) {
     if (job.closed || !job.close_at || now < *job.close_at) {
       continue;
--- a/packages/entry/src/slice_desk_p.h
+++ b/packages/entry/src/slice_manager_p.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_SRC_SLICE_DESK_P_H_
-#define ENTRY_SRC_SLICE_DESK_P_H_
+#ifndef ENTRY_SRC_SLICE_MANAGER_P_H_
+#define ENTRY_SRC_SLICE_MANAGER_P_H_
 
 #include <cstdint>
 #include <functional>
@@ -33,7 +33,7 @@
 /// own failure domain, and turns their commands into messages.
 ///
 /// @remarks Not thread-safe. Tick every 100 ms.
-class SliceDesk {
+class SliceManager {
  public:
   struct Parts {
     Fleet& fleet;
@@ -45,8 +45,8 @@
     std::int64_t unix_ms = 0;  ///< Wall clock at `now`, for deadlines.
   };
 
-  static std::unique_ptr<SliceDesk> Create(Parts parts,
-                                           std::vector<std::string>& errors);
+  static std::unique_ptr<SliceManager> Create(Parts parts,
+                                              std::vector<std::string>& errors);
 
   void Tick(core::TimePoint now);
   void Handle(const store::Event& event, core::TimePoint now);
@@ -81,7 +81,7 @@
     core::TimePoint next_load;
     core::TimePoint next_list;
   };
-  /// What the desk keeps of a worker.
+  /// What the manager keeps of a worker.
   struct WorkerState {
     std::vector<WorkerOrder> orders;  ///< Sent with the next heartbeat.
     std::optional<placement::ThrottleWorker> throttle;
@@ -98,9 +98,11 @@
   };
   using Call = std::variant<core::WorkerId, YieldCall>;
 
-  SliceDesk(Parts parts, lease::SliceOwner owner, lease::WorkerLeases leases);
+  SliceManager(Parts parts,
+               lease::SliceOwner owner,
+               lease::WorkerLeases leases);
 
-  // slice_desk.cc
+  // slice_manager.cc
   void TickWorkers(core::TimePoint now);
   void TickTerms(core::TimePoint now);
   void RunOwner(const lease::SliceEvent& event, core::TimePoint now);
@@ -126,7 +128,7 @@
   void TakeVms(const VmsListed& list);
   void DropOrders(core::WorkerId worker);
 
-  // slice_desk_jobs.cc
+  // slice_manager_jobs.cc
   void RunScheduler(Term& term,
                     const placement::Event& event,
                     core::TimePoint now);
@@ -170,4 +172,4 @@
 
 }  // namespace hickoryusher::entry
 
-#endif  // ENTRY_SRC_SLICE_DESK_P_H_
+#endif  // ENTRY_SRC_SLICE_MANAGER_P_H_
--- a/packages/entry/src/ticket_desk.cc
+++ b/packages/entry/src/ticket_manager.cc
@@ -4,7 +4,7 @@
 
 #include "key_codec_p.h"
 #include "retry/ticket.h"
-#include "ticket_desk_p.h"
+#include "ticket_manager_p.h"
 
 namespace hickoryusher::entry {
 namespace {
@@ -59,16 +59,17 @@
 
 }  // namespace
 
-TicketDesk::TicketDesk(const Directory& directory,
-                       core::Incarnation incarnation,
-                       std::uint64_t secret)
+TicketManager::TicketManager(const Directory& directory,
+                             core::Incarnation incarnation,
+                             std::uint64_t secret)
     : directory_(directory),
       incarnation_(incarnation),
       issuer_({.entry = directory.own_entry(),
                .incarnation = incarnation,
                .secret = secret}) {}
 
-std::optional<std::vector<std::string>> TicketDesk::Issue(std::uint32_t count) {
+std::optional<std::vector<std::string>> TicketManager::Issue(
+    std::uint32_t count) {
   std::vector<retry::TicketCommand> commands;
   issuer_.Handle(retry::IssueTickets{.count = count}, commands);
   const auto* issued = std::get_if<retry::TicketsIssued>(&commands.front());
@@ -81,11 +82,11 @@
   return texts;
 }
 
-void TicketDesk::Claim(core::RequestId request,
-                       std::string_view key,
-                       core::TimePoint deadline,
-                       core::TimePoint now,
-                       TicketOutput& out) {
+void TicketManager::Claim(core::RequestId request,
+                          std::string_view key,
+                          core::TimePoint deadline,
+                          core::TimePoint now,
+                          TicketOutput& out) {
   const auto ticket = retry::ParseTicket(key);
   if (!ticket) {
     out.events.push_back(
@@ -108,10 +109,10 @@
        now, out);
 }
 
-void TicketDesk::Void(core::RequestId request,
-                      std::string_view key,
-                      core::TimePoint now,
-                      TicketOutput& out) {
+void TicketManager::Void(core::RequestId request,
+                         std::string_view key,
+                         core::TimePoint now,
+                         TicketOutput& out) {
   const auto ticket = retry::ParseTicket(key);
   if (!ticket) {
     out.events.push_back(
@@ -133,10 +134,10 @@
        now, out);
 }
 
-void TicketDesk::Report(core::RequestId request,
-                        std::string_view key,
-                        const retry::StoredOutcome& outcome,
-                        TicketOutput& out) {
+void TicketManager::Report(core::RequestId request,
+                           std::string_view key,
+                           const retry::StoredOutcome& outcome,
+                           TicketOutput& out) {
   const auto ticket = retry::ParseTicket(key);
   if (!ticket) {
     return;
@@ -162,9 +163,9 @@
                        .timeout = kCallTimeout});
 }
 
-void TicketDesk::Handle(const PeerReply& reply,
-                        core::TimePoint now,
-                        TicketOutput& out) {
+void TicketManager::Handle(const PeerReply& reply,
+                           core::TimePoint now,
+                           TicketOutput& out) {
   auto found = pending_.extract(reply.id);
   if (found.empty()) {
     return;
@@ -184,7 +185,7 @@
       ToEvent(pending, {.verdict = retry::TicketVerdict::kUnknown}));
 }
 
-void TicketDesk::AddMethods(rpc::Dispatcher& dispatcher) {
+void TicketManager::AddMethods(rpc::Dispatcher& dispatcher) {
   dispatcher.Add(
       "ticket.claim", [this](const Json::Value& params, Json::Value& result,
                              std::string& error) {
@@ -229,19 +230,21 @@
   });
 }
 
-retry::ClaimId TicketDesk::ClaimOf(core::RequestId request) const {
+retry::ClaimId TicketManager::ClaimOf(core::RequestId request) const {
   return {.entry = directory_.own_entry(),
           .incarnation = incarnation_,
           .request = request};
 }
 
-retry::TicketAnswer TicketDesk::Ask(const retry::TicketEvent& event) {
+retry::TicketAnswer TicketManager::Ask(const retry::TicketEvent& event) {
   std::vector<retry::TicketCommand> commands;
   issuer_.Handle(event, commands);
   return std::get<retry::TicketAnswer>(commands.front());
 }
 
-void TicketDesk::Send(Pending pending, core::TimePoint now, TicketOutput& out) {
+void TicketManager::Send(Pending pending,
+                         core::TimePoint now,
+                         TicketOutput& out) {
   if (pending.issuer.value() >= directory_.entry_count()) {
     out.events.push_back(
         ToEvent(pending, {.verdict = retry::TicketVerdict::kInvalid}));
@@ -256,8 +259,9 @@
   pending_.emplace(id, std::move(pending));
 }
 
-retry::RequestEvent TicketDesk::ClaimEvent(core::RequestId request,
-                                           const retry::TicketAnswer& answer) {
+retry::RequestEvent TicketManager::ClaimEvent(
+    core::RequestId request,
+    const retry::TicketAnswer& answer) {
   switch (answer.verdict) {
     case retry::TicketVerdict::kGranted:
       return retry::KeyGranted{.request = request};
@@ -273,16 +277,17 @@
                               .retry_after = kRetryAfter};
 }
 
-retry::RequestEvent TicketDesk::VoidEvent(core::RequestId request,
-                                          const retry::TicketAnswer& answer) {
+retry::RequestEvent TicketManager::VoidEvent(
+    core::RequestId request,
+    const retry::TicketAnswer& answer) {
   if (answer.verdict == retry::TicketVerdict::kVoid) {
     return retry::KeyVoided{.request = request};
   }
   return ClaimEvent(request, answer);
 }
 
-retry::RequestEvent TicketDesk::ToEvent(const Pending& pending,
-                                        const retry::TicketAnswer& answer) {
+retry::RequestEvent TicketManager::ToEvent(const Pending& pending,
+                                           const retry::TicketAnswer& answer) {
   return pending.voiding ? VoidEvent(pending.request, answer)
                          : ClaimEvent(pending.request, answer);
 }
--- a/packages/entry/src/ticket_desk_p.h
+++ b/packages/entry/src/ticket_manager_p.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_SRC_TICKET_DESK_P_H_
-#define ENTRY_SRC_TICKET_DESK_P_H_
+#ifndef ENTRY_SRC_TICKET_MANAGER_P_H_
+#define ENTRY_SRC_TICKET_MANAGER_P_H_
 
 #include <cstdint>
 #include <optional>
@@ -17,7 +17,7 @@
 
 namespace hickoryusher::entry {
 
-/// What the ticket desk asks the router thread to do.
+/// What the ticket manager asks the router thread to do.
 struct TicketOutput {
   std::vector<retry::RequestEvent> events;
   std::vector<PeerCall> calls;
@@ -25,11 +25,11 @@
 
 /// Claims and voids tickets, here for those that this process issued, at the
 /// issuing process for others, and answers the same calls of other processes.
-class TicketDesk {
+class TicketManager {
  public:
-  TicketDesk(const Directory& directory,
-             core::Incarnation incarnation,
-             std::uint64_t secret);
+  TicketManager(const Directory& directory,
+                core::Incarnation incarnation,
+                std::uint64_t secret);
 
   /// @returns @p count new tickets, or nothing if the count is out of range.
   std::optional<std::vector<std::string>> Issue(std::uint32_t count);
@@ -89,4 +89,4 @@
 
 }  // namespace hickoryusher::entry
 
-#endif  // ENTRY_SRC_TICKET_DESK_P_H_
+#endif  // ENTRY_SRC_TICKET_MANAGER_P_H_
--- a/packages/entry/tests/settings_fakes.cc
+++ b/packages/entry/tests/settings_fakes.cc
@@ -33,12 +33,13 @@
 SettingsProcess::SettingsProcess(store::FakePlatform& platform,
                                  std::string admin)
     : platform_(platform) {
-  desk_.emplace(SettingsDesk::Parts{.editor = MakeEditor(),
-                                    .peers = {core::EntryId(1)},
-                                    .admin_key_hash = std::move(admin),
-                                    .log = [this](const core::LogLine& line) {
-                                      log.emplace_back(line.text());
-                                    }});
+  manager_.emplace(
+      SettingsManager::Parts{.editor = MakeEditor(),
+                             .peers = {core::EntryId(1)},
+                             .admin_key_hash = std::move(admin),
+                             .log = [this](const core::LogLine& line) {
+                               log.emplace_back(line.text());
+                             }});
 }
 
 void SettingsProcess::Send(std::string_view method,
@@ -57,7 +58,7 @@
   if (!bearer.empty()) {
     request.headers = {{"Authorization", "Bearer " + std::string(bearer)}};
   }
-  desk_->Take(request, now_);
+  manager_->Take(request, now_);
   Settle();
 }
 
@@ -86,25 +87,25 @@
 }
 
 core::TimePoint SettingsProcess::next_due() const {
-  return std::min(desk_->next_timer(),
+  return std::min(manager_->next_timer(),
                   platform_.next_due().value_or(core::TimePoint::max()));
 }
 
 void SettingsProcess::Settle() {
-  desk_->Advance(now_);
+  manager_->Advance(now_);
   RunCommands();
   for (auto events = platform_.Advance(now_); !events.empty();
        events = platform_.Advance(now_)) {
     for (const store::Event& event : events) {
-      desk_->Handle(event, now_);
+      manager_->Handle(event, now_);
     }
     RunCommands();
   }
 }
 
 void SettingsProcess::RunCommands() {
-  for (auto commands = desk_->TakeCommands(); !commands.empty();
-       commands = desk_->TakeCommands()) {
+  for (auto commands = manager_->TakeCommands(); !commands.empty();
+       commands = manager_->TakeCommands()) {
     for (SettingsCommand& command : commands) {
       std::visit([this](auto& c) { Run(c); }, command);
     }
@@ -125,22 +126,22 @@
   if (reaches_store) {
     platform_.Send(now_, std::move(command));
   } else {
-    desk_->Handle(store::Unavailable{store::IdOf(command)}, now_);
+    manager_->Handle(store::Unavailable{store::IdOf(command)}, now_);
   }
 }
 
 void SettingsProcess::Run(const PeerCall& call) {
   PeerReply reply{.id = call.id, .text = std::nullopt};
   if (peer != nullptr) {
-    peer->desk().TakeCall({.id = core::RequestId(1u << 20U),
-                           .method = "POST",
-                           .path = call.path,
-                           .body = call.text});
-    for (SettingsCommand& command : peer->desk().TakeCommands()) {
+    peer->manager().TakeCall({.id = core::RequestId(1u << 20U),
+                              .method = "POST",
+                              .path = call.path,
+                              .body = call.text});
+    for (SettingsCommand& command : peer->manager().TakeCommands()) {
       reply.text = std::get<http::Response>(command).body;
     }
   }
-  desk_->Handle(reply, now_);
+  manager_->Handle(reply, now_);
 }
 
 void SettingsProcess::Run(const TreeMoved&) {
--- a/packages/entry/tests/settings_fakes.h
+++ b/packages/entry/tests/settings_fakes.h
@@ -7,14 +7,14 @@
 #include <vector>
 
 #include "settings/keys.h"
-#include "settings_desk_p.h"
+#include "settings_manager_p.h"
 #include "store/command.h"
 #include "store/event.h"
 #include "store_fake/fake_platform.h"
 
 namespace hickoryusher::entry {
 
-/// A settings desk with the platform in memory, one peer and a manual clock.
+/// A settings manager with the platform in memory, one peer and a manual clock.
 /// Responses and log lines are kept.
 class SettingsProcess {
  public:
@@ -43,7 +43,7 @@
 
   bool HasLog(std::string_view text) const;
 
-  SettingsDesk& desk() { return *desk_; }
+  SettingsManager& manager() { return *manager_; }
 
   SettingsProcess* peer = nullptr;  ///< Unreachable if null.
   bool reaches_store = true;
@@ -62,7 +62,7 @@
   store::FakePlatform& platform_;
   core::TimePoint now_{std::chrono::seconds(1000)};
   std::uint64_t next_request_ = 1;
-  std::optional<SettingsDesk> desk_;
+  std::optional<SettingsManager> manager_;
 };
 
 }  // namespace hickoryusher::entry
--- a/packages/entry/tests/settings_desk_test.cc
+++ b/packages/entry/tests/settings_manager_test.cc
@@ -75,7 +75,7 @@
     CHECK(f.Body() == "{\"reason\":\"" + row.reason + "\"}");
     CHECK(f.process.HasLog("reason=" + row.reason));
   }
-  CHECK(f.process.desk().tree().Find(kCapacity) == nullptr);
+  CHECK(f.process.manager().tree().Find(kCapacity) == nullptr);
 }
 
 // Guards against outcomes that are reported as others, and against accepted or
@@ -150,14 +150,14 @@
   SettingsProcess cut_off(f.platform, f.admin.hash);
   cut_off.reaches_store = false;
   cut_off.Settle();
-  CHECK_FALSE(cut_off.desk().ready());
+  CHECK_FALSE(cut_off.manager().ready());
   cut_off.Send("GET", "/v1/settings", f.admin.bearer);
   CHECK(cut_off.responses.back().status == 503);
   CHECK(cut_off.responses.back().body == R"({"reason":"settings_not_ready"})");
 
   cut_off.peer = &f.process;
   cut_off.Pass(std::chrono::milliseconds(600));
-  CHECK(cut_off.desk().ready());
+  CHECK(cut_off.manager().ready());
   f.process.Submit("c1", kCapacity, "5", 0, f.admin.bearer);
   f.process.Pass(kPollInterval);
   cut_off.Pass(std::chrono::milliseconds(600));
--- a/packages/settings/tests/editor_test.cc
+++ b/packages/settings/tests/editor_test.cc
@@ -10,7 +10,7 @@
 constexpr const char* kPath = "/teams/carnet/services/diary/enabled";
 
 /// An editor with one change, answered by hand.
-struct Desk {
+struct EditorHarness {
   chart::Chart chart =
       chart_yaml::Loader()
           .LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/settings_revision.yaml")
@@ -21,7 +21,7 @@
           .value();
   core::TimePoint now{};
 
-  explicit Desk(const Change& change, const Tree& tree = {}) {
+  explicit EditorHarness(const Change& change, const Tree& tree = {}) {
     REQUIRE(editor.Submit(now, change, tree));
   }
   template <typename Command>
@@ -54,19 +54,19 @@
 // Guards against a write that is sent again before its id is read back, and
 // against a read that finds it being taken for another change.
 TEST_CASE("a write without an answer is resolved by its change id") {
-  Desk desk(MakeChange());
-  desk.FindNothing();
-  desk.ReadNothing();
-  const auto write = desk.Expect<WriteChange>();
+  EditorHarness harness(MakeChange());
+  harness.FindNothing();
+  harness.ReadNothing();
+  const auto write = harness.Expect<WriteChange>();
   CHECK(write.revision == 1);
-  desk.editor.Handle(desk.now, NoAnswer{write.serial});
-  const auto read = desk.Expect<ReadOutcome>();
+  harness.editor.Handle(harness.now, NoAnswer{write.serial});
+  const auto read = harness.Expect<ReadOutcome>();
   CHECK(read.change_id == "c-1");
   // The late answer of the write belongs to an earlier command.
-  desk.editor.Handle(desk.now, HeadMoved{write.serial});
-  desk.editor.Handle(desk.now,
-                     OutcomeRead{.serial = read.serial, .revision = 1});
-  const auto results = desk.editor.TakeResults();
+  harness.editor.Handle(harness.now, HeadMoved{write.serial});
+  harness.editor.Handle(harness.now,
+                        OutcomeRead{.serial = read.serial, .revision = 1});
+  const auto results = harness.editor.TakeResults();
   REQUIRE(results.size() == 1);
   CHECK(std::get<Accepted>(results[0].outcome).revision == 1);
 }
@@ -75,24 +75,24 @@
 // can still take effect.
 TEST_CASE("the deadline tells not written from unknown") {
   for (const bool resubmitted : {false, true}) {
-    Desk desk(MakeChange(resubmitted));
-    CHECK_FALSE(desk.editor.Submit(desk.now, {.id = "c-2"}, Tree()));
+    EditorHarness harness(MakeChange(resubmitted));
+    CHECK_FALSE(harness.editor.Submit(harness.now, {.id = "c-2"}, Tree()));
     std::vector<EditResult> results;
     while (results.empty()) {
-      for (const EditCommand& command : desk.editor.TakeCommands()) {
-        desk.editor.Handle(
-            desk.now, NotRun{std::visit([](const auto& c) { return c.serial; },
-                                        command)});
+      for (const EditCommand& command : harness.editor.TakeCommands()) {
+        harness.editor.Handle(
+            harness.now, NotRun{std::visit(
+                             [](const auto& c) { return c.serial; }, command)});
       }
-      desk.now = desk.editor.next_due().value();
-      desk.editor.Advance(desk.now);
-      results = desk.editor.TakeResults();
+      harness.now = harness.editor.next_due().value();
+      harness.editor.Advance(harness.now);
+      results = harness.editor.TakeResults();
     }
-    CHECK(desk.now.time_since_epoch() == Editor::Options().deadline);
+    CHECK(harness.now.time_since_epoch() == Editor::Options().deadline);
     CHECK(std::holds_alternative<Unknown>(results[0].outcome) == resubmitted);
     CHECK(std::holds_alternative<NotWritten>(results[0].outcome) !=
           resubmitted);
-    CHECK_FALSE(desk.editor.next_due().has_value());
+    CHECK_FALSE(harness.editor.next_due().has_value());
   }
 }
 
@@ -104,14 +104,15 @@
       {.path = kPath, .value = false, .revision = 2, .change_id = "other"}};
   Tree tree;
   REQUIRE(tree.Apply({.head = 2, .entries = log}));
-  Desk desk(MakeChange(true), tree);
-  desk.FindNothing();
-  desk.ReadNothing();
-  const auto command = desk.Expect<ReadChanges>();
+  EditorHarness harness(MakeChange(true), tree);
+  harness.FindNothing();
+  harness.ReadNothing();
+  const auto command = harness.Expect<ReadChanges>();
   CHECK(command.after == 0);
-  desk.editor.Handle(desk.now, ChangesRead{.serial = command.serial,
-                                           .delta = MakeDelta(0, log, false)});
-  const auto results = desk.editor.TakeResults();
+  harness.editor.Handle(
+      harness.now,
+      ChangesRead{.serial = command.serial, .delta = MakeDelta(0, log, false)});
+  const auto results = harness.editor.TakeResults();
   REQUIRE(results.size() == 1);
   CHECK(std::get<Accepted>(results[0].outcome).revision == 1);
 }
