Build with sanitizers despite GCC 12's false reports

The plain build does not report them and keeps the warning.

Ruled out: turning the warning off everywhere, and rewriting the three places (any use of std::regex or a moved variant can bring it back).

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,7 +5,10 @@
   -Wall -Wextra -Werror -Wno-missing-field-initializers)
 if(HICKORYUSHER_SANITIZER)
   target_compile_options(hickoryusher_options INTERFACE
-    -fsanitize=${HICKORYUSHER_SANITIZER} -fno-omit-frame-pointer)
+    -fsanitize=${HICKORYUSHER_SANITIZER} -fno-omit-frame-pointer
+    # With -fsanitize, GCC 12 reports this inside the standard library's regex
+    # and variant; the plain build keeps the warning.
+    -Wno-maybe-uninitialized)
   target_link_options(hickoryusher_options INTERFACE -fsanitize=${HICKORYUSHER_SANITIZER})
 endif()
 install(TARGETS hickoryusher_options EXPORT hickoryusherTargets)
