--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -2,13 +2,16 @@
 add_library(hickoryusher_options INTERFACE)
 # Designated initializers may leave members at their defaults, which GCC 12 reports.
 target_compile_options(hickoryusher_options INTERFACE
-  -Wall -Wextra -Werror -Wno-missing-field-initializers)
+  -Wall -Wextra -Werror -Wno-missing-field-initializers
+  # GCC 12 reports this inside moves of std::variant and, with -fsanitize, inside
+  # the standard library's regex. clang-tidy's analyzer and the sanitizer builds
+  # look for reads of uninitialized values.
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>
+  # At -O3, GCC 12 reports this for "text" + std::string (GCC bug 105651).
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 if(HICKORYUSHER_SANITIZER)
   target_compile_options(hickoryusher_options INTERFACE
-    -fsanitize=${HICKORYUSHER_SANITIZER} -fno-omit-frame-pointer
-    # With -fsanitize, GCC 12 reports this inside the standard library's regex
-    # and variant; the plain build keeps the warning.
-    -Wno-maybe-uninitialized)
+    -fsanitize=${HICKORYUSHER_SANITIZER} -fno-omit-frame-pointer)
   target_link_options(hickoryusher_options INTERFACE -fsanitize=${HICKORYUSHER_SANITIZER})
 endif()
 install(TARGETS hickoryusher_options EXPORT hickoryusherTargets)
--- a/packages/entry/app/main.cc
+++ b/packages/entry/app/main.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <string>
 
 #include "config/process_settings.h"
 #include "entry/process.h"
+#include "platform/run.h"
 
 namespace {
 
@@ -23,6 +25,8 @@
   std::string config;
   bool check_only = false;
   bool first_start = false;
+  bool on_platform = false;
+  std::string chart_folder;
 };
 
 std::optional<Arguments> ParseArguments(int argc, char** argv, int& exit_code) {
@@ -33,7 +37,13 @@
       "first-start",
       "first start of the deployment: no earlier process can hold slots")(
       "check-config", po::value<std::string>(),
-      "check this settings file and exit");
+      "check this settings file and exit")(
+      "platform",
+      "run on the users' platform; --config and --check-config then name the "
+      "platform's settings file, by default the one in HICKORYUSHER_CONFIG")(
+      "charts", po::value<std::string>()->default_value("charts"),
+      "folder of the state charts, with --platform")(
+      "version", "print the version");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -42,13 +52,27 @@
       exit_code = kExitOk;
       return std::nullopt;
     }
+    if (values.contains("version")) {
+      std::cout << "hickoryusher " HICKORYUSHER_VERSION "\n";
+      exit_code = kExitOk;
+      return std::nullopt;
+    }
+    Arguments arguments{.first_start = values.contains("first-start"),
+                        .on_platform = values.contains("platform"),
+                        .chart_folder = values["charts"].as<std::string>()};
     if (values.contains("check-config")) {
-      return Arguments{.config = values["check-config"].as<std::string>(),
-                       .check_only = true};
+      arguments.config = values["check-config"].as<std::string>();
+      arguments.check_only = true;
+      return arguments;
     }
     if (values.contains("config")) {
-      return Arguments{.config = values["config"].as<std::string>(),
-                       .first_start = values.contains("first-start")};
+      arguments.config = values["config"].as<std::string>();
+      return arguments;
+    }
+    const char* path = std::getenv(hickoryusher::platform::kSettingsVariable);
+    if (arguments.on_platform && path != nullptr) {
+      arguments.config = path;
+      return arguments;
     }
     std::cerr << "one of --config and --check-config is required\n" << options;
   } catch (const po::error& error) {
@@ -98,6 +122,12 @@
   if (!arguments) {
     return exit_code;
   }
+  if (arguments->on_platform) {
+    return arguments->check_only
+               ? hickoryusher::platform::CheckSettings(arguments->config)
+               : hickoryusher::platform::Run(arguments->config,
+                                             arguments->chart_folder);
+  }
   Loader loader;
   auto settings = loader.LoadFile(arguments->config);
   if (!settings) {
--- /dev/null
+++ b/packages/jobs/include/jobs/intake.h
@@ -0,0 +1,149 @@
+#ifndef JOBS_INTAKE_H_
+#define JOBS_INTAKE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/log_line.h"
+#include "core/time.h"
+#include "jobs/queues.h"
+#include "jobs/rows.h"
+#include "jobs/slice_board.h"
+#include "jobs/slice_scheduler.h"
+#include "jobs/table_follower.h"
+
+namespace hickoryusher::jobs {
+
+enum class ClientVerb { kSubmit, kQuery, kCancel };
+
+/// What a caller asks for. The path names a queue, and a job behind it; a
+/// query without a job asks for the number of waiting jobs.
+struct ClientCall {
+  core::RequestId request;
+  ClientVerb verb = ClientVerb::kQuery;
+  std::string host;
+  std::string path;
+  std::string document;       ///< Of kSubmit.
+  std::string document_error;  ///< Why the document cannot be read, if so.
+  core::TimePoint give_up;  ///< When the caller stops waiting for an answer.
+};
+
+enum class Refusal {
+  kNotConfigured,  ///< No configuration has been read yet.
+  kStoreDown,      ///< The job was not stored.
+  kUnknownQueue,
+  kBadDocument,
+  kNoSuchJob,
+  kUnknownOutcome,  ///< The job may have been stored.
+};
+
+std::string_view ToString(Refusal refusal);
+
+/// The job is stored (kSubmit) or its cancellation is (kCancel).
+struct CallDone {};
+
+struct JobState {
+  JobPhase phase = JobPhase::kQueued;
+};
+
+struct PendingJobs {
+  std::uint32_t count = 0;
+};
+
+struct CallRefused {
+  Refusal refusal = Refusal::kUnknownOutcome;
+  std::string detail;
+  std::optional<core::Duration> retry_after;
+};
+
+using ClientResult =
+    std::variant<CallDone, JobState, PendingJobs, CallRefused>;
+
+struct ClientAnswer {
+  core::RequestId request;
+  ClientResult result;
+};
+
+/// @returns the index of the slice that a job belongs to.
+std::size_t SliceOfJob(std::string_view job, std::size_t slice_count);
+
+/// Answers callers: stores jobs and cancellations, reads states. Keeps no
+/// state of jobs itself, so that every process can answer for every job.
+class Intake {
+ public:
+  struct Options {
+    std::vector<SliceInfo> slices;
+    std::function<void(const core::LogLine&)> log;
+  };
+
+  Intake(Options options, CallIds& ids)
+      : options_(std::move(options)), ids_(ids) {}
+
+  void SetConfig(QueueConfigPtr config) { config_ = std::move(config); }
+
+  /// @param unix_ms time of day at @p now.
+  void Take(ClientCall call, core::TimePoint now, std::int64_t unix_ms);
+  void Handle(const StoreEvent& event, core::TimePoint now);
+
+  /// Sends again what is due, and gives up on what has no time left.
+  void Run(core::TimePoint now);
+
+  /// Notes an answer, or its absence, to another reader of the same store.
+  void NoteStore(const StoreEvent& event, core::TimePoint now);
+
+  std::vector<StoreCommand> TakeCommands();
+  std::vector<ClientAnswer> TakeAnswers();
+  core::TimePoint next_timer() const;
+
+ private:
+  /// A call that waits for the store.
+  struct Pending {
+    ClientCall call;
+    std::string job;
+    std::string queue;
+    std::size_t slice = 0;
+    StoreCommand command;
+    /// An attempt was not answered, so it may have taken effect.
+    bool unanswered = false;
+    bool in_flight = true;
+    core::TimePoint send_at;
+  };
+
+  void Answer(const ClientCall& call, ClientResult result);
+  void Refuse(const ClientCall& call, Refusal refusal, std::string detail = {});
+  void Submit(ClientCall call,
+              const Queue& queue,
+              std::string job,
+              std::int64_t unix_ms);
+  void ReadState(ClientCall call, const Queue& queue, std::string job);
+  void CountPending(ClientCall call, const Queue& queue);
+  void Send(Pending pending);
+  void Finish(Pending pending, const StoreEvent& event);
+  void FinishRead(Pending pending, const RowsRead& read);
+  void FinishCount(const Pending& pending, const RowsRead& read);
+  void SendCancel(Pending pending, RowVersion version);
+  void GiveUp(const Pending& pending);
+  bool StoreIsDown(core::TimePoint now) const;
+
+  Options options_;
+  CallIds& ids_;
+  QueueConfigPtr config_;
+  core::TimePoint now_;
+  core::TimePoint last_success_;
+  core::TimePoint last_failure_;
+  core::TimePoint last_probe_;
+  std::unordered_map<CallId, Pending> pending_;
+  std::vector<StoreCommand> commands_;
+  std::vector<ClientAnswer> answers_;
+};
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_INTAKE_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/job_table.h
@@ -0,0 +1,122 @@
+#ifndef JOBS_JOB_TABLE_H_
+#define JOBS_JOB_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chart/chart.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "jobs/progress.h"
+#include "jobs/queues.h"
+#include "jobs/types.h"
+
+namespace hickoryusher::jobs {
+
+struct Job;
+
+/// One task of a job. Its state is a state of the chart `task_run`.
+struct Task {
+  Job* job = nullptr;
+  std::uint32_t number = 0;  ///< Within the job.
+  std::uint32_t group = 0;   ///< Index into Job::groups.
+  chart::StateId state;
+  core::WorkerId worker;  ///< Valid while a run may be there.
+  RunNumber run = 0;
+  std::uint32_t starts = 0;    ///< By this owner.
+  std::uint32_t failures = 0;  ///< Runs that ended `failed`.
+  std::uint32_t resends = 0;   ///< Of the current order.
+  std::string checkpoint;
+  std::uint32_t percent = 0;
+  double usage = 0;  ///< As in ActiveRun.
+  std::uint32_t pace_percent = 100;  ///< As last ordered.
+  core::WorkerId last_failed_on;
+  core::TimePoint not_before;  ///< No order before this.
+  bool stop_unanswered = false;
+  core::TimePoint started;     ///< When the current run was first known.
+  core::TimePoint advanced;    ///< When `percent` last grew.
+  /// A report on a request sent later than this that does not list the run
+  /// proves that it is not there. max() while an order is unanswered.
+  core::TimePoint settled = core::TimePoint::max();
+};
+
+/// The tasks of one step in one occurrence.
+struct Group {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t first = 0;  ///< Number of its first task.
+  std::uint32_t count = 0;
+  std::uint32_t open = 0;  ///< Tasks that are not done.
+  bool unblocked = false;
+};
+
+struct Job {
+  JobSpec spec;
+  Queue queue;  ///< As last configured.
+  JobPhase phase = JobPhase::kQueued;
+  bool halted = false;    ///< No task may start any more.
+  bool restored = false;  ///< An earlier owner may have started tasks.
+  std::int64_t accepted_unix_ms = 0;
+  core::TimePoint objective;  ///< When the job should be completed.
+  core::TimePoint worthless;  ///< Completed later, it is of no use.
+  std::vector<Group> groups;
+  std::vector<Task> tasks;
+
+  const StepSpec& StepOf(const Group& group) const {
+    return spec.steps[group.step];
+  }
+  const StepSpec& StepOf(const Task& task) const {
+    return StepOf(groups[task.group]);
+  }
+  std::span<Task> TasksOf(const Group& group) {
+    return std::span(tasks).subspan(group.first, group.count);
+  }
+  TaskAddress AddressOf(const Task& task) const;
+
+  /// @returns the task, or nullptr.
+  Task* Find(const TaskAddress& address);
+
+  /// @returns when occurrence @p occurrence is due, in Unix time.
+  std::int64_t DueUnixMs(std::uint32_t occurrence) const;
+
+  Progress ToProgress(chart::StateId done_state) const;
+};
+
+/// @returns the run time of the job's longest chain of steps, as declared.
+core::Duration LongestChain(const JobSpec& spec);
+
+/// The open jobs of one slice.
+class JobTable {
+ public:
+  explicit JobTable(chart::StateId initial) : initial_(initial) {}
+
+  /// Adds a job whose id is not in the table.
+  Job& Add(JobSpec spec);
+
+  /// @returns the job, or nullptr.
+  Job* Find(std::string_view id);
+  void Remove(std::string_view id);
+
+  std::size_t size() const { return jobs_.size(); }
+
+  template <typename Function>
+  void ForEach(Function function) {
+    for (auto& [id, job] : jobs_) {
+      function(*job);
+    }
+  }
+
+ private:
+  chart::StateId initial_;
+  std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
+};
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_JOB_TABLE_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/rows.h
@@ -0,0 +1,130 @@
+#ifndef JOBS_ROWS_H_
+#define JOBS_ROWS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+#include "jobs/types.h"
+
+/// Commands to the platform's transactional table store, and their answers.
+namespace hickoryusher::jobs {
+
+/// Number of the transaction that last wrote a row; 0 for an absent row.
+using RowVersion = std::uint64_t;
+
+/// Rows of one `part` share transactions.
+struct RowKey {
+  std::string table;
+  std::string part;
+  std::string key;
+
+  bool operator==(const RowKey&) const = default;
+};
+
+struct Row {
+  RowKey key;
+  std::string value;
+  RowVersion version = 0;
+  bool removed = false;
+};
+
+struct RowCondition {
+  RowKey key;
+  RowVersion version = 0;
+};
+
+struct RowPut {
+  RowKey key;
+  std::string value;
+};
+
+/// Writes everything or nothing.
+struct CommitRows {
+  CallId call;
+  std::vector<RowCondition> conditions;
+  std::vector<RowPut> puts;
+  std::vector<RowKey> removals;
+  bool several_parts = false;
+};
+
+/// Reads rows from key `from` on, before key `to` unless that is empty.
+struct ReadRows {
+  CallId call;
+  std::string table;
+  std::string part;
+  std::string from;
+  std::string to;
+  std::uint32_t limit = 500;  ///< Rows in one answer.
+};
+
+/// Waits for rows of a table that changed after a version.
+struct FollowRows {
+  CallId call;
+  std::string table;
+  RowVersion after = 0;
+  core::Duration wait{};
+};
+
+using StoreCommand = std::variant<CommitRows, ReadRows, FollowRows>;
+
+struct RowsCommitted {
+  CallId call;
+  RowVersion version = 0;
+};
+
+/// A condition did not hold; nothing was written.
+struct RowsConflicted {
+  CallId call;
+  std::vector<Row> present;
+};
+
+struct RowsRead {
+  CallId call;
+  std::vector<Row> rows;
+  bool more = false;
+  RowVersion version = 0;  ///< Newest transaction that the read includes.
+};
+
+struct RowsChanged {
+  CallId call;
+  std::vector<Row> rows;
+  RowVersion version = 0;  ///< Continue after this one.
+};
+
+/// The history that FollowRows asked for has been discarded.
+struct HistoryLost {
+  CallId call;
+};
+
+/// The store did nothing.
+struct StoreRefused {
+  CallId call;
+};
+
+/// No answer: a write may have taken effect, or may do so seconds later.
+struct StoreUnanswered {
+  CallId call;
+};
+
+using StoreEvent = std::variant<RowsCommitted,
+                                RowsConflicted,
+                                RowsRead,
+                                RowsChanged,
+                                HistoryLost,
+                                StoreRefused,
+                                StoreUnanswered>;
+
+inline CallId CallOf(const StoreEvent& event) {
+  return std::visit([](const auto& e) { return e.call; }, event);
+}
+
+inline CallId CallOf(const StoreCommand& command) {
+  return std::visit([](const auto& c) { return c.call; }, command);
+}
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_ROWS_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -0,0 +1,125 @@
+#ifndef JOBS_SLICE_BOARD_H_
+#define JOBS_SLICE_BOARD_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "chart/chart.h"
+#include "chart/interpreter.h"
+#include "core/ids.h"
+#include "core/log_line.h"
+#include "jobs/rows.h"
+#include "jobs/table_follower.h"
+
+namespace hickoryusher::jobs {
+
+/// A share of all jobs, together with the workers of one failure domain.
+struct SliceInfo {
+  std::string name;
+  std::string failure_domain;
+};
+
+/// This process may schedule the slice from now on.
+struct SliceGained {
+  core::SliceId slice;
+  Epoch epoch = 0;
+  /// Version of the slice's fence row: a condition of every write for it.
+  RowVersion fence_version = 0;
+};
+
+struct SliceLost {
+  core::SliceId slice;
+};
+
+using SliceNotice = std::variant<SliceGained, SliceLost>;
+
+/// @returns the key of the row whose version fences a slice's writes.
+RowKey FenceRow(std::string_view slice);
+
+/// Decides which slices this process owns, by conditional writes of one row a
+/// slice that the owner renews.
+///
+/// @remarks An owner that cannot renew goes on for kOwnerGrace, because the
+/// store may be down for everybody: workers refuse it as soon as a successor
+/// has given them an order, and a successor waits kOwnerGrace for those that
+/// it cannot reach.
+class SliceBoard {
+ public:
+  /// How long an owner goes on without a renewal. The store's usual outages
+  /// last up to 9 s.
+  static constexpr core::Duration kOwnerGrace = std::chrono::seconds(12);
+
+  struct Options {
+    std::string process;      ///< Unique among running processes.
+    std::string incarnation;  ///< Unique among the runs of this process.
+    std::string failure_domain;
+    std::vector<SliceInfo> slices;
+    std::function<void(const core::LogLine&)> log;
+  };
+
+  /// @param chart must outlive the board.
+  /// @param problems receives what does not fit.
+  static std::unique_ptr<SliceBoard> Create(
+      Options options,
+      const chart::Chart& chart,
+      CallIds& ids,
+      std::vector<chart::Problem>& problems);
+
+  SliceBoard(const SliceBoard&) = delete;
+  SliceBoard& operator=(const SliceBoard&) = delete;
+  ~SliceBoard();
+
+  /// Issues commands that are due.
+  void Run(core::TimePoint now);
+  void Handle(const StoreEvent& event, core::TimePoint now);
+
+  /// A worker has refused an order of this epoch.
+  void Depose(core::SliceId slice, core::TimePoint now);
+
+  /// Hands all slices over and claims none from now on.
+  void ReleaseAll(core::TimePoint now);
+
+  std::vector<StoreCommand> TakeCommands();
+  std::vector<SliceNotice> TakeNotices();
+  core::TimePoint next_timer() const;
+  bool owns_any() const;
+
+ private:
+  struct Slice;
+  struct Context;
+
+  SliceBoard(Options options, const chart::Chart& chart, CallIds& ids);
+  static chart::Bindings<Context> MakeBindings();
+  void Dispatch(Slice& slice, std::string_view event, core::TimePoint now);
+  void TakeList(const RowsRead& read, core::TimePoint now);
+  void Observe(Slice& slice, const Row* row, core::TimePoint now);
+  void TakeWriteResult(Slice& slice,
+                       const StoreEvent& event,
+                       core::TimePoint now);
+  void TakeConflict(Slice& slice,
+                    const RowsConflicted& conflict,
+                    core::TimePoint now);
+  bool MayClaim(const Slice& slice, core::TimePoint now) const;
+  void SendWrite(Slice& slice, bool claim, bool release, core::TimePoint now);
+
+  Options options_;
+  const chart::Chart& chart_;
+  CallIds& ids_;
+  std::optional<chart::Interpreter<Context>> interpreter_;
+  std::vector<Slice> slices_;
+  std::optional<CallId> list_call_;
+  core::TimePoint list_sent_;
+  core::TimePoint next_list_;
+  bool releasing_ = false;
+  std::vector<StoreCommand> commands_;
+  std::vector<SliceNotice> notices_;
+};
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_SLICE_BOARD_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -0,0 +1,237 @@
+#ifndef JOBS_SLICE_SCHEDULER_H_
+#define JOBS_SLICE_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "chart/chart.h"
+#include "chart/interpreter.h"
+#include "core/log_line.h"
+#include "jobs/job_table.h"
+#include "jobs/queues.h"
+#include "jobs/rows.h"
+#include "jobs/slice_board.h"
+#include "jobs/table_follower.h"
+#include "jobs/worker_calls.h"
+#include "jobs/worker_pool.h"
+
+namespace hickoryusher::jobs {
+
+/// Names of the rows that hold a slice's jobs.
+std::string JobTableName(std::string_view slice);
+RowKey JobRow(std::string_view slice, std::string_view job);
+RowKey CancelRow(std::string_view slice, std::string_view job);
+RowKey ProgressRow(std::string_view slice, std::string_view job);
+RowKey LoadRow(std::string_view slice);
+
+/// A job as its caller handed it in, with what intake knows about it.
+struct StoredJob {
+  std::string queue;
+  std::int64_t accepted_unix_ms = 0;
+  std::string document;
+};
+
+std::string EncodeStoredJob(const StoredJob& job);
+std::optional<StoredJob> DecodeStoredJob(std::string_view text);
+
+/// Jobs of each queue for which no task has started.
+using PendingCounts = std::map<std::string, std::uint32_t, std::less<>>;
+
+std::string EncodePending(const PendingCounts& counts);
+std::optional<PendingCounts> DecodePending(std::string_view text);
+
+/// Limits that the platform sets.
+struct FleetLimits {
+  core::Duration longest_lease{};
+  core::Duration keep_final_jobs{};  ///< How long their state can be asked for.
+};
+
+/// The charts that a SliceScheduler interprets.
+struct SliceCharts {
+  const chart::Chart& task_run;
+  const chart::Chart& worker_contact;
+};
+
+/// Runs the jobs of one slice on the slice's workers, as its owner.
+///
+/// @remarks Workers are the record of what runs: the first answer to an order
+/// with this owner's epoch lists everything that can still run there. A start
+/// therefore needs no write. Ends are acknowledged to the worker once they are
+/// stored.
+class SliceScheduler {
+ public:
+  struct Options {
+    SliceInfo slice;
+    core::SliceId id;
+    Epoch epoch = 0;
+    RowVersion fence_version = 0;
+    FleetLimits limits;
+    /// Reads a job's document; nothing if it cannot be read.
+    std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
+    std::function<void(const core::LogLine&)> log;
+  };
+
+  /// @param charts must outlive the scheduler.
+  static std::unique_ptr<SliceScheduler> Create(
+      Options options,
+      SliceCharts charts,
+      CallIds& ids,
+      core::TimePoint now,
+      std::vector<chart::Problem>& problems);
+
+  SliceScheduler(const SliceScheduler&) = delete;
+  SliceScheduler& operator=(const SliceScheduler&) = delete;
+  ~SliceScheduler();
+
+  void SetConfig(QueueConfigPtr config, core::TimePoint now);
+
+  /// The registry's entries for workers of the slice's failure domain.
+  void TakeWorker(const WorkerEntry& entry, core::TimePoint now);
+  void TakeWorkerGone(std::string_view id, core::TimePoint now);
+
+  void Handle(const StoreEvent& event, core::TimePoint now);
+  void Handle(const WorkerEvent& event, core::TimePoint now);
+
+  /// Does what is due. @param unix_ms time of day at @p now.
+  void Run(core::TimePoint now, std::int64_t unix_ms);
+
+  std::vector<StoreCommand> TakeStoreCommands();
+  std::vector<WorkerCommand> TakeWorkerCommands();
+  core::TimePoint next_timer() const { return next_timer_; }
+
+  /// @returns true once a worker has refused this epoch.
+  bool deposed() const { return deposed_; }
+  core::SliceId slice() const { return options_.id; }
+
+ private:
+  struct TaskContext;
+  struct ContactContext;
+  struct TaskCall {
+    std::string job;
+    std::uint32_t number = 0;
+    RunNumber run = 0;
+  };
+  struct RenewalCall {
+    core::WorkerId worker;
+  };
+  using PendingCall = std::variant<TaskCall, RenewalCall>;
+
+  /// Writes that wait for an answer.
+  struct Commit {
+    CommitRows rows;
+    std::vector<std::string> jobs;
+    std::vector<std::pair<core::WorkerId, std::uint64_t>> ends;
+  };
+
+  SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
+  static chart::Bindings<TaskContext> MakeTaskBindings();
+  static chart::Bindings<ContactContext> MakeContactBindings();
+
+  // Jobs and their rows.
+  void TakeRow(const Row& row);
+  void TakeJobRow(const Row& row);
+  void AddJob(const Row& row, JobSpec spec, const StoredJob& stored);
+  void ApplyProgress(Job& job, const Progress& progress);
+  void TakeProgressPage(const RowsRead& page);
+  void RefreshQueue(Job& job);
+  void Unblock(Job& job);
+  bool IsUnblocked(const Job& job, const Group& group) const;
+  void Halt(Job& job, JobPhase phase);
+  void SettlePhase(Job& job);
+
+  // Tasks.
+  void Dispatch(Task& task, std::string_view event, const EndedRun* end = {});
+  void SendStart(Task& task);
+  void SendStop(Task& task);
+  void NoteRunning(Task& task);
+  void LeaveWorker(Task& task);
+  bool IsState(const Task& task, std::string_view state) const;
+
+  // Workers.
+  void DispatchContact(Worker& worker, std::string_view event);
+  void TakeOrderAnswer(const TaskCall& call, const OrderAnswered& answer);
+  void TakeStopAnswer(Task& task, const OrderAnswered& answer);
+  void TakeRenewal(Worker& worker, const LeaseAnswered& answer);
+  void TakeReport(Worker& worker, const WorkerReport& report);
+  void TakeEnd(Worker& worker, const EndedRun& end);
+  void TakeActive(Worker& worker, const ActiveRun& run);
+  void DropMissing(Worker& worker, const WorkerReport& report);
+  void StopUnknown(Worker& worker, const ActiveRun& run);
+  void JudgeWorker(Worker& worker, EndKind kind);
+  void RenewLeases();
+  void RenewLease(Worker& worker);
+  void NoteLease(Worker& worker, std::int64_t until_ms);
+  std::int64_t LeaseUntil(const Worker& worker) const;
+  void AdjustPace(Worker& worker);
+  bool AllConfirmed() const;
+  bool MayUse(const Worker& worker) const;
+
+  // Placement.
+  void Place();
+  void PlaceGroup(Job& job, Group& group);
+  void PlaceGang(Job& job, Group& group);
+  Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
+  double Score(const Worker& worker, const StepSpec& step) const;
+  bool IsReady(const Task& task) const;
+
+  // Commits.
+  void MarkDirty(Job& job, bool urgent);
+  void StartCommit();
+  void FinishCommit(const StoreEvent& event);
+  void CollectRemovals(Commit& commit);
+  void PublishLoad();
+
+  Options options_;
+  SliceCharts charts_;
+  CallIds& ids_;
+  std::optional<chart::Interpreter<TaskContext>> task_chart_;
+  std::optional<chart::Interpreter<ContactContext>> contact_chart_;
+  QueueConfigPtr config_;
+  core::TimePoint now_;
+  std::int64_t unix_ms_ = 0;
+  core::TimePoint next_timer_;
+  bool deposed_ = false;
+  core::TimePoint gained_;
+
+  JobTable jobs_;
+  WorkerPool workers_;
+  TableFollower job_rows_;
+  std::optional<CallId> progress_read_;
+  std::string progress_from_;
+  bool progress_loaded_ = false;
+  core::TimePoint progress_retry_;
+  std::map<std::string, Progress, std::less<>> stored_progress_;
+  std::vector<Row> early_rows_;  ///< Seen before the progress was read.
+
+  std::unordered_map<CallId, PendingCall> calls_;
+  bool placement_due_ = false;
+
+  std::set<std::string> dirty_;
+  core::TimePoint commit_due_ = core::TimePoint::max();
+  std::optional<Commit> commit_;
+  core::TimePoint commit_retry_;
+  std::deque<std::pair<core::TimePoint, std::string>> final_jobs_;
+
+  PendingCounts published_;
+  bool load_published_ = false;
+  core::TimePoint next_load_;
+  std::optional<CallId> load_call_;
+
+  std::vector<StoreCommand> store_commands_;
+  std::vector<WorkerCommand> worker_commands_;
+};
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_SLICE_SCHEDULER_H_
--- /dev/null
+++ b/packages/jobs/src/job_table.cc
@@ -0,0 +1,103 @@
+#include "jobs/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryusher::jobs {
+
+TaskAddress Job::AddressOf(const Task& task) const {
+  const Group& group = groups[task.group];
+  return {.job = spec.id,
+          .occurrence = group.occurrence,
+          .step = group.step,
+          .index = task.number - group.first};
+}
+
+Task* Job::Find(const TaskAddress& address) {
+  const auto group = std::ranges::find_if(groups, [&](const Group& g) {
+    return g.occurrence == address.occurrence && g.step == address.step;
+  });
+  if (group == groups.end() || address.index >= group->count) {
+    return nullptr;
+  }
+  return &tasks[group->first + address.index];
+}
+
+std::int64_t Job::DueUnixMs(std::uint32_t occurrence) const {
+  return spec.repeat_count == 0
+             ? 0
+             : spec.first_run_unix_ms +
+                   std::int64_t{occurrence} * spec.interval_ms;
+}
+
+Progress Job::ToProgress(chart::StateId done_state) const {
+  Progress progress{.phase = phase};
+  if (IsFinal(phase)) {
+    return progress;
+  }
+  for (const Task& task : tasks) {
+    if (task.state == done_state) {
+      progress.done.resize(task.number + 1);
+      progress.done[task.number] = true;
+    }
+    if (task.failures > 0) {
+      progress.failures.resize(task.number + 1);
+      progress.failures[task.number] = task.failures;
+    }
+  }
+  return progress;
+}
+
+core::Duration LongestChain(const JobSpec& spec) {
+  std::vector<core::Duration> ends(spec.steps.size());
+  core::Duration longest{};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    core::Duration start{};
+    for (const std::uint32_t before : spec.steps[i].after) {
+      start = std::max(start, ends[before]);
+    }
+    ends[i] = start + spec.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+Job& JobTable::Add(JobSpec spec) {
+  auto job = std::make_unique<Job>();
+  job->spec = std::move(spec);
+  const std::uint32_t occurrences = std::max(job->spec.repeat_count, 1U);
+  for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+    for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
+      Group group{.occurrence = occurrence,
+                  .step = step,
+                  .first = static_cast<std::uint32_t>(job->tasks.size()),
+                  .count = job->spec.steps[step].count};
+      group.open = group.count;
+      for (std::uint32_t i = 0; i < group.count; ++i) {
+        Task task;
+        task.job = job.get();
+        task.number = group.first + i;
+        task.group = static_cast<std::uint32_t>(job->groups.size());
+        task.state = initial_;
+        job->tasks.push_back(std::move(task));
+      }
+      job->groups.push_back(group);
+    }
+  }
+  Job& added = *job;
+  jobs_[added.spec.id] = std::move(job);
+  return added;
+}
+
+Job* JobTable::Find(std::string_view id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void JobTable::Remove(std::string_view id) {
+  if (const auto found = jobs_.find(id); found != jobs_.end()) {
+    jobs_.erase(found);
+  }
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_board.cc
@@ -0,0 +1,369 @@
+#include "jobs/slice_board.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include "core/overloaded.h"
+
+namespace hickoryusher::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kSliceTable = "slices";
+constexpr std::string_view kFenceTable = "slice_fences";
+constexpr std::string_view kReleased = "-";
+
+// A renewal and a look at all slices each second keep every process under two
+// store calls a second; a dead owner is noticed within 4 s, before the tasks'
+// leases of 6 s lapse.
+constexpr core::Duration kRenewInterval = milliseconds(1000);
+constexpr core::Duration kListInterval = milliseconds(1000);
+constexpr core::Duration kRetryPause = milliseconds(300);
+constexpr core::Duration kHolderSilence = milliseconds(2800);
+
+// Processes of the slice's own failure domain come first.
+constexpr core::Duration kOtherDomainDelay = milliseconds(4000);
+
+// Spreads the slices over the processes.
+constexpr core::Duration kDelayPerOwnedSlice = milliseconds(1000);
+
+/// What a slice's row says.
+struct Holding {
+  Epoch epoch = 0;
+  std::string process;
+  std::string incarnation;
+};
+
+std::string Encode(const Holding& holding) {
+  return std::to_string(holding.epoch) + ' ' + holding.process + ' ' +
+         holding.incarnation;
+}
+
+std::optional<Holding> DecodeHolding(const std::string& text) {
+  Holding holding;
+  std::istringstream in(text);
+  if (!(in >> holding.epoch >> holding.process >> holding.incarnation)) {
+    return std::nullopt;
+  }
+  return holding;
+}
+
+}  // namespace
+
+RowKey FenceRow(std::string_view slice) {
+  return {.table = std::string(kFenceTable),
+          .part = std::string(slice),
+          .key = "epoch"};
+}
+
+struct SliceBoard::Slice {
+  core::SliceId id;
+  SliceInfo info;
+  chart::StateId state;
+  Holding holding;
+  RowVersion version = 0;        ///< Of the slice's row, as last seen.
+  RowVersion claim_version = 0;  ///< Of this process's claim.
+  bool listed = false;
+  core::TimePoint unchanged_since;  ///< Seen without a gap since then.
+  std::optional<CallId> write;
+  core::TimePoint write_sent;
+  core::TimePoint renewed;  ///< When the last good renewal was sent.
+  core::TimePoint next_write;
+  Epoch claim_epoch = 0;
+};
+
+struct SliceBoard::Context {
+  SliceBoard& board;
+  Slice& slice;
+  core::TimePoint now;
+};
+
+SliceBoard::SliceBoard(Options options,
+                       const chart::Chart& chart,
+                       CallIds& ids)
+    : options_(std::move(options)), chart_(chart), ids_(ids) {}
+
+SliceBoard::~SliceBoard() = default;
+
+chart::Bindings<SliceBoard::Context> SliceBoard::MakeBindings() {
+  chart::Bindings<Context> bindings;
+  bindings
+      .Action("send_claim",
+              [](Context& c) {
+                c.board.SendWrite(c.slice, true, false, c.now);
+              })
+      .Action("send_release",
+              [](Context& c) {
+                c.board.SendWrite(c.slice, false, true, c.now);
+              })
+      .Action("note_renewal",
+              [](Context& c) { c.slice.renewed = c.slice.write_sent; })
+      .Action("announce_gain",
+              [](Context& c) {
+                c.slice.renewed = c.now;
+                c.slice.next_write = c.now + kRenewInterval;
+                c.board.notices_.push_back(
+                    SliceGained{.slice = c.slice.id,
+                                .epoch = c.slice.holding.epoch,
+                                .fence_version = c.slice.claim_version});
+              })
+      .Action("announce_loss", [](Context& c) {
+        c.slice.unchanged_since = c.now;
+        c.board.notices_.push_back(SliceLost{.slice = c.slice.id});
+      });
+  return bindings;
+}
+
+std::unique_ptr<SliceBoard> SliceBoard::Create(
+    Options options,
+    const chart::Chart& chart,
+    CallIds& ids,
+    std::vector<chart::Problem>& problems) {
+  std::unique_ptr<SliceBoard> board(
+      new SliceBoard(std::move(options), chart, ids));
+  board->interpreter_ =
+      chart::Interpreter<Context>::Bind(chart, MakeBindings(), problems);
+  if (!board->interpreter_) {
+    return nullptr;
+  }
+  for (const SliceInfo& info : board->options_.slices) {
+    Slice slice;
+    slice.id =
+        core::SliceId(static_cast<std::uint32_t>(board->slices_.size()));
+    slice.info = info;
+    slice.state = chart.initial();
+    board->slices_.push_back(std::move(slice));
+  }
+  return board;
+}
+
+void SliceBoard::Dispatch(Slice& slice,
+                          std::string_view event,
+                          core::TimePoint now) {
+  Context context{*this, slice, now};
+  const chart::StateId before = slice.state;
+  slice.state =
+      interpreter_->Dispatch(before, chart_.FindEvent(event), context).state;
+  if (slice.state != before) {
+    options_.log(core::LogLine("slice_ownership")
+                     .Add("slice", slice.info.name)
+                     .Add("cause", event)
+                     .Add("state", chart_.StateName(slice.state))
+                     .Add("epoch", slice.holding.epoch)
+                     .Add("holder", slice.holding.process));
+  }
+}
+
+bool SliceBoard::owns_any() const {
+  return std::ranges::any_of(slices_, [this](const Slice& slice) {
+    return chart_.StateName(slice.state) == "owning";
+  });
+}
+
+bool SliceBoard::MayClaim(const Slice& slice, core::TimePoint now) const {
+  if (releasing_ || !slice.listed || slice.write) {
+    return false;
+  }
+  core::Duration wait = slice.info.failure_domain == options_.failure_domain
+                            ? core::Duration()
+                            : kOtherDomainDelay;
+  wait += kDelayPerOwnedSlice *
+          std::ranges::count_if(slices_, [this](const Slice& other) {
+            return chart_.StateName(other.state) == "owning";
+          });
+  const bool vacant = slice.version == 0 ||
+                      slice.holding.process == kReleased ||
+                      slice.holding.process == options_.process;
+  if (!vacant) {
+    wait += kHolderSilence;
+  }
+  return now >= slice.unchanged_since + wait;
+}
+
+void SliceBoard::Run(core::TimePoint now) {
+  if (!list_call_ && now >= next_list_) {
+    list_call_ = ids_.Next();
+    list_sent_ = now;
+    next_list_ = now + kListInterval;
+    commands_.push_back(ReadRows{.call = *list_call_,
+                                 .table = std::string(kSliceTable)});
+  }
+  for (Slice& slice : slices_) {
+    if (chart_.StateName(slice.state) != "owning") {
+      continue;
+    }
+    if (now >= slice.renewed + kOwnerGrace) {
+      Dispatch(slice, "expired", now);
+    } else if (!slice.write && now >= slice.next_write) {
+      SendWrite(slice, false, false, now);
+    }
+  }
+}
+
+void SliceBoard::SendWrite(Slice& slice,
+                           bool claim,
+                           bool release,
+                           core::TimePoint now) {
+  Holding holding = {.epoch = slice.holding.epoch + (claim ? 1 : 0),
+                     .process = release ? std::string(kReleased)
+                                        : options_.process,
+                     .incarnation = options_.incarnation};
+  const RowKey key = {.table = std::string(kSliceTable),
+                      .part = {},
+                      .key = slice.info.name};
+  CommitRows commit{
+      .call = ids_.Next(),
+      .conditions = {{.key = key, .version = slice.version}},
+      .puts = {{.key = key, .value = Encode(holding)}},
+      .several_parts = claim};
+  if (claim) {
+    commit.puts.push_back({.key = FenceRow(slice.info.name),
+                           .value = std::to_string(holding.epoch)});
+    slice.claim_epoch = holding.epoch;
+  }
+  if (!release) {
+    slice.write = commit.call;
+    slice.write_sent = now;
+    slice.next_write = now + kRenewInterval;
+  }
+  commands_.push_back(std::move(commit));
+}
+
+void SliceBoard::Handle(const StoreEvent& event, core::TimePoint now) {
+  const CallId call = CallOf(event);
+  if (list_call_ == call) {
+    list_call_.reset();
+    if (const auto* read = std::get_if<RowsRead>(&event)) {
+      TakeList(*read, now);
+    } else {
+      // What happened meanwhile is unknown, so silence counts from anew.
+      std::ranges::for_each(slices_, [](Slice& s) { s.listed = false; });
+      next_list_ = now + kRetryPause;
+    }
+    return;
+  }
+  const auto slice = std::ranges::find_if(
+      slices_, [call](const Slice& s) { return s.write == call; });
+  if (slice != slices_.end()) {
+    slice->write.reset();
+    TakeWriteResult(*slice, event, now);
+  }
+}
+
+void SliceBoard::TakeList(const RowsRead& read, core::TimePoint now) {
+  for (Slice& slice : slices_) {
+    const auto row = std::ranges::find_if(
+        read.rows, [&](const Row& r) { return r.key.key == slice.info.name; });
+    Observe(slice, row == read.rows.end() ? nullptr : &*row, now);
+  }
+}
+
+void SliceBoard::Observe(Slice& slice, const Row* row, core::TimePoint now) {
+  if (slice.write || chart_.StateName(slice.state) != "watching") {
+    return;
+  }
+  const RowVersion version = row == nullptr ? 0 : row->version;
+  if (!slice.listed || version != slice.version) {
+    slice.unchanged_since = now;
+  }
+  slice.listed = true;
+  slice.version = version;
+  if (row != nullptr) {
+    const auto holding = DecodeHolding(row->value);
+    if (!holding) {
+      options_.log(core::LogLine("slice_row_unreadable")
+                       .Add("slice", slice.info.name)
+                       .Add("value", row->value));
+    }
+    slice.holding = holding.value_or(Holding{.process = "?"});
+  }
+  if (slice.holding.process == options_.process &&
+      slice.holding.incarnation == options_.incarnation && !releasing_) {
+    slice.claim_version = version;
+    Dispatch(slice, "found_own_claim", now);
+  } else if (MayClaim(slice, now)) {
+    Dispatch(slice, "holder_silent", now);
+  }
+}
+
+void SliceBoard::TakeWriteResult(Slice& slice,
+                                 const StoreEvent& event,
+                                 core::TimePoint now) {
+  const bool claiming = chart_.StateName(slice.state) == "claiming";
+  std::visit(
+      core::Overloaded{
+          [&](const RowsCommitted& done) {
+            slice.version = done.version;
+            slice.holding.process = options_.process;
+            slice.holding.incarnation = options_.incarnation;
+            if (claiming) {
+              slice.holding.epoch = slice.claim_epoch;
+              slice.claim_version = done.version;
+            }
+            Dispatch(slice, claiming ? "claim_won" : "renewed", now);
+          },
+          [&](const RowsConflicted& conflict) {
+            TakeConflict(slice, conflict, now);
+          },
+          [&](const auto&) {
+            slice.next_write = now + kRetryPause;
+            Dispatch(slice, "claim_unanswered", now);
+          }},
+      event);
+}
+
+void SliceBoard::TakeConflict(Slice& slice,
+                              const RowsConflicted& conflict,
+                              core::TimePoint now) {
+  if (chart_.StateName(slice.state) != "owning") {
+    Dispatch(slice, "claim_lost", now);
+    return;
+  }
+  const auto holding = conflict.present.empty()
+                           ? std::nullopt
+                           : DecodeHolding(conflict.present.front().value);
+  const bool own = holding && holding->process == options_.process &&
+                   holding->incarnation == options_.incarnation &&
+                   holding->epoch == slice.holding.epoch;
+  if (own) {
+    // An unanswered renewal took effect.
+    slice.version = conflict.present.front().version;
+    slice.next_write = now;
+  } else {
+    Dispatch(slice, "deposed", now);
+  }
+}
+
+void SliceBoard::Depose(core::SliceId slice, core::TimePoint now) {
+  Dispatch(slices_.at(slice.value()), "deposed", now);
+}
+
+void SliceBoard::ReleaseAll(core::TimePoint now) {
+  releasing_ = true;
+  std::ranges::for_each(
+      slices_, [&](Slice& slice) { Dispatch(slice, "release", now); });
+}
+
+std::vector<StoreCommand> SliceBoard::TakeCommands() {
+  return std::exchange(commands_, {});
+}
+
+std::vector<SliceNotice> SliceBoard::TakeNotices() {
+  return std::exchange(notices_, {});
+}
+
+core::TimePoint SliceBoard::next_timer() const {
+  core::TimePoint next = list_call_ ? core::TimePoint::max() : next_list_;
+  for (const Slice& slice : slices_) {
+    if (chart_.StateName(slice.state) == "owning") {
+      next = std::min(next, slice.write ? slice.renewed + kOwnerGrace
+                                        : slice.next_write);
+    }
+  }
+  return next;
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_placement.cc
@@ -0,0 +1,188 @@
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+#include "slice_scheduler_p.h"
+
+/// Which task starts next, and where.
+namespace hickoryusher::jobs {
+namespace {
+
+// Ready groups that one pass looks at. Groups behind them wait for capacity
+// anyway, and a pass stays under a millisecond.
+constexpr std::size_t kGroupsPerPass = 100;
+
+// Tasks that use spare processors wait for a worker with this share of their
+// wish unused.
+constexpr double kLeastSpareShare = 0.5;
+
+// Fractions of a core that a worker has to have free more than another one to
+// be preferred although a latency target is in force there.
+constexpr double kServingPenaltyMillis = 8000;
+constexpr double kFarDataPenaltyMillis = 16000;
+
+struct Candidate {
+  Job* job = nullptr;
+  Group* group = nullptr;
+  bool worthless = false;
+
+  // Jobs that can still be of use first, then by priority and objective.
+  auto Key() const {
+    return std::tuple(worthless, job->queue.priority, job->objective,
+                      std::string_view(job->spec.id), group->first);
+  }
+};
+
+}  // namespace
+
+bool SliceScheduler::IsReady(const Task& task) const {
+  return IsState(task, "ready") && now_ >= task.not_before;
+}
+
+void SliceScheduler::Place() {
+  if (config_ == nullptr || !progress_loaded_ || !job_rows_.synced()) {
+    return;
+  }
+  const bool confirmed = AllConfirmed();
+  std::vector<Candidate> candidates;
+  jobs_.ForEach([&](Job& job) {
+    if (job.halted || (job.restored && !confirmed)) {
+      return;
+    }
+    for (Group& group : job.groups) {
+      const bool ready =
+          group.unblocked &&
+          std::ranges::any_of(job.TasksOf(group), [this](const Task& task) {
+            return IsState(task, "ready");
+          });
+      if (ready) {
+        candidates.push_back({.job = &job,
+                              .group = &group,
+                              .worthless = now_ > job.worthless});
+      }
+    }
+  });
+  std::ranges::sort(candidates, {}, &Candidate::Key);
+  if (candidates.size() > kGroupsPerPass) {
+    candidates.resize(kGroupsPerPass);
+  }
+  for (const Candidate& candidate : candidates) {
+    if (candidate.job->StepOf(*candidate.group).gang) {
+      PlaceGang(*candidate.job, *candidate.group);
+    } else {
+      PlaceGroup(*candidate.job, *candidate.group);
+    }
+  }
+}
+
+void SliceScheduler::PlaceGroup(Job& job, Group& group) {
+  for (Task& task : job.TasksOf(group)) {
+    if (!IsState(task, "ready")) {
+      continue;
+    }
+    if (now_ < task.not_before) {
+      placement_due_ = true;
+      continue;
+    }
+    Worker* worker = ChooseWorker(job, group, task);
+    if (worker == nullptr) {
+      return;
+    }
+    task.worker = worker->id;
+    Dispatch(task, "place");
+  }
+}
+
+// A gang waits, and holds capacity, until all of its members are present.
+void SliceScheduler::PlaceGang(Job& job, Group& group) {
+  const auto members = job.TasksOf(group);
+  if (!std::ranges::all_of(members,
+                           [this](const Task& t) { return IsReady(t); })) {
+    return;
+  }
+  std::vector<Worker*> chosen;
+  for (Task& task : members) {
+    Worker* worker = ChooseWorker(job, group, task);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->Reserve(job.StepOf(group));
+    task.worker = worker->id;
+    chosen.push_back(worker);
+  }
+  const bool complete = chosen.size() == members.size();
+  std::uint32_t starts = 0;
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    chosen[i]->Release(job.StepOf(group));
+    starts = std::max(starts, members[i].starts);
+    if (!complete) {
+      members[i].worker = core::WorkerId();
+    }
+  }
+  if (!complete) {
+    return;
+  }
+  for (Task& task : members) {
+    task.starts = starts;  // All members of one run have the same number.
+    Dispatch(task, "place");
+  }
+}
+
+Worker* SliceScheduler::ChooseWorker(const Job& job,
+                                     const Group& group,
+                                     const Task& task) {
+  const StepSpec& step = job.StepOf(group);
+  const core::Resources need = Reservation(step);
+  const auto same_step = [&](const Worker& worker) {
+    return std::ranges::count_if(worker.tasks, [&](const Task* other) {
+      return other->job == &job && other->group == task.group;
+    });
+  };
+  Worker* best = nullptr;
+  double best_score = 0;
+  for (const auto& worker : workers_.all()) {
+    const bool fits =
+        MayUse(*worker) && worker->entry.service == job.queue.service &&
+        Fits(need, worker->free()) &&
+        (step.required_label.empty() ||
+         worker->HasLabel(step.required_label)) &&
+        (step.max_per_worker == 0 ||
+         same_step(*worker) < std::int64_t{step.max_per_worker});
+    if (!fits) {
+      continue;
+    }
+    if (step.uses_spare_cpu &&
+        static_cast<double>(worker->free().cpu_millis -
+                            worker->spare_cpu_demand) <
+            kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
+      continue;
+    }
+    double score = Score(*worker, step);
+    if (worker->id == task.last_failed_on) {
+      score -= kFarDataPenaltyMillis;
+    }
+    if (best == nullptr || score > best_score) {
+      best = worker.get();
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+double SliceScheduler::Score(const Worker& worker,
+                             const StepSpec& step) const {
+  auto score = static_cast<double>(worker.free().cpu_millis -
+                                   worker.spare_cpu_demand);
+  if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) {
+    score -= kFarDataPenaltyMillis;
+  }
+  const bool serves =
+      step.uses_spare_cpu &&
+      std::ranges::any_of(worker.tasks, [](const Task* task) {
+        return task->job->StepOf(*task).latency_target > core::Duration();
+      });
+  return serves ? score - kServingPenaltyMillis : score;
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_rows.cc
@@ -0,0 +1,88 @@
+#include <charconv>
+#include <sstream>
+
+#include "jobs/slice_scheduler.h"
+
+/// Names and texts of the rows that hold a slice's jobs.
+namespace hickoryusher::jobs {
+namespace {
+
+constexpr std::string_view kProgressTable = "job_progress";
+constexpr std::string_view kLoadTable = "slice_load";
+constexpr std::string_view kCancelSuffix = "!cancel";
+
+}  // namespace
+
+std::string JobTableName(std::string_view slice) {
+  return "jobs_" + std::string(slice);
+}
+
+RowKey JobRow(std::string_view slice, std::string_view job) {
+  return {.table = JobTableName(slice),
+          .part = std::string(slice),
+          .key = std::string(job)};
+}
+
+RowKey CancelRow(std::string_view slice, std::string_view job) {
+  RowKey key = JobRow(slice, job);
+  key.key += kCancelSuffix;
+  return key;
+}
+
+RowKey ProgressRow(std::string_view slice, std::string_view job) {
+  return {.table = std::string(kProgressTable),
+          .part = std::string(slice),
+          .key = std::string(job)};
+}
+
+RowKey LoadRow(std::string_view slice) {
+  return {.table = std::string(kLoadTable),
+          .part = {},
+          .key = std::string(slice)};
+}
+
+std::string EncodeStoredJob(const StoredJob& job) {
+  return job.queue + '\n' + std::to_string(job.accepted_unix_ms) + '\n' +
+         job.document;
+}
+
+std::optional<StoredJob> DecodeStoredJob(std::string_view text) {
+  const std::size_t first = text.find('\n');
+  const std::size_t second = text.find('\n', first + 1);
+  if (first == std::string_view::npos || second == std::string_view::npos) {
+    return std::nullopt;
+  }
+  StoredJob job{.queue = std::string(text.substr(0, first)),
+                .document = std::string(text.substr(second + 1))};
+  const char* end = text.data() + second;
+  const auto result =
+      std::from_chars(text.data() + first + 1, end, job.accepted_unix_ms);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return job;
+}
+
+std::string EncodePending(const PendingCounts& counts) {
+  std::string text;
+  for (const auto& [queue, count] : counts) {
+    text += queue + ' ' + std::to_string(count) + '\n';
+  }
+  return text;
+}
+
+std::optional<PendingCounts> DecodePending(std::string_view text) {
+  PendingCounts counts;
+  std::istringstream in{std::string(text)};
+  std::string queue;
+  std::uint32_t count = 0;
+  while (in >> queue) {
+    if (!(in >> count)) {
+      return std::nullopt;
+    }
+    counts[queue] = count;
+  }
+  return counts;
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -0,0 +1,303 @@
+#include "jobs/slice_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "slice_scheduler_p.h"
+
+namespace hickoryusher::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A change of the job table is answered at once; the wait only bounds how long
+// a silent connection goes unnoticed.
+constexpr core::Duration kJobFollowWait = milliseconds(1500);
+constexpr core::Duration kReadRetryPause = milliseconds(200);
+
+}  // namespace
+
+SliceScheduler::SliceScheduler(Options options,
+                               SliceCharts charts,
+                               CallIds& ids)
+    : options_(std::move(options)),
+      charts_(charts),
+      ids_(ids),
+      jobs_(charts.task_run.initial()),
+      job_rows_({.table = JobTableName(options_.slice.name),
+                 .part = options_.slice.name,
+                 .wait = kJobFollowWait},
+                ids) {}
+
+SliceScheduler::~SliceScheduler() = default;
+
+std::unique_ptr<SliceScheduler> SliceScheduler::Create(
+    Options options,
+    SliceCharts charts,
+    CallIds& ids,
+    core::TimePoint now,
+    std::vector<chart::Problem>& problems) {
+  std::unique_ptr<SliceScheduler> scheduler(
+      new SliceScheduler(std::move(options), charts, ids));
+  scheduler->gained_ = now;
+  scheduler->now_ = now;
+  scheduler->task_chart_ = chart::Interpreter<TaskContext>::Bind(
+      charts.task_run, MakeTaskBindings(), problems);
+  scheduler->contact_chart_ = chart::Interpreter<ContactContext>::Bind(
+      charts.worker_contact, MakeContactBindings(), problems);
+  if (!scheduler->task_chart_ || !scheduler->contact_chart_) {
+    return nullptr;
+  }
+  return scheduler;
+}
+
+void SliceScheduler::SetConfig(QueueConfigPtr config, core::TimePoint now) {
+  now_ = now;
+  config_ = std::move(config);
+  jobs_.ForEach([this](Job& job) { RefreshQueue(job); });
+  placement_due_ = true;
+}
+
+void SliceScheduler::RefreshQueue(Job& job) {
+  const Queue* queue =
+      config_ == nullptr ? nullptr : config_->FindQueue(job.queue.name);
+  if (queue != nullptr) {
+    job.queue = *queue;
+  }
+}
+
+void SliceScheduler::Handle(const StoreEvent& event, core::TimePoint now) {
+  now_ = now;
+  const CallId call = CallOf(event);
+  if (progress_read_ == call) {
+    progress_read_.reset();
+    if (const auto* page = std::get_if<RowsRead>(&event)) {
+      TakeProgressPage(*page);
+    } else {
+      progress_retry_ = now + kReadRetryPause;
+    }
+    return;
+  }
+  if (commit_ && commit_->rows.call == call) {
+    FinishCommit(event);
+    return;
+  }
+  if (load_call_ == call) {
+    load_call_.reset();
+    return;
+  }
+  if (const auto update = job_rows_.Handle(event, now)) {
+    const auto& rows =
+        std::visit([](const auto& u) -> const auto& { return u.rows; },
+                   *update);
+    std::ranges::for_each(rows, [this](const Row& row) { TakeRow(row); });
+  }
+}
+
+void SliceScheduler::TakeProgressPage(const RowsRead& page) {
+  for (const Row& row : page.rows) {
+    auto progress = DecodeProgress(row.value);
+    if (!progress) {
+      options_.log(core::LogLine("progress_row_unreadable")
+                       .Add("slice", options_.slice.name)
+                       .Add("job", row.key.key));
+      continue;
+    }
+    if (IsFinal(progress->phase)) {
+      final_jobs_.emplace_back(now_, row.key.key);
+    }
+    stored_progress_[row.key.key] = *std::move(progress);
+  }
+  if (page.more && !page.rows.empty()) {
+    progress_from_ = page.rows.back().key.key + '\x01';
+    return;
+  }
+  progress_loaded_ = true;
+  for (const Row& row : std::exchange(early_rows_, {})) {
+    TakeRow(row);
+  }
+  stored_progress_.clear();
+  options_.log(core::LogLine("slice_restored")
+                   .Add("slice", options_.slice.name)
+                   .Add("epoch", options_.epoch)
+                   .Add("jobs", jobs_.size()));
+}
+
+void SliceScheduler::TakeRow(const Row& row) {
+  if (row.removed || row.key.part != options_.slice.name) {
+    return;
+  }
+  if (!progress_loaded_) {
+    early_rows_.push_back(row);
+    return;
+  }
+  const std::string_view key = row.key.key;
+  const std::size_t mark = key.find('!');
+  if (mark == std::string_view::npos) {
+    TakeJobRow(row);
+  } else if (Job* job = jobs_.Find(key.substr(0, mark));
+             job != nullptr && !job->halted) {
+    options_.log(
+        core::LogLine("job_cancelled").Add("job", key.substr(0, mark)));
+    Halt(*job, JobPhase::kCancelled);
+  }
+}
+
+void SliceScheduler::TakeJobRow(const Row& row) {
+  if (jobs_.Find(row.key.key) != nullptr) {
+    return;
+  }
+  const auto stored = DecodeStoredJob(row.value);
+  auto spec = stored ? options_.read_document(*stored) : std::nullopt;
+  if (!spec) {
+    options_.log(core::LogLine("job_row_unreadable")
+                     .Add("slice", options_.slice.name)
+                     .Add("job", row.key.key));
+    return;
+  }
+  spec->id = row.key.key;
+  AddJob(row, *std::move(spec), *stored);
+}
+
+void SliceScheduler::AddJob(const Row& row,
+                            JobSpec spec,
+                            const StoredJob& stored) {
+  Job& job = jobs_.Add(std::move(spec));
+  job.queue.name = stored.queue;
+  job.restored = row.version < options_.fence_version;
+  job.accepted_unix_ms = stored.accepted_unix_ms;
+  RefreshQueue(job);
+  const core::Duration objective =
+      std::chrono::duration_cast<core::Duration>(LongestChain(job.spec) *
+                                                 job.queue.stretch) +
+      job.queue.objective_extra;
+  const core::TimePoint accepted =
+      now_ - std::max(milliseconds(unix_ms_ - job.accepted_unix_ms),
+                      milliseconds(0));
+  job.objective = accepted + objective;
+  // A job earns up to three times its objective.
+  job.worthless = accepted + 3 * objective;
+  if (const auto found = stored_progress_.find(job.spec.id);
+      found != stored_progress_.end()) {
+    ApplyProgress(job, found->second);
+  }
+  Unblock(job);
+  options_.log(core::LogLine("job_taken")
+                   .Add("job", job.spec.id)
+                   .Add("queue", job.queue.name)
+                   .Add("slice", options_.slice.name)
+                   .Add("tasks", job.tasks.size())
+                   .Add("restored", job.restored)
+                   .Add("objective_ms", core::ToMillis(objective)));
+  placement_due_ = true;
+}
+
+void SliceScheduler::ApplyProgress(Job& job, const Progress& progress) {
+  job.phase = progress.phase;
+  if (IsFinal(job.phase)) {
+    // Tasks were still being stopped; the job's rows are removed now.
+    job.halted = true;
+    MarkDirty(job, /*urgent=*/false);
+  }
+  const chart::StateId done = charts_.task_run.FindState("done");
+  for (Task& task : job.tasks) {
+    if (task.number < progress.failures.size()) {
+      task.failures = progress.failures[task.number];
+    }
+    if (task.number < progress.done.size() && progress.done[task.number]) {
+      task.state = done;
+      --job.groups[task.group].open;
+    }
+  }
+}
+
+bool SliceScheduler::IsUnblocked(const Job& job, const Group& group) const {
+  if (job.DueUnixMs(group.occurrence) > unix_ms_) {
+    return false;
+  }
+  const std::size_t first = std::size_t{group.occurrence} * job.spec.steps.size();
+  return std::ranges::all_of(
+      job.StepOf(group).after,
+      [&](std::uint32_t step) { return job.groups[first + step].open == 0; });
+}
+
+void SliceScheduler::Unblock(Job& job) {
+  if (job.halted) {
+    return;
+  }
+  for (Group& group : job.groups) {
+    if (group.unblocked || group.open == 0 || !IsUnblocked(job, group)) {
+      continue;
+    }
+    group.unblocked = true;
+    placement_due_ = true;
+    for (Task& task : job.TasksOf(group)) {
+      Dispatch(task, "unblock");
+    }
+  }
+}
+
+void SliceScheduler::Halt(Job& job, JobPhase phase) {
+  job.halted = true;
+  job.phase = phase;
+  for (Task& task : job.tasks) {
+    Dispatch(task, "halt");
+  }
+  SettlePhase(job);
+}
+
+// A job is stored as final once nothing of it can run any more.
+void SliceScheduler::SettlePhase(Job& job) {
+  const auto on_worker = [](const Task& task) { return task.worker.valid(); };
+  if (job.halted) {
+    // Shown at once; the job's rows stay until its tasks have stopped.
+    MarkDirty(job, /*urgent=*/true);
+    return;
+  }
+  if (std::ranges::all_of(job.groups,
+                          [](const Group& g) { return g.open == 0; }) &&
+      std::ranges::none_of(job.tasks, on_worker)) {
+    job.phase = JobPhase::kCompleted;
+    job.halted = true;
+    MarkDirty(job, /*urgent=*/true);
+  }
+}
+
+void SliceScheduler::Run(core::TimePoint now, std::int64_t unix_ms) {
+  now_ = now;
+  unix_ms_ = unix_ms;
+  if (!progress_loaded_ && !progress_read_ && now >= progress_retry_) {
+    progress_read_ = ids_.Next();
+    store_commands_.push_back(
+        ReadRows{.call = *progress_read_,
+                 .table = ProgressRow(options_.slice.name, {}).table,
+                 .part = options_.slice.name,
+                 .from = progress_from_});
+  }
+  if (auto command = job_rows_.Next(now)) {
+    store_commands_.push_back(*std::move(command));
+  }
+  jobs_.ForEach([this](Job& job) {
+    if (job.spec.repeat_count > 0) {
+      Unblock(job);
+    }
+  });
+  RenewLeases();
+  if (std::exchange(placement_due_, false)) {
+    Place();
+  }
+  PublishLoad();
+  StartCommit();
+  next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
+}
+
+std::vector<StoreCommand> SliceScheduler::TakeStoreCommands() {
+  return std::exchange(store_commands_, {});
+}
+
+std::vector<WorkerCommand> SliceScheduler::TakeWorkerCommands() {
+  return std::exchange(worker_commands_, {});
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -0,0 +1,29 @@
+#ifndef JOBS_SRC_SLICE_SCHEDULER_P_H_
+#define JOBS_SRC_SLICE_SCHEDULER_P_H_
+
+#include "jobs/slice_scheduler.h"
+
+namespace hickoryusher::jobs {
+
+/// How often leases, retries and due times are looked at. Leases last seconds,
+/// and occurrences may start 250 ms late at no loss.
+inline constexpr core::Duration kTick = std::chrono::milliseconds(100);
+
+/// What the actions of the chart `task_run` work on.
+struct SliceScheduler::TaskContext {
+  SliceScheduler& scheduler;
+  Task& task;
+  const EndedRun* end;  ///< Of the event, if it reports one.
+
+  Job& job() const { return *task.job; }
+};
+
+/// What the actions of the chart `worker_contact` work on.
+struct SliceScheduler::ContactContext {
+  SliceScheduler& scheduler;
+  Worker& worker;
+};
+
+}  // namespace hickoryusher::jobs
+
+#endif  // JOBS_SRC_SLICE_SCHEDULER_P_H_
--- /dev/null
+++ b/packages/jobs/src/slice_tasks.cc
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <utility>
+
+#include "slice_scheduler_p.h"
+
+/// The actions of the chart `task_run`.
+namespace hickoryusher::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A worker that gave no answer to an order is asked again this often before
+// the run is stopped there.
+constexpr std::uint32_t kMaxResends = 2;
+
+// Pause after a worker refused a start, for it to report its free capacity.
+constexpr core::Duration kRefusalPause = milliseconds(150);
+
+// Run numbers of an owner start above those of all earlier owners. A task of
+// an owner's life has far fewer starts than this.
+constexpr RunNumber kRunsPerEpoch = 10'000;
+
+}  // namespace
+
+chart::Bindings<SliceScheduler::TaskContext>
+SliceScheduler::MakeTaskBindings() {
+  using Context = TaskContext;
+  chart::Bindings<Context> bindings;
+  bindings
+      .Guard("restarts",
+             [](const Context& c) {
+               return c.job().StepOf(c.task).long_running;
+             })
+      .Guard("attempts_left",
+             [](const Context& c) {
+               return c.job().StepOf(c.task).long_running ||
+                      c.task.failures + 1 < c.job().queue.max_attempts;
+             })
+      .Guard("resends_left",
+             [](const Context& c) { return c.task.resends < kMaxResends; })
+      .Guard("job_halted", [](const Context& c) { return c.job().halted; });
+  bindings
+      .Action("reserve",
+              [](Context& c) {
+                Worker& worker = c.scheduler.workers_.Get(c.task.worker);
+                worker.Reserve(c.job().StepOf(c.task));
+                worker.tasks.push_back(&c.task);
+              })
+      .Action("release", [](Context& c) { c.scheduler.LeaveWorker(c.task); })
+      .Action("send_start",
+              [](Context& c) {
+                ++c.task.starts;
+                c.task.run = (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
+                             c.task.starts;
+                c.task.resends = 0;
+                c.task.percent = 0;
+                c.task.pace_percent = 100;
+                c.scheduler.SendStart(c.task);
+              })
+      .Action("resend_start",
+              [](Context& c) {
+                ++c.task.resends;
+                c.scheduler.SendStart(c.task);
+              })
+      .Action("send_stop", [](Context& c) { c.scheduler.SendStop(c.task); })
+      .Action("note_started",
+              [](Context& c) {
+                c.scheduler.NoteRunning(c.task);
+              })
+      .Action("note_adopted",
+              [](Context& c) {
+                Worker& worker = c.scheduler.workers_.Get(c.task.worker);
+                worker.Reserve(c.job().StepOf(c.task));
+                worker.tasks.push_back(&c.task);
+                c.scheduler.NoteRunning(c.task);
+              })
+      .Action("delay",
+              [](Context& c) {
+                c.task.not_before = c.scheduler.now_ + kRefusalPause;
+              })
+      .Action("keep_checkpoint",
+              [](Context& c) {
+                if (c.end != nullptr && !c.end->checkpoint.empty()) {
+                  c.task.checkpoint = c.end->checkpoint;
+                }
+              })
+      .Action("count_failure",
+              [](Context& c) {
+                ++c.task.failures;
+                c.scheduler.MarkDirty(c.job(), /*urgent=*/false);
+              })
+      .Action("note_done",
+              [](Context& c) {
+                --c.job().groups[c.task.group].open;
+                c.scheduler.MarkDirty(c.job(), /*urgent=*/false);
+              })
+      .Action("fail_job", [](Context& c) {
+        c.job().phase = JobPhase::kFailed;
+        c.job().halted = true;
+      });
+  return bindings;
+}
+
+bool SliceScheduler::IsState(const Task& task, std::string_view state) const {
+  return charts_.task_run.StateName(task.state) == state;
+}
+
+void SliceScheduler::Dispatch(Task& task,
+                              std::string_view event,
+                              const EndedRun* end) {
+  Job& job = *task.job;
+  const bool was_halted = job.halted;
+  TaskContext context{*this, task, end};
+  task.state =
+      task_chart_
+          ->Dispatch(task.state, charts_.task_run.FindEvent(event), context)
+          .state;
+  if (job.halted && !was_halted) {
+    options_.log(core::LogLine("job_failed")
+                     .Add("job", job.spec.id)
+                     .Add("task", ToText(job.AddressOf(task)))
+                     .Add("failures", task.failures));
+    Halt(job, job.phase);
+  }
+}
+
+void SliceScheduler::NoteRunning(Task& task) {
+  task.started = now_;
+  task.advanced = now_;
+  task.settled = now_;
+  Job& job = *task.job;
+  if (job.phase == JobPhase::kQueued) {
+    job.phase = JobPhase::kActive;
+    if (job.StepOf(task).long_running) {
+      // Other jobs store their phase with the first task that is done.
+      MarkDirty(job, /*urgent=*/false);
+    }
+  }
+}
+
+void SliceScheduler::LeaveWorker(Task& task) {
+  Worker& worker = workers_.Get(task.worker);
+  worker.Release(task.job->StepOf(task));
+  std::erase(worker.tasks, &task);
+  task.worker = core::WorkerId();
+  task.settled = core::TimePoint::max();
+  placement_due_ = true;
+  if (task.job->halted) {
+    MarkDirty(*task.job, /*urgent=*/false);
+  }
+}
+
+void SliceScheduler::SendStart(Task& task) {
+  Worker& worker = workers_.Get(task.worker);
+  const Job& job = *task.job;
+  const CallId call = ids_.Next();
+  calls_[call] =
+      TaskCall{.job = job.spec.id, .number = task.number, .run = task.run};
+  task.settled = core::TimePoint::max();
+  const std::int64_t until = LeaseUntil(worker);
+  NoteLease(worker, until);
+  worker_commands_.push_back(
+      StartRun{.call = call,
+               .to = {.address = worker.entry.address,
+                      .worker = worker.entry.id},
+               .epoch = options_.epoch,
+               .task = job.AddressOf(task),
+               .run = task.run,
+               .payload = job.spec.payload,
+               .checkpoint = task.checkpoint,
+               .lease_until_ms = until});
+  if (task.resends == 0) {
+    options_.log(core::LogLine("task_placed")
+                     .Add("task", ToText(job.AddressOf(task)))
+                     .Add("run", task.run)
+                     .Add("worker", worker.entry.id)
+                     .Add("free_millis", worker.free().cpu_millis)
+                     .Add("report_age_ms",
+                          core::ToMillis(now_ - worker.clock_at)));
+  }
+}
+
+void SliceScheduler::SendStop(Task& task) {
+  const Worker& worker = workers_.Get(task.worker);
+  const CallId call = ids_.Next();
+  task.stop_unanswered = false;
+  calls_[call] = TaskCall{
+      .job = task.job->spec.id, .number = task.number, .run = task.run};
+  task.settled = core::TimePoint::max();
+  worker_commands_.push_back(StopRun{
+      .call = call,
+      .to = {.address = worker.entry.address, .worker = worker.entry.id},
+      .epoch = options_.epoch,
+      .task = task.job->AddressOf(task),
+      .run = task.run});
+}
+
+void SliceScheduler::TakeOrderAnswer(const TaskCall& call,
+                                     const OrderAnswered& answer) {
+  if (answer.outcome == OrderOutcome::kFenced) {
+    deposed_ = true;
+    return;
+  }
+  Job* job = jobs_.Find(call.job);
+  if (job == nullptr) {
+    return;
+  }
+  Task& task = job->tasks[call.number];
+  if (task.run != call.run || !task.worker.valid()) {
+    return;
+  }
+  Worker& worker = workers_.Get(task.worker);
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    DispatchContact(worker, "other_life");
+    return;
+  }
+  if (IsState(task, "stopping")) {
+    TakeStopAnswer(task, answer);
+    return;
+  }
+  switch (answer.outcome) {
+    case OrderOutcome::kCarriedOut:
+      Dispatch(task, "accepted");
+      break;
+    case OrderOutcome::kSuperseded:
+      // An unanswered order of the same run came first: the next report says
+      // whether the run is there or has ended.
+      task.settled = now_;
+      worker.next_renewal = now_;
+      break;
+    case OrderOutcome::kUnanswered:
+      Dispatch(task, "unanswered");
+      break;
+    case OrderOutcome::kUnreachable:
+      DispatchContact(worker, "no_answer");
+      [[fallthrough]];
+    default:
+      if (task.resends > 0) {
+        // An earlier order of this run may still be carried out.
+        Dispatch(task, "halt");
+        break;
+      }
+      options_.log(core::LogLine("start_refused")
+                       .Add("task", ToText(job->AddressOf(task)))
+                       .Add("worker", worker.entry.id)
+                       .Add("reason", ToString(answer.outcome)));
+      if (answer.outcome == OrderOutcome::kRefused) {
+        JudgeWorker(worker, EndKind::kFailed);
+      }
+      Dispatch(task, "refused");
+      worker.next_renewal = now_;
+  }
+}
+
+void SliceScheduler::TakeStopAnswer(Task& task, const OrderAnswered& answer) {
+  Worker& worker = workers_.Get(task.worker);
+  if (answer.outcome == OrderOutcome::kCarriedOut ||
+      answer.outcome == OrderOutcome::kSuperseded) {
+    task.settled = now_;
+    worker.next_renewal = now_;
+    return;
+  }
+  // Sent again with the worker's next renewal.
+  task.not_before = now_ + kRefusalPause;
+  task.stop_unanswered = true;
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/slice_workers.cc
@@ -0,0 +1,430 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "slice_scheduler_p.h"
+
+/// What workers report, and the leases that let them go on.
+namespace hickoryusher::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A report is due this long after the last one while tasks run, so that a
+// successor of a dead owner has over 3 s before the leases of 6 s lapse.
+constexpr core::Duration kReportWait = milliseconds(1500);
+// Reaction to interference has to show well before harm_ms, 4 s at present.
+constexpr core::Duration kServingReportWait = milliseconds(700);
+constexpr core::Duration kSilentRetryPause = milliseconds(300);
+// Ends that are not stored yet would be listed again at once.
+constexpr core::Duration kUnstoredEndPause = milliseconds(400);
+
+// A worker's clock may run 2% slow.
+constexpr double kSlowClockFactor = 1.02;
+constexpr core::Duration kClockMargin = milliseconds(200);
+
+// The store lists at most this many ends in one report.
+constexpr std::size_t kEndsPerReport = 500;
+
+// Failures of different runs in a row, without a good end between them, after
+// which a worker gets no tasks for a while.
+constexpr std::uint32_t kFailuresToQuarantine = 3;
+constexpr core::Duration kFirstQuarantine = milliseconds(2000);
+constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+
+// Share of the latency target above which tasks that use spare processors are
+// slowed, and below which they may go faster again.
+constexpr double kSlowDownShare = 0.8;
+constexpr double kSpeedUpShare = 0.5;
+constexpr std::uint32_t kPaceStep = 25;
+
+}  // namespace
+
+chart::Bindings<SliceScheduler::ContactContext>
+SliceScheduler::MakeContactBindings() {
+  chart::Bindings<ContactContext> bindings;
+  bindings.Action("lose_tasks", [](ContactContext& c) {
+    Worker& worker = c.worker;
+    const std::vector<Task*> tasks = worker.tasks;
+    std::ranges::for_each(
+        tasks, [&](Task* task) { c.scheduler.Dispatch(*task, "lost"); });
+    worker.last_end = 0;
+    worker.acknowledged = 0;
+  });
+  return bindings;
+}
+
+void SliceScheduler::DispatchContact(Worker& worker, std::string_view event) {
+  ContactContext context{*this, worker};
+  const chart::StateId before = worker.contact;
+  worker.contact =
+      contact_chart_
+          ->Dispatch(before, charts_.worker_contact.FindEvent(event), context)
+          .state;
+  if (worker.contact != before) {
+    placement_due_ = true;
+    options_.log(
+        core::LogLine("worker_contact")
+            .Add("worker", worker.entry.id)
+            .Add("cause", event)
+            .Add("state", charts_.worker_contact.StateName(worker.contact))
+            .Add("tasks", worker.tasks.size()));
+  }
+}
+
+void SliceScheduler::TakeWorker(const WorkerEntry& entry,
+                                core::TimePoint now) {
+  now_ = now;
+  if (entry.failure_domain != options_.slice.failure_domain) {
+    return;
+  }
+  Worker* worker = workers_.Find(entry.id);
+  if (worker == nullptr) {
+    worker = &workers_.Add(entry, charts_.worker_contact.initial());
+    worker->born_unix_ms = entry.born_unix_ms;
+    // An earlier owner may have given leases until its own grace ended.
+    worker->lease_end =
+        gained_ + SliceBoard::kOwnerGrace +
+        std::chrono::duration_cast<core::Duration>(
+            options_.limits.longest_lease * kSlowClockFactor) +
+        kClockMargin;
+  } else {
+    worker->entry = entry;
+    worker->listed = true;
+    if (entry.born_unix_ms != 0 && worker->born_unix_ms != 0 &&
+        entry.born_unix_ms > worker->born_unix_ms) {
+      worker->born_unix_ms = entry.born_unix_ms;
+      DispatchContact(*worker, "other_life");
+    }
+  }
+  worker->next_renewal = std::min(worker->next_renewal, now);
+  placement_due_ = true;
+}
+
+void SliceScheduler::TakeWorkerGone(std::string_view id, core::TimePoint now) {
+  now_ = now;
+  if (Worker* worker = workers_.Find(id)) {
+    worker->listed = false;
+    options_.log(core::LogLine("worker_unlisted")
+                     .Add("worker", id)
+                     .Add("tasks", worker->tasks.size()));
+  }
+}
+
+void SliceScheduler::Handle(const WorkerEvent& event, core::TimePoint now) {
+  now_ = now;
+  const CallId call =
+      std::visit([](const auto& e) { return e.call; }, event);
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) {
+    return;
+  }
+  const PendingCall pending = std::move(found->second);
+  calls_.erase(found);
+  std::visit(core::Overloaded{
+                 [&](const TaskCall& c, const OrderAnswered& answer) {
+                   TakeOrderAnswer(c, answer);
+                 },
+                 [&](const RenewalCall& c, const LeaseAnswered& answer) {
+                   TakeRenewal(workers_.Get(c.worker), answer);
+                 },
+                 [](const auto&, const auto&) {}},
+             pending, event);
+}
+
+void SliceScheduler::TakeRenewal(Worker& worker, const LeaseAnswered& answer) {
+  worker.renewal.reset();
+  if (answer.outcome == OrderOutcome::kFenced) {
+    deposed_ = true;
+  } else if (answer.outcome == OrderOutcome::kOtherLife) {
+    DispatchContact(worker, "other_life");
+    worker.next_renewal = now_ + kSilentRetryPause;
+  } else if (answer.report) {
+    TakeReport(worker, *answer.report);
+  } else {
+    worker.next_renewal = now_ + kSilentRetryPause;
+    DispatchContact(worker, "no_answer");
+  }
+}
+
+void SliceScheduler::TakeReport(Worker& worker, const WorkerReport& report) {
+  if (report.born_unix_ms != 0 && worker.born_unix_ms != 0 &&
+      report.born_unix_ms != worker.born_unix_ms) {
+    DispatchContact(worker, "other_life");
+  }
+  if (report.born_unix_ms != 0) {
+    worker.born_unix_ms = report.born_unix_ms;
+  }
+  worker.clock_ms = report.clock_ms;
+  worker.clock_at = now_;
+  if (!progress_loaded_ || !job_rows_.synced()) {
+    // Which tasks are known is not known yet; the report is asked for again.
+    worker.next_renewal = now_ + kTick;
+    return;
+  }
+  std::ranges::for_each(report.ended, [&](const EndedRun& end) {
+    TakeEnd(worker, end);
+  });
+  std::ranges::for_each(report.running, [&](const ActiveRun& run) {
+    TakeActive(worker, run);
+  });
+  DropMissing(worker, report);
+  DispatchContact(worker, "report");
+  AdjustPace(worker);
+  const bool unstored = worker.last_end > worker.acknowledged;
+  worker.next_renewal = now_ + (unstored ? kUnstoredEndPause : core::Duration());
+}
+
+void SliceScheduler::TakeEnd(Worker& worker, const EndedRun& end) {
+  if (end.number <= worker.last_end) {
+    return;
+  }
+  worker.last_end = end.number;
+  // Stored with the next commit, even if nothing else changes.
+  commit_due_ = std::min(commit_due_, now_ + kTick);
+  Job* job = jobs_.Find(end.task.job);
+  Task* task = job == nullptr ? nullptr : job->Find(end.task);
+  options_.log(core::LogLine("run_ended")
+                   .Add("task", ToText(end.task))
+                   .Add("run", end.run)
+                   .Add("worker", worker.entry.id)
+                   .Add("how", ToString(end.kind))
+                   .Add("known", task != nullptr));
+  if (task == nullptr) {
+    return;
+  }
+  const bool current = task->worker == worker.id && task->run == end.run;
+  if (!current && task->worker.valid() && end.kind != EndKind::kDone) {
+    return;  // An earlier run; the current one goes on.
+  }
+  if (end.kind == EndKind::kDone || end.kind == EndKind::kFailed) {
+    JudgeWorker(worker, end.kind);
+  }
+  if (end.kind == EndKind::kFailed) {
+    task->last_failed_on = worker.id;
+  }
+  switch (end.kind) {
+    case EndKind::kDone:
+      if (job->StepOf(*task).gang) {
+        // One end of a gang stands for all of its members.
+        for (Task& member : job->TasksOf(job->groups[task->group])) {
+          Dispatch(member, "ended_done", &end);
+        }
+      } else {
+        Dispatch(*task, "ended_done", &end);
+      }
+      Unblock(*job);
+      SettlePhase(*job);
+      break;
+    case EndKind::kFailed:
+      Dispatch(*task, "ended_failed", &end);
+      break;
+    default:
+      Dispatch(*task, "ended_early", &end);
+  }
+  placement_due_ = true;
+}
+
+void SliceScheduler::JudgeWorker(Worker& worker, EndKind kind) {
+  if (kind == EndKind::kDone) {
+    worker.failures_in_row = 0;
+    worker.quarantines = 0;
+    return;
+  }
+  if (++worker.failures_in_row < kFailuresToQuarantine) {
+    return;
+  }
+  const core::Duration pause =
+      kFirstQuarantine *
+      (1U << std::min(worker.quarantines, kMaxQuarantineDoublings));
+  worker.avoid_until = now_ + pause;
+  ++worker.quarantines;
+  // A single further failure after the pause renews the quarantine.
+  worker.failures_in_row = kFailuresToQuarantine - 1;
+  options_.log(core::LogLine("worker_quarantined")
+                   .Add("worker", worker.entry.id)
+                   .Add("pause_ms", core::ToMillis(pause)));
+}
+
+void SliceScheduler::TakeActive(Worker& worker, const ActiveRun& run) {
+  Job* job = jobs_.Find(run.task.job);
+  Task* task = job == nullptr ? nullptr : job->Find(run.task);
+  if (task == nullptr) {
+    StopUnknown(worker, run);
+    return;
+  }
+  const bool idle = IsState(*task, "blocked") || IsState(*task, "ready");
+  if (idle && run.run > task->run) {
+    // Started by an earlier owner.
+    task->run = run.run;
+    task->worker = worker.id;
+    Dispatch(*task, "adopt");
+    if (job->halted) {
+      Dispatch(*task, "halt");
+    }
+  }
+  if (task->worker != worker.id || task->run != run.run) {
+    StopUnknown(worker, run);
+    return;
+  }
+  if (IsState(*task, "starting")) {
+    Dispatch(*task, "adopt");
+  }
+  if (!run.checkpoint.empty()) {
+    task->checkpoint = run.checkpoint;
+  }
+  if (run.percent > task->percent || run.percent == 100) {
+    task->advanced = now_;
+  }
+  task->percent = run.percent;
+  task->usage = run.usage;
+}
+
+void SliceScheduler::StopUnknown(Worker& worker, const ActiveRun& run) {
+  options_.log(core::LogLine("unknown_run_stopped")
+                   .Add("task", ToText(run.task))
+                   .Add("run", run.run)
+                   .Add("worker", worker.entry.id));
+  worker_commands_.push_back(StopRun{
+      .call = ids_.Next(),
+      .to = {.address = worker.entry.address, .worker = worker.entry.id},
+      .epoch = options_.epoch,
+      .task = run.task,
+      .run = run.run});
+}
+
+// A run that was settled before the report was asked for and is in neither
+// list is not there any more.
+void SliceScheduler::DropMissing(Worker& worker, const WorkerReport& report) {
+  if (report.ended.size() >= kEndsPerReport) {
+    return;
+  }
+  const std::vector<Task*> tasks = worker.tasks;
+  for (Task* task : tasks) {
+    const TaskAddress address = task->job->AddressOf(*task);
+    const bool runs =
+        std::ranges::any_of(report.running, [&](const ActiveRun& run) {
+          return run.run == task->run && run.task == address;
+        });
+    if (!runs && task->worker == worker.id &&
+        task->settled < worker.renewal_sent) {
+      Dispatch(*task, "lost");
+    }
+  }
+}
+
+std::int64_t SliceScheduler::LeaseUntil(const Worker& worker) const {
+  return worker.ClockAt(now_) + core::ToMillis(options_.limits.longest_lease);
+}
+
+void SliceScheduler::NoteLease(Worker& worker, std::int64_t until_ms) {
+  const core::Duration length = milliseconds(until_ms - worker.clock_ms);
+  const core::TimePoint end =
+      worker.clock_at +
+      std::chrono::duration_cast<core::Duration>(length * kSlowClockFactor) +
+      kClockMargin;
+  worker.lease_end = std::max(worker.lease_end, end);
+}
+
+void SliceScheduler::RenewLeases() {
+  for (const auto& worker : workers_.all()) {
+    if (now_ >= worker->lease_end) {
+      DispatchContact(*worker, "lease_over");
+    }
+    const std::vector<Task*> tasks = worker->tasks;
+    for (Task* task : tasks) {
+      if (task->stop_unanswered && now_ >= task->not_before) {
+        Dispatch(*task, "unanswered");
+      }
+    }
+    const bool confirmed =
+        charts_.worker_contact.StateName(worker->contact) == "live";
+    const bool wanted = !worker->tasks.empty() ||
+                        worker->last_end > worker->acknowledged ||
+                        (!confirmed && worker->listed);
+    if (wanted && !worker->renewal && now_ >= worker->next_renewal) {
+      RenewLease(*worker);
+    }
+  }
+}
+
+void SliceScheduler::RenewLease(Worker& worker) {
+  const CallId call = ids_.Next();
+  calls_[call] = RenewalCall{.worker = worker.id};
+  jobs::RenewLease order{
+      .call = call,
+      .to = {.address = worker.entry.address, .worker = worker.entry.id},
+      .epoch = options_.epoch,
+      .acknowledged = worker.acknowledged};
+  if (!worker.tasks.empty() && worker.clock_at != core::TimePoint()) {
+    const std::int64_t until = LeaseUntil(worker);
+    NoteLease(worker, until);
+    order.lease_until_ms = until;
+    const bool live =
+        charts_.worker_contact.StateName(worker.contact) == "live";
+    const bool serves =
+        std::ranges::any_of(worker.tasks, [](const Task* task) {
+          return task->job->StepOf(*task).latency_target > core::Duration();
+        });
+    if (live && worker.last_end == worker.acknowledged) {
+      order.wait = serves ? kServingReportWait : kReportWait;
+    }
+  }
+  worker.renewal = call;
+  worker.renewal_sent = now_;
+  worker_commands_.push_back(std::move(order));
+}
+
+void SliceScheduler::AdjustPace(Worker& worker) {
+  double worst = 0;
+  for (const Task* task : worker.tasks) {
+    const core::Duration target = task->job->StepOf(*task).latency_target;
+    if (target > core::Duration() && IsState(*task, "running")) {
+      worst = std::max(worst, task->usage / static_cast<double>(
+                                                core::ToMillis(target)));
+    }
+  }
+  const std::uint32_t before = worker.pace_percent;
+  if (worst > 1.0) {
+    worker.pace_percent = 0;
+  } else if (worst > kSlowDownShare) {
+    worker.pace_percent /= 2;
+  } else if (worst < kSpeedUpShare) {
+    worker.pace_percent = std::min(100U, worker.pace_percent + kPaceStep);
+  }
+  for (Task* task : worker.tasks) {
+    const bool slowed = task->job->StepOf(*task).uses_spare_cpu &&
+                        IsState(*task, "running");
+    if (!slowed || task->pace_percent == worker.pace_percent) {
+      continue;
+    }
+    task->pace_percent = worker.pace_percent;
+    worker_commands_.push_back(SetPace{
+        .call = ids_.Next(),
+        .to = {.address = worker.entry.address, .worker = worker.entry.id},
+        .epoch = options_.epoch,
+        .task = task->job->AddressOf(*task),
+        .run = task->run,
+        .percent = worker.pace_percent});
+  }
+  if (worker.pace_percent != before) {
+    options_.log(core::LogLine("pace_changed")
+                     .Add("worker", worker.entry.id)
+                     .Add("percent", worker.pace_percent)
+                     .Add("target_share", worst));
+  }
+}
+
+bool SliceScheduler::AllConfirmed() const {
+  return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
+    return charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
+  });
+}
+
+bool SliceScheduler::MayUse(const Worker& worker) const {
+  return worker.listed && !worker.entry.draining &&
+         now_ >= worker.avoid_until &&
+         charts_.worker_contact.StateName(worker.contact) == "live";
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/src/worker_pool.cc
@@ -0,0 +1,49 @@
+#include "jobs/worker_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryusher::jobs {
+
+core::Resources Reservation(const StepSpec& step) {
+  core::Resources need = step.need;
+  if (step.uses_spare_cpu) {
+    need.cpu_millis = 0;
+  }
+  return need;
+}
+
+bool Worker::HasLabel(std::string_view label) const {
+  return std::ranges::find(entry.labels, label) != entry.labels.end();
+}
+
+std::int64_t Worker::ClockAt(core::TimePoint now) const {
+  return clock_ms + core::ToMillis(now - clock_at);
+}
+
+void Worker::Reserve(const StepSpec& step) {
+  used += Reservation(step);
+  spare_cpu_demand += step.uses_spare_cpu ? step.need.cpu_millis : 0;
+}
+
+void Worker::Release(const StepSpec& step) {
+  used -= Reservation(step);
+  spare_cpu_demand -= step.uses_spare_cpu ? step.need.cpu_millis : 0;
+}
+
+Worker& WorkerPool::Add(WorkerEntry entry, chart::StateId contact) {
+  auto worker = std::make_unique<Worker>();
+  worker->id = core::WorkerId(static_cast<std::uint32_t>(workers_.size()));
+  worker->entry = std::move(entry);
+  worker->contact = contact;
+  workers_.push_back(std::move(worker));
+  return *workers_.back();
+}
+
+Worker* WorkerPool::Find(std::string_view id) {
+  const auto found = std::ranges::find_if(
+      workers_, [id](const auto& worker) { return worker->entry.id == id; });
+  return found == workers_.end() ? nullptr : found->get();
+}
+
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs_process/include/jobs_process/ports.h
@@ -0,0 +1,56 @@
+#ifndef JOBS_PROCESS_PORTS_H_
+#define JOBS_PROCESS_PORTS_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "http/message.h"
+#include "http/upstream.h"
+#include "jobs/intake.h"
+#include "jobs/queues.h"
+#include "jobs/rows.h"
+#include "jobs/types.h"
+#include "jobs/worker_calls.h"
+
+namespace hickoryusher::jobs_process {
+
+using OutsideEvent = std::variant<jobs::StoreEvent, jobs::WorkerEvent>;
+
+/// Encodes commands to the platform and decodes its answers. Each duty has one
+/// of its own, since it remembers the calls in flight.
+struct OutsideCodec {
+  std::function<http::StartExchange(const jobs::StoreCommand&)> encode_store;
+  std::function<http::StartExchange(const jobs::WorkerCommand&)>
+      encode_worker;
+  /// @returns nothing for an event that is no answer to a known call.
+  std::function<std::optional<OutsideEvent>(const http::UpstreamEvent&)>
+      decode;
+};
+
+/// How this process speaks with the outside. Everything else in the process is
+/// independent of the platform's names and encodings.
+struct Ports {
+  std::function<OutsideCodec()> make_codec;
+
+  std::string config_table;
+  std::string config_key;
+  std::function<std::optional<jobs::QueueConfig>(std::string_view)>
+      read_config;
+
+  std::string registry_table;
+  std::function<std::optional<jobs::WorkerEntry>(const jobs::Row&)>
+      read_worker;
+
+  std::function<std::optional<jobs::JobSpec>(const jobs::StoredJob&)>
+      read_document;
+
+  std::function<jobs::ClientCall(const http::IncomingRequest&)> read_call;
+  std::function<http::Response(const jobs::ClientAnswer&)> write_answer;
+};
+
+}  // namespace hickoryusher::jobs_process
+
+#endif  // JOBS_PROCESS_PORTS_H_
--- /dev/null
+++ b/packages/jobs_process/include/jobs_process/process.h
@@ -0,0 +1,82 @@
+#ifndef JOBS_PROCESS_PROCESS_H_
+#define JOBS_PROCESS_PROCESS_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/time.h"
+#include "jobs/slice_board.h"
+#include "jobs/slice_scheduler.h"
+#include "jobs_process/ports.h"
+
+namespace hickoryusher::jobs_process {
+
+struct Listener {
+  std::string address;
+  std::uint16_t port = 0;
+};
+
+struct ProcessOptions {
+  std::string process;  ///< Unique among running processes.
+  std::string failure_domain;
+  std::vector<std::string> failure_domains;
+  Listener callers;    ///< Requests of callers.
+  Listener readiness;  ///< The balancer's checks.
+  std::string chart_folder;
+  jobs::FleetLimits limits;
+  core::Duration drain_time{};  ///< From the stop signal to the forced end.
+};
+
+/// One entry process: intake of jobs, and scheduling of the slices it owns.
+class Process {
+ public:
+  class Builder;
+
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process();
+
+  /// Hands the slices over, answers what callers still send until the balancer
+  /// has noticed, and stops.
+  void Drain();
+
+  /// Writes a log line.
+  void Log(const core::LogLine& line);
+
+ private:
+  struct Impl;
+  explicit Process(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Starts a Process.
+class Process::Builder {
+ public:
+  Builder& Options(ProcessOptions options) {
+    options_ = std::move(options);
+    return *this;
+  }
+  Builder& Outside(Ports ports) {
+    ports_ = std::move(ports);
+    return *this;
+  }
+
+  /// @returns the running process, or nothing; see errors().
+  std::unique_ptr<Process> Start();
+
+  std::span<const std::string> errors() const { return errors_; }
+
+ private:
+  ProcessOptions options_;
+  Ports ports_;
+  std::vector<std::string> errors_;
+};
+
+}  // namespace hickoryusher::jobs_process
+
+#endif  // JOBS_PROCESS_PROCESS_H_
--- /dev/null
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -0,0 +1,161 @@
+#include "intake_duty_p.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "clocks_p.h"
+#include "core/overloaded.h"
+
+namespace hickoryusher::jobs_process {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRingSlots = 8192;
+
+// A configuration has to be in force 2 s after its write. A call that gets no
+// answer is given up 500 ms after this, and the next one uses another
+// connection.
+constexpr core::Duration kConfigFollowWait = milliseconds(1000);
+
+// A process that the store has not answered for this long sends callers to
+// other processes, which may reach it.
+constexpr core::Duration kReadyWithoutStore = milliseconds(2500);
+
+}  // namespace
+
+IntakeDuty::IntakeDuty(const Ports& ports,
+                       std::vector<jobs::SliceInfo> slices,
+                       Outputs outputs)
+    : ports_(ports),
+      outputs_(std::move(outputs)),
+      codec_(ports.make_codec()),
+      intake_({.slices = std::move(slices), .log = outputs_.log}, ids_),
+      config_rows_({.table = ports.config_table,
+                    .part = {},
+                    .wait = kConfigFollowWait},
+                   ids_),
+      inputs_(kRingSlots) {}
+
+IntakeDuty::~IntakeDuty() {
+  Stop();
+}
+
+void IntakeDuty::Start(http::Upstream& upstream) {
+  upstream_ = &upstream;
+  thread_ = runtime::DutyThread("intake", [this] { Run(); });
+}
+
+void IntakeDuty::Stop() {
+  inputs_.Close();
+  thread_.Join();
+}
+
+core::TimePoint IntakeDuty::NextTimer() const {
+  return std::min(intake_.next_timer(), config_rows_.next_timer());
+}
+
+void IntakeDuty::Run() {
+  std::vector<IntakeInput> inputs;
+  CarryOut(Now());
+  while (!inputs_.finished()) {
+    inputs_.WaitDrain(inputs, NextTimer());
+    const core::TimePoint now = Now();
+    std::ranges::for_each(
+        inputs, [&](IntakeInput& input) { Take(std::move(input), now); });
+    inputs.clear();
+    intake_.Run(now);
+    CarryOut(now);
+  }
+}
+
+void IntakeDuty::Take(IntakeInput&& input, core::TimePoint now) {
+  std::visit(
+      core::Overloaded{
+          [&](const http::IncomingRequest& request) {
+            intake_.Take(ports_.read_call(request), now, UnixMillis());
+          },
+          [&](const ReadinessAsked& asked) { AnswerReadiness(asked, now); },
+          [&](const http::UpstreamEvent& event) { TakeEvent(event, now); }},
+      std::move(input));
+}
+
+void IntakeDuty::TakeEvent(const http::UpstreamEvent& event,
+                           core::TimePoint now) {
+  const auto decoded = codec_.decode(event);
+  if (!decoded) {
+    return;
+  }
+  const auto* store = std::get_if<jobs::StoreEvent>(&*decoded);
+  if (store == nullptr) {
+    return;
+  }
+  intake_.Handle(*store, now);
+  if (const auto update = config_rows_.Handle(*store, now)) {
+    TakeConfigRows(*update);
+  }
+}
+
+void IntakeDuty::TakeConfigRows(const jobs::TableUpdate& update) {
+  const auto& rows = std::visit(
+      [](const auto& u) -> const std::vector<jobs::Row>& { return u.rows; },
+      update);
+  for (const jobs::Row& row : rows) {
+    if (row.removed || row.key.key != ports_.config_key) {
+      continue;
+    }
+    auto config = ports_.read_config(row.value);
+    if (!config) {
+      outputs_.log(core::LogLine("config_unreadable")
+                       .Add("row_version", row.version));
+      continue;
+    }
+    if (config_ != nullptr && config->version() <= config_->version()) {
+      continue;
+    }
+    config_ = std::make_shared<const jobs::QueueConfig>(*std::move(config));
+    outputs_.log(core::LogLine("config_applied")
+                     .Add("version", config_->version())
+                     .Add("queues", config_->queues().size()));
+    intake_.SetConfig(config_);
+    outputs_.announce(config_);
+  }
+}
+
+void IntakeDuty::AnswerReadiness(const ReadinessAsked& asked,
+                                 core::TimePoint now) {
+  const bool ready = config_ != nullptr && !draining_.load() &&
+                     now - config_rows_.last_answer() < kReadyWithoutStore;
+  if (ready != std::exchange(was_ready_, ready)) {
+    outputs_.log(
+        core::LogLine("readiness_changed")
+            .Add("ready", ready)
+            .Add("configured", config_ != nullptr)
+            .Add("draining", draining_.load())
+            .Add("store_age_ms",
+                 core::ToMillis(now - config_rows_.last_answer())));
+  }
+  outputs_.respond_readiness(
+      {.id = asked.request, .status = ready ? 200 : 503});
+}
+
+void IntakeDuty::Send(const jobs::StoreCommand& command, core::TimePoint now) {
+  const jobs::CallId call = jobs::CallOf(command);
+  if (!upstream_->TrySend(codec_.encode_store(command))) {
+    intake_.Handle(jobs::StoreRefused{.call = call}, now);
+  }
+}
+
+void IntakeDuty::CarryOut(core::TimePoint now) {
+  if (const auto command = config_rows_.Next(now)) {
+    Send(*command, now);
+  }
+  for (const jobs::StoreCommand& command : intake_.TakeCommands()) {
+    Send(command, now);
+  }
+  for (const jobs::ClientAnswer& answer : intake_.TakeAnswers()) {
+    outputs_.respond(ports_.write_answer(answer));
+  }
+}
+
+}  // namespace hickoryusher::jobs_process
--- /dev/null
+++ b/packages/jobs_process/src/process.cc
@@ -0,0 +1,250 @@
+#include "jobs_process/process.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <iterator>
+#include <mutex>
+#include <utility>
+
+#include "chart_yaml/load.h"
+#include "clocks_p.h"
+#include "http/front.h"
+#include "intake_duty_p.h"
+#include "scheduler_duty_p.h"
+#include "telemetry/logger.h"
+
+namespace hickoryusher::jobs_process {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Lines that wait for a slow reader of the log; further ones are dropped.
+constexpr std::size_t kLogRingSlots = 4096;
+
+// The balancer takes a process out of rotation after two checks, 1 s apart.
+constexpr core::Duration kBalancerNotice = milliseconds(2600);
+
+// What is left of the drain time for the threads to end.
+constexpr core::Duration kStopMargin = milliseconds(700);
+
+// One slice a failure domain: its owner carries some 50 starts a second.
+constexpr int kSlicesPerDomain = 1;
+
+std::vector<jobs::SliceInfo> MakeSlices(
+    std::span<const std::string> failure_domains) {
+  std::vector<jobs::SliceInfo> slices;
+  for (const std::string& domain : failure_domains) {
+    for (int i = 0; i < kSlicesPerDomain; ++i) {
+      slices.push_back({.name = domain + "-" + std::to_string(i),
+                        .failure_domain = domain});
+    }
+  }
+  return slices;
+}
+
+std::optional<SchedulerCharts> LoadCharts(const std::string& folder,
+                                          std::vector<std::string>& errors) {
+  chart_yaml::Loader loader;
+  const auto load = [&](const char* name) {
+    auto chart = loader.LoadFile(folder + "/" + name + ".yaml");
+    std::ranges::copy(loader.errors(), std::back_inserter(errors));
+    return chart;
+  };
+  auto slice_ownership = load("slice_ownership");
+  auto task_run = load("task_run");
+  auto worker_contact = load("worker_contact");
+  if (!errors.empty()) {
+    return std::nullopt;
+  }
+  return SchedulerCharts{.slice_ownership = *std::move(slice_ownership),
+                         .task_run = *std::move(task_run),
+                         .worker_contact = *std::move(worker_contact)};
+}
+
+}  // namespace
+
+struct Process::Impl {
+  Impl(ProcessOptions options_in, Ports ports_in)
+      : options(std::move(options_in)), ports(std::move(ports_in)) {}
+
+  bool Start(std::vector<std::string>& errors);
+  bool StartDuties(std::vector<std::string>& errors);
+  std::unique_ptr<http::Upstream> StartUpstream(
+      std::function<bool(http::UpstreamEvent&)> sink,
+      std::vector<std::string>& errors);
+  std::unique_ptr<http::Front> StartFront(
+      const Listener& listener,
+      http::Front::RequestSink sink,
+      std::vector<std::string>& errors);
+  void Stop();
+
+  ProcessOptions options;
+  Ports ports;
+  telemetry::Logger logger{kLogRingSlots};
+  std::unique_ptr<IntakeDuty> intake;
+  std::unique_ptr<SchedulerDuty> scheduler;
+  std::unique_ptr<http::Upstream> intake_upstream;
+  std::unique_ptr<http::Upstream> scheduler_upstream;
+  std::unique_ptr<http::Front> callers;
+  std::unique_ptr<http::Front> readiness;
+};
+
+bool Process::Impl::Start(std::vector<std::string>& errors) {
+  auto charts = LoadCharts(options.chart_folder, errors);
+  if (!charts) {
+    return false;
+  }
+  const auto log = [this](const core::LogLine& line) { logger.Write(line); };
+  const std::vector<jobs::SliceInfo> slices =
+      MakeSlices(options.failure_domains);
+  intake = std::make_unique<IntakeDuty>(
+      ports, slices,
+      IntakeDuty::Outputs{
+          .respond =
+              [this](http::Response r) { callers->Respond(std::move(r)); },
+          .respond_readiness =
+              [this](http::Response r) { readiness->Respond(std::move(r)); },
+          .announce =
+              [this](const jobs::QueueConfigPtr& config) {
+                scheduler->inputs().TryPush(SchedulerInput(config));
+              },
+          .log = log});
+  scheduler =
+      SchedulerDuty::Create(ports,
+                            {.process = options.process,
+                             .incarnation = std::to_string(UnixMillis()),
+                             .failure_domain = options.failure_domain,
+                             .slices = slices,
+                             .limits = options.limits,
+                             .log = log},
+                            *std::move(charts), errors);
+  return scheduler != nullptr && StartDuties(errors);
+}
+
+std::unique_ptr<http::Upstream> Process::Impl::StartUpstream(
+    std::function<bool(http::UpstreamEvent&)> sink,
+    std::vector<std::string>& errors) {
+  http::Upstream::Builder builder;
+  builder.on_event([sink = std::move(sink)](http::UpstreamEvent& event) {
+    // Only complete answers matter here.
+    return std::holds_alternative<http::FirstByte>(event) || sink(event);
+  });
+  auto upstream = builder.Start();
+  if (!upstream) {
+    errors.push_back(builder.last_error());
+  }
+  return upstream;
+}
+
+std::unique_ptr<http::Front> Process::Impl::StartFront(
+    const Listener& listener,
+    http::Front::RequestSink sink,
+    std::vector<std::string>& errors) {
+  http::FrontOptions front_options;
+  front_options.address = listener.address;
+  front_options.port = listener.port;
+  front_options.threads = 1;
+  front_options.request_id_prefix = options.process + "-";
+  http::Front::Builder builder;
+  builder.options(front_options)
+      .on_request(std::move(sink))
+      .log([this](std::string line) { logger.WriteText(std::move(line)); });
+  auto front = builder.Start();
+  if (!front) {
+    errors.push_back(builder.last_error());
+  }
+  return front;
+}
+
+bool Process::Impl::StartDuties(std::vector<std::string>& errors) {
+  intake_upstream = StartUpstream(
+      [this](http::UpstreamEvent& event) {
+        return http::PushInto(intake->inputs(), event);
+      },
+      errors);
+  scheduler_upstream = StartUpstream(
+      [this](http::UpstreamEvent& event) {
+        return http::PushInto(scheduler->inputs(), event);
+      },
+      errors);
+  callers = StartFront(
+      options.callers,
+      [this](http::IncomingRequest& request) {
+        return http::PushInto(intake->inputs(), request);
+      },
+      errors);
+  readiness = StartFront(
+      options.readiness,
+      [this](http::IncomingRequest& request) {
+        return intake->inputs().TryPush(
+            IntakeInput(ReadinessAsked{.request = request.id}));
+      },
+      errors);
+  if (!errors.empty()) {
+    return false;
+  }
+  scheduler->Start(*scheduler_upstream);
+  intake->Start(*intake_upstream);
+  logger.Write(core::LogLine("process_started")
+                   .Add("process", options.process)
+                   .Add("failure_domain", options.failure_domain));
+  return true;
+}
+
+void Process::Impl::Stop() {
+  if (callers) {
+    callers->Shutdown();
+  }
+  if (readiness) {
+    readiness->Shutdown();
+  }
+  if (intake) {
+    intake->Stop();
+  }
+  if (scheduler) {
+    scheduler->Stop();
+  }
+  if (intake_upstream) {
+    intake_upstream->Shutdown();
+  }
+  if (scheduler_upstream) {
+    scheduler_upstream->Shutdown();
+  }
+}
+
+Process::Process(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Process::~Process() {
+  impl_->Stop();
+}
+
+void Process::Log(const core::LogLine& line) {
+  impl_->logger.Write(line);
+}
+
+void Process::Drain() {
+  const core::TimePoint begun = Now();
+  Log(core::LogLine("process_draining")
+          .Add("in_flight", impl_->callers->in_flight()));
+  impl_->intake->StopTaking();
+  impl_->scheduler->inputs().TryPush(SchedulerInput(SliceReleaseRequested{}));
+  // New connections arrive until the balancer has noticed.
+  std::this_thread::sleep_until(begun + kBalancerNotice);
+  impl_->callers->StopAccepting();
+  const bool idle = impl_->callers->WaitIdle(begun + impl_->options.drain_time -
+                                             kStopMargin);
+  Log(core::LogLine("process_stopped").Add("idle", idle));
+  impl_->Stop();
+}
+
+std::unique_ptr<Process> Process::Builder::Start() {
+  errors_.clear();
+  auto impl = std::make_unique<Impl>(std::move(options_), std::move(ports_));
+  if (!impl->Start(errors_)) {
+    impl->Stop();
+    return nullptr;
+  }
+  return std::unique_ptr<Process>(new Process(std::move(impl)));
+}
+
+}  // namespace hickoryusher::jobs_process
--- /dev/null
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -0,0 +1,277 @@
+#include "scheduler_duty_p.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "clocks_p.h"
+#include "core/overloaded.h"
+
+namespace hickoryusher::jobs_process {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRingSlots = 8192;
+
+// Workers that leave must get no task after 2 s.
+constexpr core::Duration kRegistryFollowWait = milliseconds(1000);
+
+}  // namespace
+
+SchedulerDuty::SchedulerDuty(const Ports& ports,
+                             Options options,
+                             SchedulerCharts charts)
+    : ports_(ports),
+      options_(std::move(options)),
+      charts_(std::move(charts)),
+      codec_(ports.make_codec()),
+      inputs_(kRingSlots) {}
+
+SchedulerDuty::~SchedulerDuty() {
+  Stop();
+}
+
+std::unique_ptr<SchedulerDuty> SchedulerDuty::Create(
+    const Ports& ports,
+    Options options,
+    SchedulerCharts charts,
+    std::vector<std::string>& errors) {
+  std::unique_ptr<SchedulerDuty> duty(
+      new SchedulerDuty(ports, std::move(options), std::move(charts)));
+  std::vector<chart::Problem> problems;
+  duty->board_ = jobs::SliceBoard::Create(
+      {.process = duty->options_.process,
+       .incarnation = duty->options_.incarnation,
+       .failure_domain = duty->options_.failure_domain,
+       .slices = duty->options_.slices,
+       .log = duty->options_.log},
+      duty->charts_.slice_ownership, duty->ids_, problems);
+  std::ranges::transform(problems, std::back_inserter(errors),
+                         &chart::Problem::text);
+  return duty->board_ == nullptr ? nullptr : std::move(duty);
+}
+
+void SchedulerDuty::Start(http::Upstream& upstream) {
+  upstream_ = &upstream;
+  thread_ = runtime::DutyThread("scheduler", [this] { Run(); });
+}
+
+void SchedulerDuty::Stop() {
+  inputs_.Close();
+  thread_.Join();
+}
+
+core::TimePoint SchedulerDuty::NextTimer() const {
+  core::TimePoint next = board_->next_timer();
+  for (const auto& [id, scheduler] : schedulers_) {
+    next = std::min(next, scheduler->next_timer());
+  }
+  return registry_rows_ ? std::min(next, registry_rows_->next_timer()) : next;
+}
+
+void SchedulerDuty::Run() {
+  std::vector<SchedulerInput> inputs;
+  while (!inputs_.finished()) {
+    const core::TimePoint now = Now();
+    std::ranges::for_each(
+        inputs, [&](SchedulerInput& input) { Take(std::move(input), now); });
+    inputs.clear();
+    board_->Run(now);
+    TakeNotices(now);
+    const std::int64_t unix_ms = UnixMillis();
+    for (const auto& [id, scheduler] : schedulers_) {
+      scheduler->Run(now, unix_ms);
+      if (scheduler->deposed()) {
+        board_->Depose(id, now);
+      }
+    }
+    TakeNotices(now);
+    CarryOut(now);
+    inputs_.WaitDrain(inputs, NextTimer());
+  }
+}
+
+void SchedulerDuty::Take(SchedulerInput&& input, core::TimePoint now) {
+  std::visit(core::Overloaded{
+                 [&](const jobs::QueueConfigPtr& config) {
+                   config_ = config;
+                   for (const auto& [id, scheduler] : schedulers_) {
+                     scheduler->SetConfig(config, now);
+                   }
+                 },
+                 [&](const http::UpstreamEvent& e) { TakeEvent(e, now); },
+                 [&](const SliceReleaseRequested&) {
+                   board_->ReleaseAll(now);
+                 }},
+             std::move(input));
+}
+
+void SchedulerDuty::TakeEvent(const http::UpstreamEvent& event,
+                              core::TimePoint now) {
+  const auto decoded = codec_.decode(event);
+  if (!decoded) {
+    return;
+  }
+  for (const auto& [id, scheduler] : schedulers_) {
+    std::visit([&](const auto& e) { scheduler->Handle(e, now); }, *decoded);
+  }
+  if (const auto* store = std::get_if<jobs::StoreEvent>(&*decoded)) {
+    board_->Handle(*store, now);
+    if (registry_rows_) {
+      if (const auto update = registry_rows_->Handle(*store, now)) {
+        TakeRegistry(*update, now);
+      }
+    }
+  }
+}
+
+void SchedulerDuty::TakeRegistry(const jobs::TableUpdate& update,
+                                 core::TimePoint now) {
+  std::visit(core::Overloaded{
+                 [&](const jobs::TableSnapshot& snapshot) {
+                   DropMissing(snapshot, now);
+                   for (const jobs::Row& row : snapshot.rows) {
+                     TakeRegistryRow(row, now);
+                   }
+                 },
+                 [&](const jobs::TableChanges& changes) {
+                   for (const jobs::Row& row : changes.rows) {
+                     TakeRegistryRow(row, now);
+                   }
+                 }},
+             update);
+}
+
+void SchedulerDuty::DropMissing(const jobs::TableSnapshot& snapshot,
+                                core::TimePoint now) {
+  std::set<std::string> present;
+  std::ranges::transform(snapshot.rows, std::inserter(present, present.end()),
+                         [](const jobs::Row& row) { return row.key.key; });
+  for (const auto& [id, entry] : registry_) {
+    if (!present.contains(id)) {
+      for (const auto& [slice, scheduler] : schedulers_) {
+        scheduler->TakeWorkerGone(id, now);
+      }
+    }
+  }
+  std::erase_if(registry_, [&](const auto& item) {
+    return !present.contains(item.first);
+  });
+}
+
+void SchedulerDuty::TakeRegistryRow(const jobs::Row& row,
+                                    core::TimePoint now) {
+  const auto entry =
+      row.removed ? std::nullopt : ports_.read_worker(row);
+  if (!entry) {
+    if (!row.removed) {
+      options_.log(
+          core::LogLine("worker_entry_unreadable").Add("key", row.key.key));
+    }
+    registry_.erase(row.key.key);
+    for (const auto& [slice, scheduler] : schedulers_) {
+      scheduler->TakeWorkerGone(row.key.key, now);
+    }
+    return;
+  }
+  registry_[row.key.key] = *entry;
+  for (const auto& [slice, scheduler] : schedulers_) {
+    scheduler->TakeWorker(*entry, now);
+  }
+}
+
+void SchedulerDuty::Gain(const jobs::SliceGained& gained,
+                         core::TimePoint now) {
+  std::vector<chart::Problem> problems;
+  auto scheduler = jobs::SliceScheduler::Create(
+      {.slice = options_.slices.at(gained.slice.value()),
+       .id = gained.slice,
+       .epoch = gained.epoch,
+       .fence_version = gained.fence_version,
+       .limits = options_.limits,
+       .read_document = ports_.read_document,
+       .log = options_.log},
+      {.task_run = charts_.task_run,
+       .worker_contact = charts_.worker_contact},
+      ids_, now, problems);
+  if (scheduler == nullptr) {
+    for (const chart::Problem& problem : problems) {
+      options_.log(
+          core::LogLine("chart_unusable").Add("problem", problem.text));
+    }
+    return;
+  }
+  if (!registry_rows_) {
+    registry_rows_ = std::make_unique<jobs::TableFollower>(
+        jobs::TableFollower::Options{.table = ports_.registry_table,
+                                     .part = {},
+                                     .wait = kRegistryFollowWait},
+        ids_);
+  }
+  for (const auto& [id, entry] : registry_) {
+    scheduler->TakeWorker(entry, now);
+  }
+  if (config_ != nullptr) {
+    scheduler->SetConfig(config_, now);
+  }
+  schedulers_[gained.slice] = std::move(scheduler);
+}
+
+void SchedulerDuty::TakeNotices(core::TimePoint now) {
+  for (const jobs::SliceNotice& notice : board_->TakeNotices()) {
+    std::visit(core::Overloaded{[&](const jobs::SliceGained& gained) {
+                                  Gain(gained, now);
+                                },
+                                [&](const jobs::SliceLost& lost) {
+                                  schedulers_.erase(lost.slice);
+                                }},
+               notice);
+  }
+  if (schedulers_.empty() && registry_rows_) {
+    registry_rows_.reset();
+    registry_.clear();
+  }
+}
+
+template <typename Command>
+void SchedulerDuty::Send(const Command& command, core::TimePoint now) {
+  http::StartExchange exchange;
+  if constexpr (std::is_same_v<Command, jobs::StoreCommand>) {
+    exchange = codec_.encode_store(command);
+  } else {
+    exchange = codec_.encode_worker(command);
+  }
+  const core::AttemptId id = exchange.id;
+  if (!upstream_->TrySend(std::move(exchange))) {
+    options_.log(core::LogLine("upstream_ring_full").Add("call", id.value()));
+    TakeEvent(http::Failed{.id = id,
+                           .stage = http::Stage::kBeforeConnection,
+                           .reason = "ring_full",
+                           .at = now},
+              now);
+  }
+}
+
+void SchedulerDuty::CarryOut(core::TimePoint now) {
+  for (const jobs::StoreCommand& command : board_->TakeCommands()) {
+    Send(command, now);
+  }
+  if (registry_rows_) {
+    if (const auto command = registry_rows_->Next(now)) {
+      Send(*command, now);
+    }
+  }
+  for (const auto& [id, scheduler] : schedulers_) {
+    for (const jobs::StoreCommand& command :
+         scheduler->TakeStoreCommands()) {
+      Send(command, now);
+    }
+    for (const jobs::WorkerCommand& command :
+         scheduler->TakeWorkerCommands()) {
+      Send(command, now);
+    }
+  }
+}
+
+}  // namespace hickoryusher::jobs_process
--- /dev/null
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -0,0 +1,101 @@
+#ifndef JOBS_PROCESS_SRC_SCHEDULER_DUTY_P_H_
+#define JOBS_PROCESS_SRC_SCHEDULER_DUTY_P_H_
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chart/chart.h"
+#include "http/upstream.h"
+#include "jobs/slice_board.h"
+#include "jobs/slice_scheduler.h"
+#include "jobs/table_follower.h"
+#include "jobs_process/ports.h"
+#include "runtime/duty_thread.h"
+#include "runtime/ring.h"
+
+namespace hickoryusher::jobs_process {
+
+/// The slices can be handed over: the process stops.
+struct SliceReleaseRequested {};
+
+using SchedulerInput = std::variant<jobs::QueueConfigPtr,
+                                    http::UpstreamEvent,
+                                    SliceReleaseRequested>;
+
+/// The charts of the scheduler thread.
+struct SchedulerCharts {
+  chart::Chart slice_ownership;
+  chart::Chart task_run;
+  chart::Chart worker_contact;
+};
+
+/// The scheduler thread: competes for slices, and schedules those it owns.
+class SchedulerDuty {
+ public:
+  struct Options {
+    std::string process;
+    std::string incarnation;
+    std::string failure_domain;
+    std::vector<jobs::SliceInfo> slices;
+    jobs::FleetLimits limits;
+    std::function<void(const core::LogLine&)> log;
+  };
+
+  /// @returns nullptr with the reasons in @p errors.
+  static std::unique_ptr<SchedulerDuty> Create(
+      const Ports& ports,
+      Options options,
+      SchedulerCharts charts,
+      std::vector<std::string>& errors);
+
+  ~SchedulerDuty();
+  SchedulerDuty(const SchedulerDuty&) = delete;
+  SchedulerDuty& operator=(const SchedulerDuty&) = delete;
+
+  /// @param upstream must outlive the duty's thread.
+  void Start(http::Upstream& upstream);
+  void Stop();
+
+  runtime::Ring<SchedulerInput>& inputs() { return inputs_; }
+
+ private:
+  SchedulerDuty(const Ports& ports, Options options, SchedulerCharts charts);
+
+  void Run();
+  void Take(SchedulerInput&& input, core::TimePoint now);
+  void TakeEvent(const http::UpstreamEvent& event, core::TimePoint now);
+  void TakeRegistry(const jobs::TableUpdate& update, core::TimePoint now);
+  void TakeRegistryRow(const jobs::Row& row, core::TimePoint now);
+  void DropMissing(const jobs::TableSnapshot& snapshot, core::TimePoint now);
+  void TakeNotices(core::TimePoint now);
+  void Gain(const jobs::SliceGained& gained, core::TimePoint now);
+  void CarryOut(core::TimePoint now);
+  template <typename Command>
+  void Send(const Command& command, core::TimePoint now);
+  core::TimePoint NextTimer() const;
+
+  const Ports& ports_;
+  Options options_;
+  SchedulerCharts charts_;
+  OutsideCodec codec_;
+  jobs::CallIds ids_;
+  std::unique_ptr<jobs::SliceBoard> board_;
+  std::map<core::SliceId, std::unique_ptr<jobs::SliceScheduler>> schedulers_;
+  std::unique_ptr<jobs::TableFollower> registry_rows_;
+  std::map<std::string, jobs::WorkerEntry> registry_;
+  jobs::QueueConfigPtr config_;
+  runtime::Ring<SchedulerInput> inputs_;
+  http::Upstream* upstream_ = nullptr;
+  runtime::DutyThread thread_;
+};
+
+}  // namespace hickoryusher::jobs_process
+
+#endif  // JOBS_PROCESS_SRC_SCHEDULER_DUTY_P_H_
