Spread jobs over slices by published load, keep spare work off serving tasks

Now the row of a slice carries its load, intake picks the slice whose wishes are the smallest share of its capacity, and the conditions of the write name every candidate, so an id is stored once. Long-running tasks come first and are never given up; a worker is kept free for one that finds no room. Ruled out: a separate index row per job (one more read and one more write).

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -2,8 +2,10 @@
 #define JOBS_INTAKE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,6 +34,7 @@
   std::string path;
   std::string document;       ///< Of kSubmit.
   std::string document_error;  ///< Why the document cannot be read, if so.
+  std::int64_t demand_millis = 0;  ///< Thousandths of a core it may use at once.
   core::TimePoint give_up;  ///< When the caller stops waiting for an answer.
 };
 
@@ -71,8 +74,10 @@
   ClientResult result;
 };
 
-/// @returns the index of the slice that a job belongs to.
-std::size_t SliceOfJob(std::string_view job, std::size_t slice_count);
+/// @returns the indices of the slices that a job may belong to. A job is stored
+/// in one of them, and only if none of the others has it.
+std::vector<std::size_t> CandidateSlices(std::string_view job,
+                                         std::size_t slice_count);
 
 /// Answers callers: stores jobs and cancellations, reads states. Keeps no
 /// state of jobs itself, so that every process can answer for every job.
@@ -88,6 +93,9 @@
 
   void SetConfig(QueueConfigPtr config) { config_ = std::move(config); }
 
+  /// @param loads of all slices, by index.
+  void SetLoads(std::vector<std::optional<SliceLoad>> loads);
+
   /// @param unix_ms time of day at @p now.
   void Take(ClientCall call, core::TimePoint now, std::int64_t unix_ms);
   void Handle(const StoreEvent& event, core::TimePoint now);
@@ -109,6 +117,8 @@
     std::string job;
     std::string queue;
     std::size_t slice = 0;
+    /// Slices in which a read has yet to look for the job.
+    std::vector<std::size_t> unread;
     StoreCommand command;
     /// An attempt was not answered, so it may have taken effect.
     bool unanswered = false;
@@ -122,7 +132,11 @@
               const Queue& queue,
               std::string job,
               std::int64_t unix_ms);
+  std::size_t ChooseSlice(std::span<const std::size_t> candidates,
+                          std::int64_t demand_millis);
   void ReadState(ClientCall call, const Queue& queue, std::string job);
+  void ReadNextSlice(Pending pending);
+  void Remember(const std::string& job, std::size_t slice);
   void CountPending(ClientCall call, const Queue& queue);
   void Send(Pending pending);
   void Finish(Pending pending, const StoreEvent& event);
@@ -140,6 +154,12 @@
   core::TimePoint last_failure_;
   core::TimePoint last_probe_;
   std::unordered_map<CallId, Pending> pending_;
+  /// Load of each slice as published, and what this process has added since.
+  std::vector<std::optional<SliceLoad>> loads_;
+  std::vector<std::int64_t> added_millis_;
+  /// Slices of jobs that callers of this process have asked for.
+  std::unordered_map<std::string, std::size_t> known_slices_;
+  std::deque<std::string> known_order_;
   std::vector<StoreCommand> commands_;
   std::vector<ClientAnswer> answers_;
 };
--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -14,6 +14,7 @@
 #include "core/ids.h"
 #include "core/log_line.h"
 #include "jobs/rows.h"
+#include "jobs/slice_load.h"
 #include "jobs/table_follower.h"
 
 namespace hickoryusher::jobs {
@@ -38,6 +39,12 @@
 
 using SliceNotice = std::variant<SliceGained, SliceLost>;
 
+/// Name of the table that holds a row for each slice, in the empty part.
+std::string SliceTableName();
+
+/// @returns the load in a slice's row, or nothing if there is none.
+std::optional<SliceLoad> LoadInSliceRow(std::string_view value);
+
 /// @returns the key of the row whose version fences a slice's writes.
 RowKey FenceRow(std::string_view slice);
 
@@ -78,6 +85,16 @@
   void Run(core::TimePoint now);
   void Handle(const StoreEvent& event, core::TimePoint now);
 
+  /// Published with the next renewal of a slice that this process owns.
+  void SetLoad(core::SliceId slice, SliceLoad load);
+
+  /// @returns the loads of all slices as last read, by index; nothing for a
+  /// slice without one.
+  std::vector<std::optional<SliceLoad>> Loads() const;
+
+  /// @returns true once after each reading of the loads.
+  bool TakeLoadsChanged();
+
   /// A worker has refused an order of this epoch.
   void Depose(core::SliceId slice, core::TimePoint now);
 
@@ -116,6 +133,7 @@
   core::TimePoint list_sent_;
   core::TimePoint next_list_;
   bool releasing_ = false;
+  bool loads_changed_ = false;
   std::vector<StoreCommand> commands_;
   std::vector<SliceNotice> notices_;
 };
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -22,6 +22,7 @@
 #include "jobs/queues.h"
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
+#include "jobs/slice_load.h"
 #include "jobs/table_follower.h"
 #include "jobs/worker_calls.h"
 #include "jobs/worker_pool.h"
@@ -33,7 +34,6 @@
 RowKey JobRow(std::string_view slice, std::string_view job);
 RowKey CancelRow(std::string_view slice, std::string_view job);
 RowKey ProgressRow(std::string_view slice, std::string_view job);
-RowKey LoadRow(std::string_view slice);
 
 /// A job as its caller handed it in, with what intake knows about it.
 struct StoredJob {
@@ -45,12 +45,6 @@
 std::string EncodeStoredJob(const StoredJob& job);
 std::optional<StoredJob> DecodeStoredJob(std::string_view text);
 
-/// Jobs of each queue for which no task has started.
-using PendingCounts = std::map<std::string, std::uint32_t, std::less<>>;
-
-std::string EncodePending(const PendingCounts& counts);
-std::optional<PendingCounts> DecodePending(std::string_view text);
-
 /// Limits that the platform sets.
 struct FleetLimits {
   core::Duration longest_lease{};
@@ -110,6 +104,10 @@
   std::vector<WorkerCommand> TakeWorkerCommands();
   core::TimePoint next_timer() const { return next_timer_; }
 
+  /// @returns what callers and other processes are told about the slice;
+  /// nothing before its jobs have been read.
+  std::optional<SliceLoad> load();
+
   /// @returns true once a worker has refused this epoch.
   bool deposed() const { return deposed_; }
   core::SliceId slice() const { return options_.id; }
@@ -182,6 +180,9 @@
   void PlaceGroup(Job& job, Group& group);
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
+  void KeepFree(const Job& job, const Group& group);
+  bool TakesSpareWork(const Worker& worker, const StepSpec& step) const;
+  static bool Serves(const Worker& worker);
   double Score(const Worker& worker, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
@@ -190,7 +191,7 @@
   void StartCommit();
   void FinishCommit(const StoreEvent& event);
   void CollectRemovals(Commit& commit);
-  void PublishLoad();
+  void LogLoad();
 
   Options options_;
   SliceCharts charts_;
@@ -216,6 +217,7 @@
 
   std::unordered_map<CallId, PendingCall> calls_;
   bool placement_due_ = false;
+  std::set<core::WorkerId> kept_free_;  ///< Of the current pass.
 
   std::set<std::string> dirty_;
   core::TimePoint commit_due_ = core::TimePoint::max();
@@ -223,10 +225,7 @@
   core::TimePoint commit_retry_;
   std::deque<std::pair<core::TimePoint, std::string>> final_jobs_;
 
-  PendingCounts published_;
-  bool load_published_ = false;
-  core::TimePoint next_load_;
-  std::optional<CallId> load_call_;
+  core::TimePoint next_load_log_;
 
   std::vector<StoreCommand> store_commands_;
   std::vector<WorkerCommand> worker_commands_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -21,6 +21,17 @@
 // Outages of the store last seconds.
 constexpr core::Duration kStoreRetryAfter = milliseconds(1000);
 
+// Slices that a job may be stored in. Each is named in the condition of the
+// write; three let large jobs even out.
+constexpr std::size_t kCandidates = 3;
+
+// Other processes add work to a slice at the same time, unseen until the load
+// is published again.
+constexpr std::int64_t kUnseenFactor = 3;
+
+// Jobs whose slice is remembered; a lookup of others reads up to three rows.
+constexpr std::size_t kMaxKnownSlices = 20'000;
+
 // The job id is part of row keys of at most 200 bytes.
 constexpr std::size_t kMaxJobIdBytes = 100;
 
@@ -41,13 +52,19 @@
   return kNames.at(static_cast<std::size_t>(refusal));
 }
 
-std::size_t SliceOfJob(std::string_view job, std::size_t slice_count) {
+std::vector<std::size_t> CandidateSlices(std::string_view job,
+                                         std::size_t slice_count) {
   // FNV-1a: the same in every process and on every machine.
   std::uint64_t hash = 0xcbf29ce484222325U;
   for (const char c : job) {
     hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
   }
-  return (hash >> 32U) % slice_count;
+  std::vector<std::size_t> candidates;
+  const std::size_t first = (hash >> 32U) % slice_count;
+  for (std::size_t i = 0; i < std::min(kCandidates, slice_count); ++i) {
+    candidates.push_back((first + i) % slice_count);
+  }
+  return candidates;
 }
 
 void Intake::Answer(const ClientCall& call, ClientResult result) {
@@ -111,17 +128,23 @@
     return;
   }
   last_probe_ = now_;
-  const std::size_t slice = SliceOfJob(job, options_.slices.size());
+  const auto candidates = CandidateSlices(job, options_.slices.size());
+  const std::size_t slice = ChooseSlice(candidates, call.demand_millis);
   const std::string& name = options_.slices[slice].name;
   CommitRows commit{
-      .conditions = {{.key = ProgressRow(name, job), .version = 0}},
       .puts = {{.key = ProgressRow(name, job),
                 .value = EncodeProgress(Progress())},
                {.key = JobRow(name, job),
                 .value = EncodeStoredJob(
                     {.queue = queue.name,
                      .accepted_unix_ms = unix_ms,
-                     .document = std::move(call.document)})}}};
+                     .document = std::move(call.document)})}},
+      .several_parts = candidates.size() > 1};
+  for (const std::size_t candidate : candidates) {
+    commit.conditions.push_back(
+        {.key = ProgressRow(options_.slices[candidate].name, job),
+         .version = 0});
+  }
   Send({.call = std::move(call),
         .job = std::move(job),
         .queue = queue.name,
@@ -129,26 +152,68 @@
         .command = std::move(commit)});
 }
 
+void Intake::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
+  loads_ = std::move(loads);
+  added_millis_.assign(loads_.size(), 0);
+}
+
+// The slice whose wishes are the smallest share of its capacity.
+std::size_t Intake::ChooseSlice(std::span<const std::size_t> candidates,
+                                std::int64_t demand_millis) {
+  loads_.resize(options_.slices.size());
+  added_millis_.resize(options_.slices.size());
+  const auto share = [this](std::size_t slice) {
+    const auto load = loads_[slice].value_or(SliceLoad());
+    return static_cast<double>(load.demand_millis +
+                               kUnseenFactor * added_millis_[slice]) /
+           static_cast<double>(std::max<std::int64_t>(load.capacity_millis, 1));
+  };
+  const std::size_t chosen = *std::ranges::min_element(candidates, {}, share);
+  added_millis_[chosen] += demand_millis;
+  return chosen;
+}
+
+void Intake::Remember(const std::string& job, std::size_t slice) {
+  if (!known_slices_.insert_or_assign(job, slice).second) {
+    return;
+  }
+  known_order_.push_back(job);
+  if (known_order_.size() > kMaxKnownSlices) {
+    known_slices_.erase(known_order_.front());
+    known_order_.pop_front();
+  }
+}
+
 void Intake::ReadState(ClientCall call, const Queue& queue, std::string job) {
-  const std::size_t slice = SliceOfJob(job, options_.slices.size());
-  const RowKey row = ProgressRow(options_.slices[slice].name, job);
-  ReadRows read{.table = row.table,
-                .part = row.part,
-                .from = row.key,
-                .to = row.key + '!',
-                .limit = 1};
-  Send({.call = std::move(call),
-        .job = std::move(job),
-        .queue = queue.name,
-        .slice = slice,
-        .command = std::move(read)});
+  Pending pending{.call = std::move(call), .queue = queue.name};
+  pending.unread = CandidateSlices(job, options_.slices.size());
+  if (const auto known = known_slices_.find(job);
+      known != known_slices_.end()) {
+    std::ranges::partition(pending.unread, [&](std::size_t slice) {
+      return slice == known->second;
+    });
+  }
+  pending.job = std::move(job);
+  ReadNextSlice(std::move(pending));
+}
+
+void Intake::ReadNextSlice(Pending pending) {
+  pending.slice = pending.unread.front();
+  pending.unread.erase(pending.unread.begin());
+  const RowKey row =
+      ProgressRow(options_.slices[pending.slice].name, pending.job);
+  pending.command = ReadRows{.table = row.table,
+                             .part = row.part,
+                             .from = row.key,
+                             .to = row.key + '!',
+                             .limit = 1};
+  Send(std::move(pending));
 }
 
 void Intake::CountPending(ClientCall call, const Queue& queue) {
-  const RowKey row = LoadRow({});
   Send({.call = std::move(call),
         .queue = queue.name,
-        .command = ReadRows{.table = row.table, .part = row.part}});
+        .command = ReadRows{.table = SliceTableName()}});
 }
 
 void Intake::Send(Pending pending) {
@@ -191,6 +256,7 @@
                              .Add("queue", pending.queue)
                              .Add("slice", options_.slices[pending.slice].name)
                              .Add("config", config_->version()));
+            Remember(pending.job, pending.slice);
             Answer(pending.call, CallDone());
           },
           [&](const RowsConflicted&) {
@@ -230,9 +296,14 @@
     return;
   }
   if (read.rows.empty()) {
-    Refuse(pending.call, Refusal::kNoSuchJob);
+    if (pending.unread.empty()) {
+      Refuse(pending.call, Refusal::kNoSuchJob);
+    } else {
+      ReadNextSlice(std::move(pending));
+    }
     return;
   }
+  Remember(pending.job, pending.slice);
   const Row& row = read.rows.front();
   const auto progress = DecodeProgress(row.value);
   if (!progress) {
@@ -262,14 +333,15 @@
 void Intake::FinishCount(const Pending& pending, const RowsRead& read) {
   std::uint32_t count = 0;
   for (const Row& row : read.rows) {
-    const auto counts = DecodePending(row.value);
-    if (!counts) {
-      options_.log(
-          core::LogLine("load_row_unreadable").Add("slice", row.key.key));
+    const auto load = LoadInSliceRow(row.value);
+    if (!load) {
+      // Just claimed: the owner has not read its jobs yet.
+      options_.log(core::LogLine("slice_load_unknown")
+                       .Add("slice", row.key.key));
       continue;
     }
-    if (const auto found = counts->find(pending.queue);
-        found != counts->end()) {
+    if (const auto found = load->pending.find(pending.queue);
+        found != load->pending.end()) {
       count += found->second;
     }
   }
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -1,7 +1,7 @@
 #include "jobs/slice_board.h"
 
 #include <algorithm>
-#include <charconv>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -53,6 +53,17 @@
 
 }  // namespace
 
+std::string SliceTableName() {
+  return std::string(kSliceTable);
+}
+
+std::optional<SliceLoad> LoadInSliceRow(std::string_view value) {
+  const std::size_t line_end = value.find('\n');
+  return line_end == std::string_view::npos
+             ? std::nullopt
+             : DecodeSliceLoad(value.substr(line_end + 1));
+}
+
 RowKey FenceRow(std::string_view slice) {
   return {.table = std::string(kFenceTable),
           .part = std::string(slice),
@@ -66,6 +77,7 @@
   Holding holding;
   RowVersion version = 0;        ///< Of the slice's row, as last seen.
   RowVersion claim_version = 0;  ///< Of this process's claim.
+  std::optional<SliceLoad> load;  ///< As last read, or as set by the owner.
   bool listed = false;
   core::TimePoint unchanged_since;  ///< Seen without a gap since then.
   std::optional<CallId> write;
@@ -219,6 +231,9 @@
       .conditions = {{.key = key, .version = slice.version}},
       .puts = {{.key = key, .value = Encode(holding)}},
       .several_parts = claim};
+  if (!claim && slice.load) {
+    commit.puts.front().value += '\n' + EncodeSliceLoad(*slice.load);
+  }
   if (claim) {
     commit.puts.push_back({.key = FenceRow(slice.info.name),
                            .value = std::to_string(holding.epoch)});
@@ -257,8 +272,13 @@
   for (Slice& slice : slices_) {
     const auto row = std::ranges::find_if(
         read.rows, [&](const Row& r) { return r.key.key == slice.info.name; });
+    if (row != read.rows.end() &&
+        chart_.StateName(slice.state) != "owning") {
+      slice.load = LoadInSliceRow(row->value);
+    }
     Observe(slice, row == read.rows.end() ? nullptr : &*row, now);
   }
+  loads_changed_ = true;
 }
 
 void SliceBoard::Observe(Slice& slice, const Row* row, core::TimePoint now) {
@@ -337,6 +357,20 @@
   }
 }
 
+void SliceBoard::SetLoad(core::SliceId slice, SliceLoad load) {
+  slices_.at(slice.value()).load = std::move(load);
+}
+
+std::vector<std::optional<SliceLoad>> SliceBoard::Loads() const {
+  std::vector<std::optional<SliceLoad>> loads;
+  std::ranges::transform(slices_, std::back_inserter(loads), &Slice::load);
+  return loads;
+}
+
+bool SliceBoard::TakeLoadsChanged() {
+  return std::exchange(loads_changed_, false);
+}
+
 void SliceBoard::Depose(core::SliceId slice, core::TimePoint now) {
   Dispatch(slices_.at(slice.value()), "deposed", now);
 }
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -19,8 +19,7 @@
 constexpr std::size_t kJobsPerCommit = 30;
 constexpr std::size_t kRemovalsPerCommit = 5;
 
-// Callers may count on a count that is 2 s old.
-constexpr core::Duration kLoadInterval = milliseconds(1200);
+constexpr core::Duration kLoadLogInterval = milliseconds(2000);
 
 }  // namespace
 
@@ -132,33 +131,78 @@
   }
 }
 
-void SliceScheduler::PublishLoad() {
-  if (load_call_ || now_ < next_load_ || !progress_loaded_ ||
-      !job_rows_.synced()) {
+void SliceScheduler::LogLoad() {
+  if (now_ < next_load_log_) {
     return;
   }
-  next_load_ = now_ + kLoadInterval;
-  PendingCounts counts;
+  next_load_log_ = now_ + kLoadLogInterval;
+  std::size_t ready = 0;
+  std::size_t waiting_services = 0;
   jobs_.ForEach([&](const Job& job) {
+    for (const Task& task : job.tasks) {
+      if (IsState(task, "ready")) {
+        ++ready;
+        waiting_services += job.StepOf(task).long_running ? 1 : 0;
+      }
+    }
+  });
+  core::Resources capacity;
+  core::Resources used;
+  std::int64_t spare_demand = 0;
+  std::size_t usable = 0;
+  std::size_t serving = 0;
+  for (const auto& worker : workers_.all()) {
+    if (!MayUse(*worker)) {
+      continue;
+    }
+    ++usable;
+    serving += Serves(*worker) ? 1 : 0;
+    capacity += worker->entry.capacity;
+    used += worker->used;
+    spare_demand += worker->spare_cpu_demand;
+  }
+  options_.log(core::LogLine("slice_load")
+                   .Add("slice", options_.slice.name)
+                   .Add("jobs", jobs_.size())
+                   .Add("ready_tasks", ready)
+                   .Add("ready_long_running", waiting_services)
+                   .Add("workers", usable)
+                   .Add("serving", serving)
+                   .Add("cpu_millis", capacity.cpu_millis)
+                   .Add("used_millis", used.cpu_millis)
+                   .Add("spare_demand_millis", spare_demand)
+                   .Add("kept_free", kept_free_.size()));
+}
+
+std::optional<SliceLoad> SliceScheduler::load() {
+  if (!progress_loaded_ || !job_rows_.synced()) {
+    return std::nullopt;
+  }
+  SliceLoad load;
+  for (const auto& worker : workers_.all()) {
+    load.capacity_millis +=
+        MayUse(*worker) ? worker->entry.capacity.cpu_millis : 0;
+  }
+  jobs_.ForEach([&](const Job& job) {
+    if (job.halted) {
+      return;
+    }
+    for (const Group& group : job.groups) {
+      if (group.unblocked) {
+        load.demand_millis +=
+            std::int64_t{group.open} * job.StepOf(group).need.cpu_millis;
+      }
+    }
     const bool begun =
-        job.halted || job.phase != JobPhase::kQueued ||
+        job.phase != JobPhase::kQueued ||
         std::ranges::any_of(job.tasks, [](const Task& task) {
           return task.starts > 0 || task.worker.valid();
         });
     if (!begun) {
-      ++counts[job.queue.name];
+      ++load.pending[job.queue.name];
     }
   });
-  if (load_published_ && counts == published_) {
-    return;
-  }
-  load_call_ = ids_.Next();
-  store_commands_.push_back(CommitRows{
-      .call = *load_call_,
-      .puts = {{.key = LoadRow(options_.slice.name),
-                .value = EncodePending(counts)}}});
-  published_ = counts;
-  load_published_ = true;
+  return load;
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -15,22 +15,30 @@
 
 // Tasks that use spare processors wait for a worker with this share of their
 // wish unused.
-constexpr double kLeastSpareShare = 0.5;
+constexpr double kLeastSpareShare = 0.8;
 
-// Fractions of a core that a worker has to have free more than another one to
-// be preferred although a latency target is in force there.
+// Share of the latency target below which a worker that serves takes spare
+// work, and the share of its processors that then stay unused.
+constexpr double kCalmTargetShare = 0.4;
+constexpr double kServingSpareShare = 0.3;
+
+// Thousandths of a core that a worker has to have free more than another one
+// to be preferred although a latency target is in force there.
 constexpr double kServingPenaltyMillis = 8000;
 constexpr double kFarDataPenaltyMillis = 16000;
 
 struct Candidate {
   Job* job = nullptr;
   Group* group = nullptr;
+  bool long_running = false;
   bool worthless = false;
 
-  // Jobs that can still be of use first, then by priority and objective.
+  // Tasks that must stay up first, then jobs that can still be of use, by
+  // priority and objective.
   auto Key() const {
-    return std::tuple(worthless, job->queue.priority, job->objective,
-                      std::string_view(job->spec.id), group->first);
+    return std::tuple(!long_running, worthless, job->queue.priority,
+                      job->objective, std::string_view(job->spec.id),
+                      group->first);
   }
 };
 
@@ -45,6 +53,7 @@
     return;
   }
   const bool confirmed = AllConfirmed();
+  kept_free_.clear();
   std::vector<Candidate> candidates;
   jobs_.ForEach([&](Job& job) {
     if (job.halted || (job.restored && !confirmed)) {
@@ -57,9 +66,11 @@
             return IsState(task, "ready");
           });
       if (ready) {
-        candidates.push_back({.job = &job,
-                              .group = &group,
-                              .worthless = now_ > job.worthless});
+        candidates.push_back(
+            {.job = &job,
+             .group = &group,
+             .long_running = job.StepOf(group).long_running,
+             .worthless = now_ > job.worthless});
       }
     }
   });
@@ -87,6 +98,10 @@
     }
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
+      if (job.StepOf(group).long_running) {
+        KeepFree(job, group);
+        continue;
+      }
       return;
     }
     task.worker = worker->id;
@@ -129,6 +144,27 @@
   }
 }
 
+// Nothing else that reserves processors goes to the worker with the most of
+// them until a task that must stay up has found its place.
+void SliceScheduler::KeepFree(const Job& job, const Group& group) {
+  const StepSpec& step = job.StepOf(group);
+  const Worker* best = nullptr;
+  for (const auto& worker : workers_.all()) {
+    const bool suits =
+        MayUse(*worker) && worker->entry.service == job.queue.service &&
+        !kept_free_.contains(worker->id) &&
+        Fits(Reservation(step), worker->entry.capacity) &&
+        (step.required_label.empty() || worker->HasLabel(step.required_label));
+    if (suits && (best == nullptr ||
+                  worker->free().cpu_millis > best->free().cpu_millis)) {
+      best = worker.get();
+    }
+  }
+  if (best != nullptr) {
+    kept_free_.insert(best->id);
+  }
+}
+
 Worker* SliceScheduler::ChooseWorker(const Job& job,
                                      const Group& group,
                                      const Task& task) {
@@ -149,13 +185,9 @@
          worker->HasLabel(step.required_label)) &&
         (step.max_per_worker == 0 ||
          same_step(*worker) < std::int64_t{step.max_per_worker});
-    if (!fits) {
-      continue;
-    }
-    if (step.uses_spare_cpu &&
-        static_cast<double>(worker->free().cpu_millis -
-                            worker->spare_cpu_demand) <
-            kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
+    if (!fits || (step.uses_spare_cpu ? !TakesSpareWork(*worker, step)
+                                      : !step.long_running &&
+                                            kept_free_.contains(worker->id))) {
       continue;
     }
     double score = Score(*worker, step);
@@ -170,19 +202,49 @@
   return best;
 }
 
+// Tasks that use spare processors disturb those that serve, by amounts that
+// differ and change. They go where nothing serves, and to workers that serve
+// only while these are far from their targets.
+bool SliceScheduler::TakesSpareWork(const Worker& worker,
+                                    const StepSpec& step) const {
+  const auto spare = static_cast<double>(worker.free().cpu_millis -
+                                         worker.spare_cpu_demand);
+  if (spare < kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
+    return false;
+  }
+  if (!Serves(worker)) {
+    return true;
+  }
+  return worker.pace_percent == 100 && worker.target_share < kCalmTargetShare &&
+         spare - static_cast<double>(step.need.cpu_millis) >
+             kServingSpareShare *
+                 static_cast<double>(worker.entry.capacity.cpu_millis);
+}
+
+bool SliceScheduler::Serves(const Worker& worker) {
+  return std::ranges::any_of(worker.tasks, [](const Task* task) {
+    return task->job->StepOf(*task).latency_target > core::Duration();
+  });
+}
+
 double SliceScheduler::Score(const Worker& worker,
                              const StepSpec& step) const {
-  auto score = static_cast<double>(worker.free().cpu_millis -
-                                   worker.spare_cpu_demand);
-  if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) {
-    score -= kFarDataPenaltyMillis;
-  }
-  const bool serves =
-      step.uses_spare_cpu &&
-      std::ranges::any_of(worker.tasks, [](const Task* task) {
-        return task->job->StepOf(*task).latency_target > core::Duration();
-      });
-  return serves ? score - kServingPenaltyMillis : score;
+  const auto free = static_cast<double>(worker.free().cpu_millis);
+  const auto spare_demand = static_cast<double>(worker.spare_cpu_demand);
+  const double far = !step.data_rack.empty() && !worker.HasLabel(step.data_rack)
+                         ? kFarDataPenaltyMillis
+                         : 0;
+  if (step.uses_spare_cpu) {
+    return free - spare_demand - far -
+           (Serves(worker) ? kServingPenaltyMillis : 0);
+  }
+  if (step.latency_target > core::Duration()) {
+    // Together on few workers, so that the others can take spare work.
+    return (Serves(worker) ? kServingPenaltyMillis * 4 - free : 0) -
+           spare_demand - far;
+  }
+  return free - spare_demand - far +
+         (Serves(worker) ? kServingPenaltyMillis : 0);
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -1,5 +1,4 @@
 #include <charconv>
-#include <sstream>
 
 #include "jobs/slice_scheduler.h"
 
@@ -8,7 +7,6 @@
 namespace {
 
 constexpr std::string_view kProgressTable = "job_progress";
-constexpr std::string_view kLoadTable = "slice_load";
 constexpr std::string_view kCancelSuffix = "!cancel";
 
 }  // namespace
@@ -35,12 +33,6 @@
           .key = std::string(job)};
 }
 
-RowKey LoadRow(std::string_view slice) {
-  return {.table = std::string(kLoadTable),
-          .part = {},
-          .key = std::string(slice)};
-}
-
 std::string EncodeStoredJob(const StoredJob& job) {
   return job.queue + '\n' + std::to_string(job.accepted_unix_ms) + '\n' +
          job.document;
@@ -63,26 +55,4 @@
   return job;
 }
 
-std::string EncodePending(const PendingCounts& counts) {
-  std::string text;
-  for (const auto& [queue, count] : counts) {
-    text += queue + ' ' + std::to_string(count) + '\n';
-  }
-  return text;
-}
-
-std::optional<PendingCounts> DecodePending(std::string_view text) {
-  PendingCounts counts;
-  std::istringstream in{std::string(text)};
-  std::string queue;
-  std::uint32_t count = 0;
-  while (in >> queue) {
-    if (!(in >> count)) {
-      return std::nullopt;
-    }
-    counts[queue] = count;
-  }
-  return counts;
-}
-
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -83,10 +83,6 @@
     FinishCommit(event);
     return;
   }
-  if (load_call_ == call) {
-    load_call_.reset();
-    return;
-  }
   if (const auto update = job_rows_.Handle(event, now)) {
     const auto& rows =
         std::visit([](const auto& u) -> const auto& { return u.rows; },
@@ -287,7 +283,7 @@
   if (std::exchange(placement_due_, false)) {
     Place();
   }
-  PublishLoad();
+  LogLoad();
   StartCommit();
   next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
 }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -384,6 +384,7 @@
                                                 core::ToMillis(target)));
     }
   }
+  worker.target_share = worst;
   const std::uint32_t before = worker.pace_percent;
   if (worst > 1.0) {
     worker.pace_percent = 0;
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -75,6 +75,7 @@
           [&](const http::IncomingRequest& request) {
             intake_.Take(ports_.read_call(request), now, UnixMillis());
           },
+          [&](LoadsRead&& read) { intake_.SetLoads(std::move(read.loads)); },
           [&](const ReadinessAsked& asked) { AnswerReadiness(asked, now); },
           [&](const http::UpstreamEvent& event) { TakeEvent(event, now); }},
       std::move(input));
--- a/packages/jobs_process/src/intake_duty_p.h
+++ b/packages/jobs_process/src/intake_duty_p.h
@@ -23,8 +23,15 @@
   core::RequestId request;
 };
 
-using IntakeInput =
-    std::variant<http::IncomingRequest, ReadinessAsked, http::UpstreamEvent>;
+/// Loads of all slices, by index.
+struct LoadsRead {
+  std::vector<std::optional<jobs::SliceLoad>> loads;
+};
+
+using IntakeInput = std::variant<http::IncomingRequest,
+                                 ReadinessAsked,
+                                 http::UpstreamEvent,
+                                 LoadsRead>;
 
 /// The intake thread: answers callers, and follows the configuration.
 class IntakeDuty {
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -116,6 +116,11 @@
                              .failure_domain = options.failure_domain,
                              .slices = slices,
                              .limits = options.limits,
+                             .announce_loads =
+                                 [this](auto loads) {
+                                   intake->inputs().TryPush(IntakeInput(
+                                       LoadsRead{std::move(loads)}));
+                                 },
                              .log = log},
                             *std::move(charts), errors);
   return scheduler != nullptr && StartDuties(errors);
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -77,6 +77,7 @@
     std::ranges::for_each(
         inputs, [&](SchedulerInput& input) { Take(std::move(input), now); });
     inputs.clear();
+    ShareLoads();
     board_->Run(now);
     TakeNotices(now);
     const std::int64_t unix_ms = UnixMillis();
@@ -218,6 +219,20 @@
   schedulers_[gained.slice] = std::move(scheduler);
 }
 
+// The board renews slices, and reads all of them, once a second; a load is
+// computed only then.
+void SchedulerDuty::ShareLoads() {
+  if (!board_->TakeLoadsChanged()) {
+    return;
+  }
+  for (const auto& [id, scheduler] : schedulers_) {
+    if (auto load = scheduler->load()) {
+      board_->SetLoad(id, *std::move(load));
+    }
+  }
+  options_.announce_loads(board_->Loads());
+}
+
 void SchedulerDuty::TakeNotices(core::TimePoint now) {
   for (const jobs::SliceNotice& notice : board_->TakeNotices()) {
     std::visit(core::Overloaded{[&](const jobs::SliceGained& gained) {
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -45,6 +46,8 @@
     std::string failure_domain;
     std::vector<jobs::SliceInfo> slices;
     jobs::FleetLimits limits;
+    std::function<void(std::vector<std::optional<jobs::SliceLoad>>)>
+        announce_loads;
     std::function<void(const core::LogLine&)> log;
   };
 
@@ -75,6 +78,7 @@
   void TakeRegistryRow(const jobs::Row& row, core::TimePoint now);
   void DropMissing(const jobs::TableSnapshot& snapshot, core::TimePoint now);
   void TakeNotices(core::TimePoint now);
+  void ShareLoads();
   void Gain(const jobs::SliceGained& gained, core::TimePoint now);
   void CarryOut(core::TimePoint now);
   template <typename Command>
