--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -18,6 +18,7 @@
 #include "chart/chart.h"
 #include "chart/interpreter.h"
 #include "core/log_line.h"
+#include "jobs/interference_model.h"
 #include "jobs/job_table.h"
 #include "jobs/queues.h"
 #include "jobs/rows.h"
@@ -171,7 +172,11 @@
   void RenewLease(Worker& worker);
   void NoteLease(Worker& worker, std::int64_t until_ms);
   std::int64_t LeaseUntil(const Worker& worker) const;
+  void LearnInterference(const Worker& worker);
   void AdjustPace(Worker& worker);
+  void SetPaceOf(const Worker& worker, Task& task, std::uint32_t percent);
+  static double SpareMillis(const Worker& worker);
+  double ExpectedShare(const Worker& worker, const StepSpec& added) const;
   bool AllConfirmed() const;
   bool MayUse(const Worker& worker) const;
 
@@ -216,6 +221,10 @@
   std::vector<Row> early_rows_;  ///< Seen before the progress was read.
 
   std::unordered_map<CallId, PendingCall> calls_;
+  InterferenceModel interference_;
+  /// By job: logarithm of its tail as a share of the target, without spare
+  /// work next to it.
+  std::map<std::string, double, std::less<>> log_calm_;
   bool placement_due_ = false;
   std::set<core::WorkerId> kept_free_;  ///< Of the current pass.
 
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -43,9 +43,6 @@
   core::TimePoint renewal_sent;
   core::TimePoint next_renewal;
 
-  std::uint32_t pace_percent = 100;  ///< Of tasks that use spare processors.
-  /// Largest tail latency of a task as a share of its target.
-  double target_share = 0;
   std::uint32_t failures_in_row = 0;
   core::TimePoint avoid_until;  ///< Quarantine after failures.
   std::uint32_t quarantines = 0;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -13,18 +13,9 @@
 // anyway, and a pass stays under a millisecond.
 constexpr std::size_t kGroupsPerPass = 100;
 
-// Tasks that use spare processors wait for a worker with this share of their
-// wish unused.
-constexpr double kLeastSpareShare = 0.8;
-
-// Share of the latency target below which a worker that serves takes spare
-// work, and the share of its processors that then stay unused.
-constexpr double kCalmTargetShare = 0.4;
-constexpr double kServingSpareShare = 0.3;
-
-// Thousandths of a core that a worker has to have free more than another one
-// to be preferred although a latency target is in force there.
-constexpr double kServingPenaltyMillis = 8000;
+// Thousandths of a core that a worker has to have unused more than another
+// one to be preferred although a tail there is nearer to its target.
+constexpr double kTargetSharePenaltyMillis = 20000;
 constexpr double kFarDataPenaltyMillis = 16000;
 
 struct Candidate {
@@ -202,49 +193,18 @@
   return best;
 }
 
-// Tasks that use spare processors disturb those that serve, by amounts that
-// differ and change. They go where nothing serves, and to workers that serve
-// only while these are far from their targets.
-bool SliceScheduler::TakesSpareWork(const Worker& worker,
-                                    const StepSpec& step) const {
-  const auto spare = static_cast<double>(worker.free().cpu_millis -
-                                         worker.spare_cpu_demand);
-  if (spare < kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
-    return false;
-  }
-  if (!Serves(worker)) {
-    return true;
-  }
-  return worker.pace_percent == 100 && worker.target_share < kCalmTargetShare &&
-         spare - static_cast<double>(step.need.cpu_millis) >
-             kServingSpareShare *
-                 static_cast<double>(worker.entry.capacity.cpu_millis);
-}
-
-bool SliceScheduler::Serves(const Worker& worker) {
-  return std::ranges::any_of(worker.tasks, [](const Task* task) {
-    return task->job->StepOf(*task).latency_target > core::Duration();
-  });
-}
-
 double SliceScheduler::Score(const Worker& worker,
                              const StepSpec& step) const {
-  const auto free = static_cast<double>(worker.free().cpu_millis);
-  const auto spare_demand = static_cast<double>(worker.spare_cpu_demand);
   const double far = !step.data_rack.empty() && !worker.HasLabel(step.data_rack)
                          ? kFarDataPenaltyMillis
                          : 0;
   if (step.uses_spare_cpu) {
-    return free - spare_demand - far -
-           (Serves(worker) ? kServingPenaltyMillis : 0);
-  }
-  if (step.latency_target > core::Duration()) {
-    // Together on few workers, so that the others can take spare work.
-    return (Serves(worker) ? kServingPenaltyMillis * 4 - free : 0) -
-           spare_demand - far;
+    return SpareMillis(worker) - far -
+           kTargetSharePenaltyMillis * ExpectedShare(worker, step);
   }
-  return free - spare_demand - far +
-         (Serves(worker) ? kServingPenaltyMillis : 0);
+  return static_cast<double>(worker.free().cpu_millis -
+                             worker.spare_cpu_demand) -
+         far;
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -9,6 +9,10 @@
 /// and occurrences may start 250 ms late at no loss.
 inline constexpr core::Duration kTick = std::chrono::milliseconds(100);
 
+/// Tasks that use spare processors wait for a worker with this share of their
+/// wish unused.
+inline constexpr double kLeastSpareShare = 0.8;
+
 /// What the actions of the chart `task_run` work on.
 struct SliceScheduler::TaskContext {
   SliceScheduler& scheduler;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -32,12 +32,6 @@
 constexpr core::Duration kFirstQuarantine = milliseconds(2000);
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 
-// Share of the latency target above which tasks that use spare processors are
-// slowed, and below which they may go faster again.
-constexpr double kSlowDownShare = 0.8;
-constexpr double kSpeedUpShare = 0.5;
-constexpr std::uint32_t kPaceStep = 25;
-
 }  // namespace
 
 chart::Bindings<SliceScheduler::ContactContext>
@@ -375,47 +369,6 @@
   worker_commands_.push_back(std::move(order));
 }
 
-void SliceScheduler::AdjustPace(Worker& worker) {
-  double worst = 0;
-  for (const Task* task : worker.tasks) {
-    const core::Duration target = task->job->StepOf(*task).latency_target;
-    if (target > core::Duration() && IsState(*task, "running")) {
-      worst = std::max(worst, task->usage / static_cast<double>(
-                                                core::ToMillis(target)));
-    }
-  }
-  worker.target_share = worst;
-  const std::uint32_t before = worker.pace_percent;
-  if (worst > 1.0) {
-    worker.pace_percent = 0;
-  } else if (worst > kSlowDownShare) {
-    worker.pace_percent /= 2;
-  } else if (worst < kSpeedUpShare) {
-    worker.pace_percent = std::min(100U, worker.pace_percent + kPaceStep);
-  }
-  for (Task* task : worker.tasks) {
-    const bool slowed = task->job->StepOf(*task).uses_spare_cpu &&
-                        IsState(*task, "running");
-    if (!slowed || task->pace_percent == worker.pace_percent) {
-      continue;
-    }
-    task->pace_percent = worker.pace_percent;
-    worker_commands_.push_back(SetPace{
-        .call = ids_.Next(),
-        .to = {.address = worker.entry.address, .worker = worker.entry.id},
-        .epoch = options_.epoch,
-        .task = task->job->AddressOf(*task),
-        .run = task->run,
-        .percent = worker.pace_percent});
-  }
-  if (worker.pace_percent != before) {
-    options_.log(core::LogLine("pace_changed")
-                     .Add("worker", worker.entry.id)
-                     .Add("percent", worker.pace_percent)
-                     .Add("target_share", worst));
-  }
-}
-
 bool SliceScheduler::AllConfirmed() const {
   return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
     return charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
