--- a/packages/jobs/include/jobs/interference_model.h
+++ b/packages/jobs/include/jobs/interference_model.h
@@ -16,33 +16,41 @@
   double share = 0;
 };
 
-/// Learns from reported tail latencies by how much the images of spare work
-/// disturb the images that serve.
+/// Learns by how much the images of spare work disturb the images that serve.
 ///
-/// @remarks A neighbour multiplies the tail by exp(weight x share). Weights
-/// are adjusted by normalised least mean squares.
+/// @remarks The tail latency of a server with utilisation u is taken as
+/// idle_tail / (1 - u), as in a queue with one server. Neighbours multiply u
+/// by 1 + sum of weight x share. A weight belongs to a pair of images and is
+/// estimated by a Kalman filter without covariances between pairs: most pairs
+/// hardly disturb each other, and a few do strongly.
 class InterferenceModel {
  public:
-  /// Moves the weights towards an observation.
-  /// @param log_calm logarithm of the tail that is expected without
-  /// neighbours.
-  /// @param log_tail logarithm of the tail that was reported.
+  /// @param raise by how much the utilisation was above the one expected
+  /// without neighbours, as a share of that.
+  /// @param noise standard deviation of @p raise.
   void Learn(std::string_view serving,
              std::span<const Neighbour> neighbours,
-             double log_calm,
-             double log_tail);
+             double raise,
+             double noise);
 
-  /// @returns the logarithm of the factor by which the neighbours raise the
-  /// tail.
-  double Effect(std::string_view serving,
-                std::span<const Neighbour> neighbours) const;
+  /// @returns the expected raise.
+  double Raise(std::string_view serving,
+               std::span<const Neighbour> neighbours) const;
 
-  double Weight(std::string_view serving, std::string_view image) const;
+  /// @returns a raise that is probably not exceeded.
+  double CautiousRaise(std::string_view serving,
+                       std::span<const Neighbour> neighbours) const;
 
  private:
+  struct Weight {
+    double mean = 0;
+    double variance = 0;
+  };
   using Pair = std::pair<std::string, std::string>;
 
-  std::map<Pair, double> weights_;
+  Weight Find(std::string_view serving, std::string_view image) const;
+
+  std::map<Pair, Weight> weights_;
 };
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -36,8 +36,9 @@
   std::uint32_t percent = 0;
   double usage = 0;  ///< As in ActiveRun.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
-  /// Tail as a share of the target, less the effect of spare work.
-  double calm_share = 0;
+  /// Of a task that serves: utilisation without spare work next to it; 0 if
+  /// not known.
+  double calm_utilisation = 0;
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
   bool stop_unanswered = false;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -176,7 +176,11 @@
   void AdjustPace(Worker& worker);
   void SetPaceOf(const Worker& worker, Task& task, std::uint32_t percent);
   static double SpareMillis(const Worker& worker);
-  double ExpectedShare(const Worker& worker, const StepSpec& added) const;
+  double IdleTail(const StepSpec& step) const;
+  double AllowedUtilisation(const StepSpec& step) const;
+  double RoomFor(const Task& serving,
+                 std::span<const Neighbour> neighbours) const;
+  double RoomOn(const Worker& worker, const StepSpec& added) const;
   bool AllConfirmed() const;
   bool MayUse(const Worker& worker) const;
 
@@ -222,9 +226,10 @@
 
   std::unordered_map<CallId, PendingCall> calls_;
   InterferenceModel interference_;
-  /// By job: logarithm of its tail as a share of the target, without spare
-  /// work next to it.
-  std::map<std::string, double, std::less<>> log_calm_;
+  /// By image that serves: the smallest tail seen, in milliseconds.
+  std::map<std::string, double, std::less<>> idle_tails_;
+  /// By job: utilisation without spare work next to it.
+  std::map<std::string, double, std::less<>> calm_utilisations_;
   bool placement_due_ = false;
   std::set<core::WorkerId> kept_free_;  ///< Of the current pass.
 
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -127,7 +127,7 @@
                      .Add("late_ms", core::ToMillis(now_ - job.objective)));
     final_jobs_.emplace_back(now_, removed.key);
     dirty_.erase(removed.key);
-    log_calm_.erase(removed.key);
+    calm_utilisations_.erase(removed.key);
     jobs_.Remove(removed.key);
   }
 }
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 #include "slice_scheduler_p.h"
@@ -24,8 +23,21 @@
 // Share of its reservation that a task that serves uses itself.
 constexpr double kServingUse = 0.6;
 
-// How fast the expected calm tail of a job follows the reports.
-constexpr double kCalmRate = 0.2;
+// How fast the utilisation that is expected without neighbours follows the
+// reports: of tasks without neighbours, and of tasks with some.
+constexpr double kCalmRate = 0.3;
+constexpr double kDisturbedRate = 0.05;
+constexpr double kTaskRate = 0.5;
+
+// Standard deviation of a reported utilisation.
+constexpr double kUtilisationNoise = 0.05;
+constexpr double kLeastUtilisation = 0.05;
+
+// Room of a worker on which nothing serves.
+constexpr double kMostRoom = 10;
+
+// Raise by a single task that is not worth slowing it for.
+constexpr double kNegligibleRaise = 0.01;
 
 bool IsServing(const Task& task) {
   return task.job->StepOf(task).latency_target > core::Duration();
@@ -73,8 +85,23 @@
   return spare;
 }
 
-// Learns from the tails in a report, and remembers what they would be without
-// spare work next to them.
+double SliceScheduler::IdleTail(const StepSpec& step) const {
+  const auto found = idle_tails_.find(step.image);
+  return found == idle_tails_.end()
+             ? static_cast<double>(core::ToMillis(step.latency_target))
+             : found->second;
+}
+
+// The utilisation at which the tail reaches the allowed share of its target.
+double SliceScheduler::AllowedUtilisation(const StepSpec& step) const {
+  const double allowed =
+      kAllowedTargetShare *
+      static_cast<double>(core::ToMillis(step.latency_target));
+  return 1 - IdleTail(step) / allowed;
+}
+
+// Learns from the tails in a report, and remembers what the utilisations would
+// be without spare work next to them.
 void SliceScheduler::LearnInterference(const Worker& worker) {
   const std::vector<Neighbour> neighbours = NeighboursOn(worker);
   for (Task* task : worker.tasks) {
@@ -82,39 +109,52 @@
       continue;
     }
     const StepSpec& step = task->job->StepOf(*task);
-    const double share = task->usage / static_cast<double>(
-                                           core::ToMillis(step.latency_target));
-    const double log_tail = std::log(share);
-    double& calm = log_calm_.try_emplace(task->job->spec.id, log_tail)
-                       .first->second;
-    if (neighbours.empty()) {
-      calm += kCalmRate * (log_tail - calm);
-    } else {
-      interference_.Learn(step.image, neighbours, calm, log_tail);
+    double& idle =
+        idle_tails_.try_emplace(step.image, task->usage).first->second;
+    idle = std::min(idle, task->usage);
+    const double observed =
+        std::max(kLeastUtilisation, 1 - idle / task->usage);
+    double& calm =
+        calm_utilisations_.try_emplace(task->job->spec.id, observed)
+            .first->second;
+    if (!neighbours.empty()) {
+      interference_.Learn(step.image, neighbours, observed / calm - 1,
+                          kUtilisationNoise / calm);
     }
-    task->calm_share =
-        share / std::exp(interference_.Effect(step.image, neighbours));
+    const double cleared =
+        observed / (1 + interference_.Raise(step.image, neighbours));
+    calm += (neighbours.empty() ? kCalmRate : kDisturbedRate) *
+            (cleared - calm);
+    task->calm_utilisation +=
+        (task->calm_utilisation == 0 ? 1 : kTaskRate) *
+        (cleared - task->calm_utilisation);
   }
 }
 
-// Largest share of a target that is expected with one more task of spare work.
-double SliceScheduler::ExpectedShare(const Worker& worker,
-                                     const StepSpec& added) const {
+// How much more the neighbours may raise the utilisation of the task that has
+// the least room, as a share of its own.
+double SliceScheduler::RoomFor(const Task& serving,
+                               std::span<const Neighbour> neighbours) const {
+  const StepSpec& step = serving.job->StepOf(serving);
+  const double calm = std::max(kLeastUtilisation, serving.calm_utilisation);
+  return AllowedUtilisation(step) / calm - 1 -
+         interference_.CautiousRaise(step.image, neighbours);
+}
+
+double SliceScheduler::RoomOn(const Worker& worker,
+                              const StepSpec& added) const {
   std::vector<Neighbour> neighbours = NeighboursOn(worker);
   neighbours.push_back(
       {.image = added.image,
        .share = static_cast<double>(added.need.cpu_millis) /
                 static_cast<double>(worker.entry.capacity.cpu_millis)});
-  double worst = 0;
+  double room = kMostRoom;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      const StepSpec& step = task->job->StepOf(*task);
-      worst = std::max(
-          worst, task->calm_share *
-                     std::exp(interference_.Effect(step.image, neighbours)));
+      room = std::min(room, RoomFor(*task, neighbours));
     }
   }
-  return worst;
+  return room;
 }
 
 bool SliceScheduler::TakesSpareWork(const Worker& worker,
@@ -123,7 +163,7 @@
       kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
     return false;
   }
-  return ExpectedShare(worker, step) <= kAllowedTargetShare;
+  return RoomOn(worker, step) >= 0;
 }
 
 // The least disturbing spare work keeps its full speed until the tails' room
@@ -138,14 +178,6 @@
   if (spare.empty()) {
     return;
   }
-  const Task* worst = nullptr;
-  double worst_share = 0;
-  for (const Task* task : worker.tasks) {
-    if (IsServing(*task) && task->calm_share > worst_share) {
-      worst = task;
-      worst_share = task->calm_share;
-    }
-  }
   const bool alarm =
       std::ranges::any_of(worker.tasks, [](const Task* task) {
         return IsServing(*task) &&
@@ -154,23 +186,35 @@
                        static_cast<double>(core::ToMillis(
                            task->job->StepOf(*task).latency_target));
       });
-  const std::string_view image =
-      worst == nullptr ? std::string_view()
-                       : worst->job->StepOf(*worst).image;
-  double room = worst == nullptr
-                    ? std::numeric_limits<double>::infinity()
-                    : std::log(kAllowedTargetShare / worst_share);
-  std::ranges::sort(spare, {}, [&](const Task* task) {
-    return interference_.Weight(image, task->job->StepOf(*task).image);
-  });
+  const auto raise_by = [&](const Task& task) {
+    const StepSpec& step = task.job->StepOf(task);
+    const Neighbour full = {
+        .image = step.image,
+        .share = static_cast<double>(step.need.cpu_millis) /
+                 static_cast<double>(worker.entry.capacity.cpu_millis)};
+    double worst = 0;
+    for (const Task* serving : worker.tasks) {
+      if (IsServing(*serving)) {
+        worst = std::max(worst, interference_.Raise(
+                                    serving->job->StepOf(*serving).image,
+                                    std::span(&full, 1)));
+      }
+    }
+    return worst;
+  };
+  double room = kMostRoom;
+  for (const Task* task : worker.tasks) {
+    if (IsServing(*task)) {
+      room = std::min(room, RoomFor(*task, {}));
+    }
+  }
+  std::ranges::sort(spare, {}, [&](Task* task) { return raise_by(*task); });
   for (Task* task : spare) {
-    const StepSpec& step = task->job->StepOf(*task);
-    const double full =
-        interference_.Weight(image, step.image) *
-        static_cast<double>(step.need.cpu_millis) /
-        static_cast<double>(worker.entry.capacity.cpu_millis);
-    const double fraction =
-        alarm ? 0 : full <= room ? 1 : std::max(0.0, room) / full;
+    const double full = raise_by(*task);
+    double fraction = 1;
+    if (full > kNegligibleRaise) {
+      fraction = alarm ? 0 : std::clamp(room / full, 0.0, 1.0);
+    }
     const auto percent =
         static_cast<std::uint32_t>(fraction * kFullPace / kPaceStep) *
         kPaceStep;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -14,8 +14,8 @@
 constexpr std::size_t kGroupsPerPass = 100;
 
 // Thousandths of a core that a worker has to have unused more than another
-// one to be preferred although a tail there is nearer to its target.
-constexpr double kTargetSharePenaltyMillis = 20000;
+// one to be preferred although its serving tasks have no room.
+constexpr double kRoomMillis = 20000;
 constexpr double kFarDataPenaltyMillis = 16000;
 
 struct Candidate {
@@ -199,8 +199,8 @@
                          ? kFarDataPenaltyMillis
                          : 0;
   if (step.uses_spare_cpu) {
-    return SpareMillis(worker) - far -
-           kTargetSharePenaltyMillis * ExpectedShare(worker, step);
+    return SpareMillis(worker) - far +
+           kRoomMillis * std::min(RoomOn(worker, step), 1.0);
   }
   return static_cast<double>(worker.free().cpu_millis -
                              worker.spare_cpu_demand) -
