Put serving images together, count serving neighbours, move slowed tasks

Cause: a job waits for its slowest task, and tasks stayed at pace 0 next to an image that they disturb, while other workers had room. Ruled out: lack of processors (545 reports: spare work gets 0.7 to 1.0 of its wish where reservations leave nothing, since serving tasks use about half of theirs).

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -36,6 +36,7 @@
   std::uint32_t percent = 0;
   double usage = 0;  ///< As in ActiveRun.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
+  core::TimePoint slowed_since = core::TimePoint::max();
   /// Of a task that serves: utilisation without spare work next to it; 0 if
   /// not known.
   double calm_utilisation = 0;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -175,7 +175,12 @@
   void LearnInterference(const Worker& worker);
   void AdjustPace(Worker& worker);
   void SetPaceOf(const Worker& worker, Task& task, std::uint32_t percent);
+  void MoveSlowed();
+  static int OtherServingImages(const Worker& worker, const StepSpec& step);
   static double SpareMillis(const Worker& worker);
+  static std::vector<Neighbour> NeighboursOf(const Task& task,
+                                             const Worker& worker,
+                                             bool with_spare);
   double IdleTail(const StepSpec& step) const;
   double AllowedUtilisation(const StepSpec& step) const;
   double RoomFor(const Task& serving,
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -20,6 +20,9 @@
 constexpr std::uint32_t kPaceStep = 25;
 constexpr std::uint32_t kFullPace = 100;
 
+// Moving a task costs its stop, its start and 100 ms of work.
+constexpr core::Duration kSlowedTooLong = std::chrono::milliseconds(600);
+
 // Share of its reservation that a task that serves uses itself.
 constexpr double kServingUse = 0.6;
 
@@ -47,23 +50,13 @@
   return task.job->StepOf(task).uses_spare_cpu;
 }
 
-Neighbour MakeNeighbour(const Task& task, const Worker& worker) {
-  const StepSpec& step = task.job->StepOf(task);
-  const double cores =
-      static_cast<double>(step.need.cpu_millis) * task.pace_percent / kFullPace;
-  return {.image = step.image,
-          .share = cores / static_cast<double>(std::max<std::int64_t>(
-                               worker.entry.capacity.cpu_millis, 1))};
+double ShareOf(double cpu_millis, const Worker& worker) {
+  return cpu_millis / static_cast<double>(std::max<std::int64_t>(
+                          worker.entry.capacity.cpu_millis, 1));
 }
 
-std::vector<Neighbour> NeighboursOn(const Worker& worker) {
-  std::vector<Neighbour> neighbours;
-  for (const Task* task : worker.tasks) {
-    if (IsSpare(*task)) {
-      neighbours.push_back(MakeNeighbour(*task, worker));
-    }
-  }
-  return neighbours;
+double NeedMillis(const Task& task) {
+  return static_cast<double>(task.job->StepOf(task).need.cpu_millis);
 }
 
 }  // namespace
@@ -73,6 +66,30 @@
       worker.tasks, [](const Task* task) { return IsServing(*task); });
 }
 
+// What works next to a task on its worker, except for the task itself. The load
+// of tasks that serve disturbs others, too.
+std::vector<Neighbour> SliceScheduler::NeighboursOf(const Task& task,
+                                                    const Worker& worker,
+                                                    bool with_spare) {
+  std::vector<Neighbour> neighbours;
+  for (const Task* other : worker.tasks) {
+    double cores = 0;
+    if (other == &task) {
+      continue;
+    }
+    if (IsServing(*other)) {
+      cores = NeedMillis(*other) * other->calm_utilisation;
+    } else if (IsSpare(*other) && with_spare) {
+      cores = NeedMillis(*other) * other->pace_percent / kFullPace;
+    }
+    if (cores > 0) {
+      neighbours.push_back({.image = other->job->StepOf(*other).image,
+                            .share = ShareOf(cores, worker)});
+    }
+  }
+  return neighbours;
+}
+
 double SliceScheduler::SpareMillis(const Worker& worker) {
   double spare = static_cast<double>(worker.free().cpu_millis -
                                      worker.spare_cpu_demand);
@@ -103,12 +120,13 @@
 // Learns from the tails in a report, and remembers what the utilisations would
 // be without spare work next to them.
 void SliceScheduler::LearnInterference(const Worker& worker) {
-  const std::vector<Neighbour> neighbours = NeighboursOn(worker);
   for (Task* task : worker.tasks) {
     if (!IsServing(*task) || !IsState(*task, "running") || task->usage <= 0) {
       continue;
     }
     const StepSpec& step = task->job->StepOf(*task);
+    const std::vector<Neighbour> neighbours =
+        NeighboursOf(*task, worker, /*with_spare=*/true);
     double& idle =
         idle_tails_.try_emplace(step.image, task->usage).first->second;
     idle = std::min(idle, task->usage);
@@ -143,20 +161,35 @@
 
 double SliceScheduler::RoomOn(const Worker& worker,
                               const StepSpec& added) const {
-  std::vector<Neighbour> neighbours = NeighboursOn(worker);
-  neighbours.push_back(
-      {.image = added.image,
-       .share = static_cast<double>(added.need.cpu_millis) /
-                static_cast<double>(worker.entry.capacity.cpu_millis)});
+  const Neighbour more = {
+      .image = added.image,
+      .share = ShareOf(static_cast<double>(added.need.cpu_millis), worker)};
   double room = kMostRoom;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
+      std::vector<Neighbour> neighbours =
+          NeighboursOf(*task, worker, /*with_spare=*/true);
+      neighbours.push_back(more);
       room = std::min(room, RoomFor(*task, neighbours));
     }
   }
   return room;
 }
 
+// Images that serve and are not on the worker yet would each have to get on
+// with the spare work there.
+int SliceScheduler::OtherServingImages(const Worker& worker,
+                                       const StepSpec& step) {
+  std::set<std::string_view> images;
+  for (const Task* task : worker.tasks) {
+    if (IsServing(*task)) {
+      images.insert(task->job->StepOf(*task).image);
+    }
+  }
+  images.erase(step.image);
+  return static_cast<int>(images.size());
+}
+
 bool SliceScheduler::TakesSpareWork(const Worker& worker,
                                     const StepSpec& step) const {
   if (SpareMillis(worker) <
@@ -190,8 +223,7 @@
     const StepSpec& step = task.job->StepOf(task);
     const Neighbour full = {
         .image = step.image,
-        .share = static_cast<double>(step.need.cpu_millis) /
-                 static_cast<double>(worker.entry.capacity.cpu_millis)};
+        .share = ShareOf(NeedMillis(task), worker)};
     double worst = 0;
     for (const Task* serving : worker.tasks) {
       if (IsServing(*serving)) {
@@ -205,7 +237,9 @@
   double room = kMostRoom;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      room = std::min(room, RoomFor(*task, {}));
+      room = std::min(
+          room, RoomFor(*task, NeighboursOf(*task, worker,
+                                            /*with_spare=*/false)));
     }
   }
   std::ranges::sort(spare, {}, [&](Task* task) { return raise_by(*task); });
@@ -223,6 +257,32 @@
   }
 }
 
+// A task that is slowed for long holds its job up. One that saves its progress
+// goes on elsewhere, if there is room.
+void SliceScheduler::MoveSlowed() {
+  for (const auto& worker : workers_.all()) {
+    const std::vector<Task*> tasks = worker->tasks;
+    for (Task* task : tasks) {
+      if (task->slowed_since > now_ - kSlowedTooLong ||
+          !IsState(*task, "running") ||
+          !task->job->StepOf(*task).saves_progress) {
+        continue;
+      }
+      const Worker* other =
+          ChooseWorker(*task->job, task->job->groups[task->group], *task);
+      if (other == nullptr || other == worker.get()) {
+        continue;
+      }
+      options_.log(core::LogLine("slowed_task_moved")
+                       .Add("task", ToText(task->job->AddressOf(*task)))
+                       .Add("from", worker->entry.id)
+                       .Add("pace", task->pace_percent));
+      task->slowed_since = core::TimePoint::max();
+      Dispatch(*task, "halt");
+    }
+  }
+}
+
 void SliceScheduler::SetPaceOf(const Worker& worker,
                                Task& task,
                                std::uint32_t percent) {
@@ -235,6 +295,9 @@
                    .Add("from", task.pace_percent)
                    .Add("percent", percent));
   task.pace_percent = percent;
+  task.slowed_since =
+      percent > kPaceStep ? core::TimePoint::max()
+                          : std::min(task.slowed_since, now_);
   worker_commands_.push_back(jobs::SetPace{
       .call = ids_.Next(),
       .to = {.address = worker.entry.address, .worker = worker.entry.id},
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -16,6 +16,10 @@
 // Thousandths of a core that a worker has to have unused more than another
 // one to be preferred although its serving tasks have no room.
 constexpr double kRoomMillis = 20000;
+// The same for each other image that serves on the worker: spare work finds a
+// place more easily where it has to get on with one image only.
+constexpr double kOtherImagePenaltyMillis = 30000;
+
 constexpr double kFarDataPenaltyMillis = 16000;
 
 struct Candidate {
@@ -202,9 +206,13 @@
     return SpareMillis(worker) - far +
            kRoomMillis * std::min(RoomOn(worker, step), 1.0);
   }
+  const double apart =
+      step.latency_target > core::Duration()
+          ? kOtherImagePenaltyMillis * OtherServingImages(worker, step)
+          : 0;
   return static_cast<double>(worker.free().cpu_millis -
                              worker.spare_cpu_demand) -
-         far;
+         far - apart;
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -282,6 +282,7 @@
   RenewLeases();
   if (std::exchange(placement_due_, false)) {
     Place();
+    MoveSlowed();
   }
   LogLoad();
   StartCommit();
