Let a job's calm utilisation follow all reports on its tasks

Cause: every serving task has serving neighbours, so the calm utilisation moved at the slow rate only, lagged behind loads that swing within 10 to 20 s, and its error went into the weights.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -37,9 +37,6 @@
   double usage = 0;  ///< As in ActiveRun.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
   core::TimePoint slowed_since = core::TimePoint::max();
-  /// Of a task that serves: utilisation without spare work next to it; 0 if
-  /// not known.
-  double calm_utilisation = 0;
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
   bool stop_unanswered = false;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -178,9 +178,10 @@
   void MoveSlowed();
   static int OtherServingImages(const Worker& worker, const StepSpec& step);
   static double SpareMillis(const Worker& worker);
-  static std::vector<Neighbour> NeighboursOf(const Task& task,
-                                             const Worker& worker,
-                                             bool with_spare);
+  std::vector<Neighbour> NeighboursOf(const Task& task,
+                                      const Worker& worker,
+                                      bool with_spare) const;
+  double CalmUtilisation(const Job& job) const;
   double IdleTail(const StepSpec& step) const;
   double AllowedUtilisation(const StepSpec& step) const;
   double RoomFor(const Task& serving,
--- a/packages/jobs/src/interference_model.cc
+++ b/packages/jobs/src/interference_model.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // A pair that has not been seen: most pairs have weights near 0, some 1 to 4.
-constexpr double kFirstMean = 0.4;
+constexpr double kFirstMean = 0.3;
 constexpr double kFirstVariance = 1.0;
 constexpr double kMaxMean = 8.0;
 
@@ -16,7 +16,7 @@
 constexpr double kLeastVariance = 0.01;
 
 // Standard deviations above the mean that a cautious estimate takes.
-constexpr double kCaution = 0.7;
+constexpr double kCaution = 0.5;
 
 }  // namespace
 
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -11,7 +11,7 @@
 
 // Share of its target that a tail may reach by what is placed or paced next to
 // it. The rest is for changes of load between two reports.
-constexpr double kAllowedTargetShare = 0.7;
+constexpr double kAllowedTargetShare = 0.75;
 
 // Above this share of the target, all spare work next to the task rests.
 constexpr double kAlarmTargetShare = 1.0;
@@ -26,15 +26,14 @@
 // Share of its reservation that a task that serves uses itself.
 constexpr double kServingUse = 0.6;
 
-// How fast the utilisation that is expected without neighbours follows the
-// reports: of tasks without neighbours, and of tasks with some.
-constexpr double kCalmRate = 0.3;
-constexpr double kDisturbedRate = 0.05;
-constexpr double kTaskRate = 0.5;
+// How fast a job's utilisation without neighbours follows the reports on its
+// tasks, some of which come each second. Loads swing within 10 to 20 s.
+constexpr double kCalmRate = 0.2;
 
 // Standard deviation of a reported utilisation.
 constexpr double kUtilisationNoise = 0.05;
 constexpr double kLeastUtilisation = 0.05;
+constexpr double kFirstUtilisation = 0.5;  ///< Of a job without a report.
 
 // Room of a worker on which nothing serves.
 constexpr double kMostRoom = 10;
@@ -70,7 +69,7 @@
 // of tasks that serve disturbs others, too.
 std::vector<Neighbour> SliceScheduler::NeighboursOf(const Task& task,
                                                     const Worker& worker,
-                                                    bool with_spare) {
+                                                    bool with_spare) const {
   std::vector<Neighbour> neighbours;
   for (const Task* other : worker.tasks) {
     double cores = 0;
@@ -78,7 +77,7 @@
       continue;
     }
     if (IsServing(*other)) {
-      cores = NeedMillis(*other) * other->calm_utilisation;
+      cores = NeedMillis(*other) * CalmUtilisation(*other->job);
     } else if (IsSpare(*other) && with_spare) {
       cores = NeedMillis(*other) * other->pace_percent / kFullPace;
     }
@@ -91,17 +90,22 @@
 }
 
 double SliceScheduler::SpareMillis(const Worker& worker) {
-  double spare = static_cast<double>(worker.free().cpu_millis -
-                                     worker.spare_cpu_demand);
+  auto spare = static_cast<double>(worker.free().cpu_millis);
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      spare += (1 - kServingUse) *
-               static_cast<double>(task->job->StepOf(*task).need.cpu_millis);
+      spare += (1 - kServingUse) * NeedMillis(*task);
+    } else if (IsSpare(*task)) {
+      spare -= NeedMillis(*task) * task->pace_percent / kFullPace;
     }
   }
   return spare;
 }
 
+double SliceScheduler::CalmUtilisation(const Job& job) const {
+  const auto found = calm_utilisations_.find(job.spec.id);
+  return found == calm_utilisations_.end() ? kFirstUtilisation : found->second;
+}
+
 double SliceScheduler::IdleTail(const StepSpec& step) const {
   const auto found = idle_tails_.find(step.image);
   return found == idle_tails_.end()
@@ -141,11 +145,7 @@
     }
     const double cleared =
         observed / (1 + interference_.Raise(step.image, neighbours));
-    calm += (neighbours.empty() ? kCalmRate : kDisturbedRate) *
-            (cleared - calm);
-    task->calm_utilisation +=
-        (task->calm_utilisation == 0 ? 1 : kTaskRate) *
-        (cleared - task->calm_utilisation);
+    calm += kCalmRate * (cleared - calm);
   }
 }
 
@@ -154,9 +154,10 @@
 double SliceScheduler::RoomFor(const Task& serving,
                                std::span<const Neighbour> neighbours) const {
   const StepSpec& step = serving.job->StepOf(serving);
-  const double calm = std::max(kLeastUtilisation, serving.calm_utilisation);
+  const double calm =
+      std::max(kLeastUtilisation, CalmUtilisation(*serving.job));
   return AllowedUtilisation(step) / calm - 1 -
-         interference_.CautiousRaise(step.image, neighbours);
+         interference_.Raise(step.image, neighbours);
 }
 
 double SliceScheduler::RoomOn(const Worker& worker,
@@ -167,10 +168,12 @@
   double room = kMostRoom;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      std::vector<Neighbour> neighbours =
+      const std::vector<Neighbour> neighbours =
           NeighboursOf(*task, worker, /*with_spare=*/true);
-      neighbours.push_back(more);
-      room = std::min(room, RoomFor(*task, neighbours));
+      room = std::min(room, RoomFor(*task, neighbours) -
+                                interference_.CautiousRaise(
+                                    task->job->StepOf(*task).image,
+                                    std::span(&more, 1)));
     }
   }
   return room;
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -56,7 +56,6 @@
                 c.task.percent = 0;
                 c.task.pace_percent = 100;
                 c.task.slowed_since = core::TimePoint::max();
-                c.task.calm_utilisation = 0;
                 c.scheduler.SendStart(c.task);
               })
       .Action("resend_start",
