Send jobs that reserve processors to the slice with the least reserved

Cause: slices were balanced by all wishes, so jobs that reserve went where spare work was short and reservations were full: 23 of 148 saisie were never run.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -25,6 +25,15 @@
 
 enum class ClientVerb { kSubmit, kQuery, kCancel };
 
+/// Thousandths of a core that a job may use at once.
+struct JobDemand {
+  std::int64_t millis = 0;
+  std::int64_t reserved_millis = 0;  ///< The part that it reserves.
+};
+
+/// @returns the demand of the job's widest step.
+JobDemand DemandOf(const JobSpec& spec);
+
 /// What a caller asks for. The path names a queue, and a job behind it; a
 /// query without a job asks for the number of waiting jobs.
 struct ClientCall {
@@ -34,7 +43,7 @@
   std::string path;
   std::string document;       ///< Of kSubmit.
   std::string document_error;  ///< Why the document cannot be read, if so.
-  std::int64_t demand_millis = 0;  ///< Thousandths of a core it may use at once.
+  JobDemand demand;
   core::TimePoint give_up;  ///< When the caller stops waiting for an answer.
 };
 
@@ -133,7 +142,7 @@
               std::string job,
               std::int64_t unix_ms);
   std::size_t ChooseSlice(std::span<const std::size_t> candidates,
-                          std::int64_t demand_millis);
+                          const JobDemand& demand);
   void ReadState(ClientCall call, const Queue& queue, std::string job);
   void ReadNextSlice(Pending pending);
   void Remember(const std::string& job, std::size_t slice);
@@ -156,7 +165,7 @@
   std::unordered_map<CallId, Pending> pending_;
   /// Load of each slice as published, and what this process has added since.
   std::vector<std::optional<SliceLoad>> loads_;
-  std::vector<std::int64_t> added_millis_;
+  std::vector<JobDemand> added_;
   /// Slices of jobs that callers of this process have asked for.
   std::unordered_map<std::string, std::size_t> known_slices_;
   std::deque<std::string> known_order_;
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -11,8 +11,10 @@
 
 /// What the owner of a slice publishes about it with each renewal.
 struct SliceLoad {
-  /// Thousandths of a core that open tasks wish for, and that workers have.
+  /// Thousandths of a core that open tasks wish for, those that they reserve
+  /// among these, and those that workers have.
   std::int64_t demand_millis = 0;
+  std::int64_t reserved_millis = 0;
   std::int64_t capacity_millis = 0;
   /// Jobs by queue for which no task has started.
   std::map<std::string, std::uint32_t, std::less<>> pending;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "jobs/worker_pool.h"
 
 namespace hickoryusher::jobs {
 namespace {
@@ -129,7 +130,7 @@
   }
   last_probe_ = now_;
   const auto candidates = CandidateSlices(job, options_.slices.size());
-  const std::size_t slice = ChooseSlice(candidates, call.demand_millis);
+  const std::size_t slice = ChooseSlice(candidates, call.demand);
   const std::string& name = options_.slices[slice].name;
   CommitRows commit{
       .puts = {{.key = ProgressRow(name, job),
@@ -154,22 +155,42 @@
 
 void Intake::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
   loads_ = std::move(loads);
-  added_millis_.assign(loads_.size(), 0);
+  added_.assign(loads_.size(), JobDemand());
 }
 
-// The slice whose wishes are the smallest share of its capacity.
+JobDemand DemandOf(const JobSpec& spec) {
+  JobDemand widest;
+  for (const StepSpec& step : spec.steps) {
+    const std::int64_t count = step.count;
+    const JobDemand demand = {
+        .millis = count * step.need.cpu_millis,
+        .reserved_millis = count * Reservation(step).cpu_millis};
+    widest.millis = std::max(widest.millis, demand.millis);
+    widest.reserved_millis =
+        std::max(widest.reserved_millis, demand.reserved_millis);
+  }
+  return widest;
+}
+
+// The slice whose wishes are the smallest share of its capacity; for a job that
+// reserves processors, the one with the smallest share reserved.
 std::size_t Intake::ChooseSlice(std::span<const std::size_t> candidates,
-                                std::int64_t demand_millis) {
+                                const JobDemand& demand) {
   loads_.resize(options_.slices.size());
-  added_millis_.resize(options_.slices.size());
-  const auto share = [this](std::size_t slice) {
+  added_.resize(options_.slices.size());
+  const auto share = [&](std::size_t slice) {
     const auto load = loads_[slice].value_or(SliceLoad());
-    return static_cast<double>(load.demand_millis +
-                               kUnseenFactor * added_millis_[slice]) /
+    const JobDemand& added = added_[slice];
+    const std::int64_t wishes =
+        demand.reserved_millis > 0
+            ? load.reserved_millis + kUnseenFactor * added.reserved_millis
+            : load.demand_millis + kUnseenFactor * added.millis;
+    return static_cast<double>(wishes) /
            static_cast<double>(std::max<std::int64_t>(load.capacity_millis, 1));
   };
   const std::size_t chosen = *std::ranges::min_element(candidates, {}, share);
-  added_millis_[chosen] += demand_millis;
+  added_[chosen].millis += demand.millis;
+  added_[chosen].reserved_millis += demand.reserved_millis;
   return chosen;
 }
 
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -190,8 +190,10 @@
     }
     for (const Group& group : job.groups) {
       if (group.unblocked) {
-        load.demand_millis +=
-            std::int64_t{group.open} * job.StepOf(group).need.cpu_millis;
+        const StepSpec& step = job.StepOf(group);
+        load.demand_millis += std::int64_t{group.open} * step.need.cpu_millis;
+        load.reserved_millis +=
+            std::int64_t{group.open} * Reservation(step).cpu_millis;
       }
     }
     const bool begun =
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -6,6 +6,7 @@
 
 std::string EncodeSliceLoad(const SliceLoad& load) {
   std::string text = std::to_string(load.demand_millis) + ' ' +
+                     std::to_string(load.reserved_millis) + ' ' +
                      std::to_string(load.capacity_millis) + '\n';
   for (const auto& [queue, count] : load.pending) {
     text += queue + ' ' + std::to_string(count) + '\n';
@@ -16,7 +17,8 @@
 std::optional<SliceLoad> DecodeSliceLoad(std::string_view text) {
   SliceLoad load;
   std::istringstream in{std::string(text)};
-  if (!(in >> load.demand_millis >> load.capacity_millis)) {
+  if (!(in >> load.demand_millis >> load.reserved_millis >>
+        load.capacity_millis)) {
     return std::nullopt;
   }
   std::string queue;
