Keep stored progress until the jobs have been read, too

Cause: a new owner reads progress and jobs at the same time; progress that came first was dropped before the jobs came, and their tasks ran again. Ruled out: two owners at once (one epoch at a time in all logs).

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -143,6 +143,7 @@
   void AddJob(const Row& row, JobSpec spec, const StoredJob& stored);
   void ApplyProgress(Job& job, const Progress& progress);
   void TakeProgressPage(const RowsRead& page);
+  void FinishRestore();
   void RefreshQueue(Job& job);
   void Unblock(Job& job);
   bool IsUnblocked(const Job& job, const Group& group) const;
@@ -228,6 +229,7 @@
   bool progress_loaded_ = false;
   core::TimePoint progress_retry_;
   std::map<std::string, Progress, std::less<>> stored_progress_;
+  bool restored_ = false;  ///< All jobs and their progress are known.
   std::vector<Row> early_rows_;  ///< Seen before the progress was read.
 
   std::unordered_map<CallId, PendingCall> calls_;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -30,8 +30,7 @@
 }
 
 void SliceScheduler::StartCommit() {
-  if (commit_ || now_ < commit_due_ || now_ < commit_retry_ ||
-      !progress_loaded_) {
+  if (commit_ || now_ < commit_due_ || now_ < commit_retry_ || !restored_) {
     return;
   }
   Commit commit;
@@ -176,7 +175,7 @@
 }
 
 std::optional<SliceLoad> SliceScheduler::load() {
-  if (!progress_loaded_ || !job_rows_.synced()) {
+  if (!restored_) {
     return std::nullopt;
   }
   SliceLoad load;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -44,7 +44,7 @@
 }
 
 void SliceScheduler::Place() {
-  if (config_ == nullptr || !progress_loaded_ || !job_rows_.synced()) {
+  if (config_ == nullptr || !restored_) {
     return;
   }
   const bool confirmed = AllConfirmed();
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -88,9 +88,23 @@
         std::visit([](const auto& u) -> const auto& { return u.rows; },
                    *update);
     std::ranges::for_each(rows, [this](const Row& row) { TakeRow(row); });
+    FinishRestore();
   }
 }
 
+// The jobs and their progress are read at the same time, in any order.
+void SliceScheduler::FinishRestore() {
+  if (restored_ || !progress_loaded_ || !job_rows_.synced()) {
+    return;
+  }
+  restored_ = true;
+  stored_progress_.clear();
+  options_.log(core::LogLine("slice_restored")
+                   .Add("slice", options_.slice.name)
+                   .Add("epoch", options_.epoch)
+                   .Add("jobs", jobs_.size()));
+}
+
 void SliceScheduler::TakeProgressPage(const RowsRead& page) {
   for (const Row& row : page.rows) {
     auto progress = DecodeProgress(row.value);
@@ -113,11 +127,7 @@
   for (const Row& row : std::exchange(early_rows_, {})) {
     TakeRow(row);
   }
-  stored_progress_.clear();
-  options_.log(core::LogLine("slice_restored")
-                   .Add("slice", options_.slice.name)
-                   .Add("epoch", options_.epoch)
-                   .Add("jobs", jobs_.size()));
+  FinishRestore();
 }
 
 void SliceScheduler::TakeRow(const Row& row) {
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -151,7 +151,7 @@
   }
   worker.clock_ms = report.clock_ms;
   worker.clock_at = now_;
-  if (!progress_loaded_ || !job_rows_.synced()) {
+  if (!restored_) {
     // Which tasks are known is not known yet; the report is asked for again.
     worker.next_renewal = now_ + kTick;
     return;
