Make each progress write conditional on its row, and store a roster of workers

Now each row's version is a condition, and a conflict on it is told from a lost fence. Now a worker gets tasks only once it is in a stored roster, and a new owner asks all of them. Ruled out: waiting out the longest lease at each takeover (6 to 18 s without starts).

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -63,6 +63,9 @@
   JobPhase phase = JobPhase::kQueued;
   bool halted = false;    ///< No task may start any more.
   bool restored = false;  ///< An earlier owner may have started tasks.
+  /// Version of the row that holds the job's progress. A condition of each
+  /// write, since an unanswered write may take effect seconds later.
+  std::uint64_t progress_version = 0;
   std::int64_t accepted_unix_ms = 0;
   core::TimePoint objective;  ///< When the job should be completed.
   core::TimePoint worthless;  ///< Completed later, it is of no use.
--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -31,6 +31,8 @@
   Epoch epoch = 0;
   /// Version of the slice's fence row: a condition of every write for it.
   RowVersion fence_version = 0;
+  /// The earlier owner has ended or given the slice up, so it renews no leases.
+  bool predecessor_ended = false;
 };
 
 struct SliceLost {
@@ -121,6 +123,7 @@
   void TakeConflict(Slice& slice,
                     const RowsConflicted& conflict,
                     core::TimePoint now);
+  bool IsVacant(const Slice& slice) const;
   bool MayClaim(const Slice& slice, core::TimePoint now) const;
   void SendWrite(Slice& slice, bool claim, bool release, core::TimePoint now);
 
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -35,6 +35,7 @@
 RowKey JobRow(std::string_view slice, std::string_view job);
 RowKey CancelRow(std::string_view slice, std::string_view job);
 RowKey ProgressRow(std::string_view slice, std::string_view job);
+RowKey RosterRow(std::string_view slice);
 
 /// A job as its caller handed it in, with what intake knows about it.
 struct StoredJob {
@@ -71,6 +72,7 @@
     core::SliceId id;
     Epoch epoch = 0;
     RowVersion fence_version = 0;
+    bool predecessor_ended = false;  ///< As in SliceGained.
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
@@ -131,6 +133,7 @@
     CommitRows rows;
     std::vector<std::string> jobs;
     std::vector<std::pair<core::WorkerId, std::uint64_t>> ends;
+    std::vector<core::WorkerId> roster;  ///< If it is part of the write.
   };
 
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
@@ -206,7 +209,12 @@
   void MarkDirty(Job& job, bool urgent);
   void StartCommit();
   void FinishCommit(const StoreEvent& event);
+  void CollectJobs(Commit& commit);
   void CollectRemovals(Commit& commit);
+  void CollectRoster(Commit& commit);
+  void TakeConflict(const Commit& commit, const RowsConflicted& conflict);
+  void NoteStored(const Commit& commit, RowVersion version);
+  void TakeRoster(const Row& row);
   void LogLoad();
 
   Options options_;
@@ -228,7 +236,13 @@
   std::string progress_from_;
   bool progress_loaded_ = false;
   core::TimePoint progress_retry_;
-  std::map<std::string, Progress, std::less<>> stored_progress_;
+  struct StoredProgress {
+    Progress progress;
+    RowVersion version = 0;
+  };
+  std::map<std::string, StoredProgress, std::less<>> stored_progress_;
+  RowVersion roster_version_ = 0;
+  bool roster_due_ = false;
   bool restored_ = false;  ///< All jobs and their progress are known.
   std::vector<Row> early_rows_;  ///< Seen before the progress was read.
 
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -24,6 +24,9 @@
   core::WorkerId id;
   WorkerEntry entry;
   bool listed = true;  ///< In the fleet's registry.
+  /// In the stored roster, so that a successor asks it what runs there. Only
+  /// then may it get tasks.
+  bool enrolled = false;
   chart::StateId contact;
   std::int64_t born_unix_ms = 0;  ///< Of the lifetime that reported last.
 
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -85,6 +85,7 @@
   core::TimePoint renewed;  ///< When the last good renewal was sent.
   core::TimePoint next_write;
   Epoch claim_epoch = 0;
+  bool vacant = false;  ///< When claimed.
 };
 
 struct SliceBoard::Context {
@@ -120,7 +121,8 @@
                 c.board.notices_.push_back(
                     SliceGained{.slice = c.slice.id,
                                 .epoch = c.slice.holding.epoch,
-                                .fence_version = c.slice.claim_version});
+                                .fence_version = c.slice.claim_version,
+                                .predecessor_ended = c.slice.vacant});
               })
       .Action("announce_loss", [](Context& c) {
         c.slice.unchanged_since = c.now;
@@ -175,6 +177,11 @@
   });
 }
 
+bool SliceBoard::IsVacant(const Slice& slice) const {
+  return slice.version == 0 || slice.holding.process == kReleased ||
+         slice.holding.process == options_.process;
+}
+
 bool SliceBoard::MayClaim(const Slice& slice, core::TimePoint now) const {
   if (releasing_ || !slice.listed || slice.write) {
     return false;
@@ -186,10 +193,7 @@
           std::ranges::count_if(slices_, [this](const Slice& other) {
             return chart_.StateName(other.state) == "owning";
           });
-  const bool vacant = slice.version == 0 ||
-                      slice.holding.process == kReleased ||
-                      slice.holding.process == options_.process;
-  if (!vacant) {
+  if (!IsVacant(slice)) {
     wait += kHolderSilence;
   }
   return now >= slice.unchanged_since + wait;
@@ -235,6 +239,7 @@
     commit.puts.front().value += '\n' + EncodeSliceLoad(*slice.load);
   }
   if (claim) {
+    slice.vacant = IsVacant(slice);
     commit.puts.push_back({.key = FenceRow(slice.info.name),
                            .value = std::to_string(holding.epoch)});
     slice.claim_epoch = holding.epoch;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -15,8 +16,8 @@
 constexpr core::Duration kCommitLinger = milliseconds(40);
 constexpr core::Duration kCommitRetryPause = milliseconds(150);
 
-// Each job takes up to three rows of a transaction, and the store takes 100.
-constexpr std::size_t kJobsPerCommit = 30;
+// Each job takes up to four entries of a transaction, and the store takes 100.
+constexpr std::size_t kJobsPerCommit = 20;
 constexpr std::size_t kRemovalsPerCommit = 5;
 
 constexpr core::Duration kLoadLogInterval = milliseconds(2000);
@@ -35,9 +36,31 @@
   }
   Commit commit;
   commit.rows.call = ids_.Next();
-  commit.rows.conditions.push_back(
-      {.key = FenceRow(options_.slice.name),
-       .version = options_.fence_version});
+  commit.rows.conditions.push_back({.key = FenceRow(options_.slice.name),
+                                    .version = options_.fence_version});
+  CollectJobs(commit);
+  if (dirty_.empty()) {
+    for (const auto& worker : workers_.all()) {
+      if (worker->last_end > worker->acknowledged) {
+        commit.ends.emplace_back(worker->id, worker->last_end);
+      }
+    }
+  }
+  if (roster_due_) {
+    CollectRoster(commit);
+  }
+  commit_due_ = dirty_.empty() ? core::TimePoint::max() : now_;
+  if (commit.rows.puts.empty()) {
+    // The ends changed nothing that is stored.
+    NoteStored(commit, 0);
+    return;
+  }
+  CollectRemovals(commit);
+  store_commands_.push_back(commit.rows);
+  commit_ = std::move(commit);
+}
+
+void SliceScheduler::CollectJobs(Commit& commit) {
   const chart::StateId done = charts_.task_run.FindState("done");
   while (!dirty_.empty() && commit.jobs.size() < kJobsPerCommit) {
     const std::string id = *dirty_.begin();
@@ -46,10 +69,12 @@
     if (job == nullptr) {
       continue;
     }
+    const RowKey key = ProgressRow(options_.slice.name, id);
     commit.jobs.push_back(id);
+    commit.rows.conditions.push_back(
+        {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
-        {.key = ProgressRow(options_.slice.name, id),
-         .value = EncodeProgress(job->ToProgress(done))});
+        {.key = key, .value = EncodeProgress(job->ToProgress(done))});
     const bool over =
         IsFinal(job->phase) &&
         std::ranges::none_of(job->tasks, [](const Task& task) {
@@ -60,26 +85,39 @@
       commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
     }
   }
-  if (dirty_.empty()) {
-    for (const auto& worker : workers_.all()) {
-      if (worker->last_end > worker->acknowledged) {
-        commit.ends.emplace_back(worker->id, worker->last_end);
-      }
+}
+
+// The workers on which tasks of this slice may run.
+void SliceScheduler::CollectRoster(Commit& commit) {
+  roster_due_ = false;
+  std::string text;
+  for (const auto& worker : workers_.all()) {
+    const bool gone = !worker->listed && worker->tasks.empty() &&
+                      now_ >= worker->lease_end;
+    if (!gone) {
+      text += worker->entry.id + ' ' + worker->entry.address + '\n';
+      commit.roster.push_back(worker->id);
     }
   }
-  commit_due_ = dirty_.empty() ? core::TimePoint::max() : now_;
-  if (commit.jobs.empty()) {
-    // The ends changed nothing that is stored.
-    for (const auto& [id, number] : commit.ends) {
-      Worker& worker = workers_.Get(id);
-      worker.acknowledged = number;
-      worker.next_renewal = now_;
+  const RowKey key = RosterRow(options_.slice.name);
+  commit.rows.conditions.push_back({.key = key, .version = roster_version_});
+  commit.rows.puts.push_back({.key = key, .value = std::move(text)});
+}
+
+void SliceScheduler::TakeRoster(const Row& row) {
+  roster_version_ = row.version;
+  std::istringstream in(row.value);
+  WorkerEntry entry{.failure_domain = options_.slice.failure_domain};
+  while (in >> entry.id >> entry.address) {
+    Worker* worker = workers_.Find(entry.id);
+    if (worker == nullptr) {
+      // Its tasks may go on although it is not in the registry.
+      TakeWorker(entry, now_);
+      worker = workers_.Find(entry.id);
+      worker->listed = false;
     }
-    return;
+    worker->enrolled = true;
   }
-  CollectRemovals(commit);
-  store_commands_.push_back(commit.rows);
-  commit_ = std::move(commit);
 }
 
 void SliceScheduler::CollectRemovals(Commit& commit) {
@@ -95,35 +133,71 @@
 }
 
 void SliceScheduler::FinishCommit(const StoreEvent& event) {
-  Commit commit = std::move(*commit_);
+  const Commit commit = std::move(*commit_);
   commit_.reset();
-  const bool stored = std::holds_alternative<RowsCommitted>(event);
-  if (std::holds_alternative<RowsConflicted>(event)) {
-    deposed_ = true;
+  if (const auto* done = std::get_if<RowsCommitted>(&event)) {
+    NoteStored(commit, done->version);
     return;
   }
-  if (!stored) {
-    dirty_.insert(commit.jobs.begin(), commit.jobs.end());
-    commit_due_ = now_;
-    commit_retry_ = now_ + kCommitRetryPause;
+  if (const auto* conflict = std::get_if<RowsConflicted>(&event)) {
+    TakeConflict(commit, *conflict);
+  }
+  dirty_.insert(commit.jobs.begin(), commit.jobs.end());
+  roster_due_ |= !commit.roster.empty();
+  commit_due_ = now_;
+  commit_retry_ = now_ + kCommitRetryPause;
+}
+
+// Either a successor has claimed the slice, or an earlier attempt that was not
+// answered has taken effect.
+void SliceScheduler::TakeConflict(const Commit& commit,
+                                  const RowsConflicted& conflict) {
+  const auto version_of = [&](const RowKey& key) {
+    const auto row = std::ranges::find(conflict.present, key, &Row::key);
+    return row == conflict.present.end() ? RowVersion{0} : row->version;
+  };
+  if (version_of(FenceRow(options_.slice.name)) != options_.fence_version) {
+    deposed_ = true;
     return;
   }
+  for (const std::string& id : commit.jobs) {
+    if (Job* job = jobs_.Find(id)) {
+      job->progress_version = version_of(ProgressRow(options_.slice.name, id));
+    }
+  }
+  if (!commit.roster.empty()) {
+    roster_version_ = version_of(RosterRow(options_.slice.name));
+  }
+}
+
+void SliceScheduler::NoteStored(const Commit& commit, RowVersion version) {
   for (const auto& [id, number] : commit.ends) {
     Worker& worker = workers_.Get(id);
     // The worker may have begun another lifetime meanwhile.
     worker.acknowledged = std::min(number, worker.last_end);
     worker.next_renewal = now_;
   }
+  if (!commit.roster.empty()) {
+    roster_version_ = version;
+    placement_due_ = true;
+  }
+  for (const core::WorkerId id : commit.roster) {
+    workers_.Get(id).enrolled = true;
+  }
+  for (const std::string& id : commit.jobs) {
+    if (Job* job = jobs_.Find(id)) {
+      job->progress_version = version;
+    }
+  }
   for (const RowKey& removed : commit.rows.removals) {
-    if (jobs_.Find(removed.key) == nullptr ||
-        removed.table != JobTableName(options_.slice.name)) {
+    const Job* job = jobs_.Find(removed.key);
+    if (job == nullptr || removed.table != JobTableName(options_.slice.name)) {
       continue;
     }
-    const Job& job = *jobs_.Find(removed.key);
     options_.log(core::LogLine("job_closed")
                      .Add("job", removed.key)
-                     .Add("phase", ToString(job.phase))
-                     .Add("late_ms", core::ToMillis(now_ - job.objective)));
+                     .Add("phase", ToString(job->phase))
+                     .Add("late_ms", core::ToMillis(now_ - job->objective)));
     final_jobs_.emplace_back(now_, removed.key);
     dirty_.erase(removed.key);
     calm_utilisations_.erase(removed.key);
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -33,6 +33,13 @@
           .key = std::string(job)};
 }
 
+// Sorts before all job ids, which consist of letters, digits, '-' and '_'.
+RowKey RosterRow(std::string_view slice) {
+  return {.table = std::string(kProgressTable),
+          .part = std::string(slice),
+          .key = "!roster"};
+}
+
 std::string EncodeStoredJob(const StoredJob& job) {
   return job.queue + '\n' + std::to_string(job.accepted_unix_ms) + '\n' +
          job.document;
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -107,6 +107,10 @@
 
 void SliceScheduler::TakeProgressPage(const RowsRead& page) {
   for (const Row& row : page.rows) {
+    if (row.key.key == RosterRow({}).key) {
+      TakeRoster(row);
+      continue;
+    }
     auto progress = DecodeProgress(row.value);
     if (!progress) {
       options_.log(core::LogLine("progress_row_unreadable")
@@ -117,7 +121,8 @@
     if (IsFinal(progress->phase)) {
       final_jobs_.emplace_back(now_, row.key.key);
     }
-    stored_progress_[row.key.key] = *std::move(progress);
+    stored_progress_[row.key.key] = {.progress = *std::move(progress),
+                                     .version = row.version};
   }
   if (page.more && !page.rows.empty()) {
     progress_from_ = page.rows.back().key.key + '\x01';
@@ -173,6 +178,8 @@
   job.queue.name = stored.queue;
   job.restored = row.version < options_.fence_version;
   job.accepted_unix_ms = stored.accepted_unix_ms;
+  // Both rows were written by one transaction.
+  job.progress_version = row.version;
   RefreshQueue(job);
   const core::Duration objective =
       std::chrono::duration_cast<core::Duration>(LongestChain(job.spec) *
@@ -186,7 +193,8 @@
   job.worthless = accepted + 3 * objective;
   if (const auto found = stored_progress_.find(job.spec.id);
       found != stored_progress_.end()) {
-    ApplyProgress(job, found->second);
+    ApplyProgress(job, found->second.progress);
+    job.progress_version = found->second.version;
   }
   Unblock(job);
   options_.log(core::LogLine("job_taken")
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -78,10 +78,14 @@
     worker->born_unix_ms = entry.born_unix_ms;
     // An earlier owner may have given leases until its own grace ended.
     worker->lease_end =
-        gained_ + SliceBoard::kOwnerGrace +
+        gained_ +
+        (options_.predecessor_ended ? core::Duration()
+                                    : SliceBoard::kOwnerGrace) +
         std::chrono::duration_cast<core::Duration>(
             options_.limits.longest_lease * kSlowClockFactor) +
         kClockMargin;
+    roster_due_ = true;
+    commit_due_ = std::min(commit_due_, now_ + kTick);
   } else {
     worker->entry = entry;
     worker->listed = true;
@@ -335,7 +339,9 @@
         charts_.worker_contact.StateName(worker->contact) == "live";
     const bool wanted = !worker->tasks.empty() ||
                         worker->last_end > worker->acknowledged ||
-                        (!confirmed && worker->listed);
+                        (!confirmed && (worker->listed || worker->enrolled) &&
+                         charts_.worker_contact.StateName(worker->contact) !=
+                             "lapsed");
     if (wanted && !worker->renewal && now_ >= worker->next_renewal) {
       RenewLease(*worker);
     }
@@ -376,7 +382,7 @@
 }
 
 bool SliceScheduler::MayUse(const Worker& worker) const {
-  return worker.listed && !worker.entry.draining &&
+  return worker.listed && worker.enrolled && !worker.entry.draining &&
          now_ >= worker.avoid_until &&
          charts_.worker_contact.StateName(worker.contact) == "live";
 }
