Cache rooms of workers, keep capacity for lasting tasks, write logs in batches

Now images are handles, rooms are cached for each worker, a group that needs no less than one without room is passed over, and the worker kept free is one that short tasks will free.

--- a/packages/jobs/include/jobs/interference_model.h
+++ b/packages/jobs/include/jobs/interference_model.h
@@ -1,17 +1,19 @@
 #ifndef JOBS_INTERFERENCE_MODEL_H_
 #define JOBS_INTERFERENCE_MODEL_H_
 
-#include <map>
 #include <span>
-#include <string>
-#include <string_view>
-#include <utility>
+#include <vector>
+
+#include "core/handle.h"
 
 namespace hickoryusher::jobs {
 
+/// What tasks run; tasks of one image behave alike.
+using ImageId = core::Handle<struct ImageTag>;
+
 /// Spare work next to a task that serves.
 struct Neighbour {
-  std::string_view image;
+  ImageId image;
   /// Processors it works on, as a share of the worker's.
   double share = 0;
 };
@@ -28,29 +30,33 @@
   /// @param raise by how much the utilisation was above the one expected
   /// without neighbours, as a share of that.
   /// @param noise standard deviation of @p raise.
-  void Learn(std::string_view serving,
+  void Learn(ImageId serving,
              std::span<const Neighbour> neighbours,
              double raise,
              double noise);
 
   /// @returns the expected raise.
-  double Raise(std::string_view serving,
+  double Raise(ImageId serving,
                std::span<const Neighbour> neighbours) const;
 
   /// @returns a raise that is probably not exceeded.
-  double CautiousRaise(std::string_view serving,
+  double CautiousRaise(ImageId serving,
                        std::span<const Neighbour> neighbours) const;
 
  private:
+  // A pair that has not been seen: most pairs have weights near 0, some 1 to 4.
+  static constexpr double kFirstMean = 0.3;
+  static constexpr double kFirstVariance = 1.0;
+
   struct Weight {
-    double mean = 0;
-    double variance = 0;
+    double mean = kFirstMean;
+    double variance = kFirstVariance;
   };
-  using Pair = std::pair<std::string, std::string>;
-
-  Weight Find(std::string_view serving, std::string_view image) const;
+  Weight Find(ImageId serving, ImageId image) const;
+  Weight& Row(ImageId serving, ImageId image);
 
-  std::map<Pair, Weight> weights_;
+  /// By serving image, then by the other's; missing ones are unknown.
+  std::vector<std::vector<Weight>> weights_;
 };
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -13,6 +13,7 @@
 #include "chart/chart.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "jobs/interference_model.h"
 #include "jobs/progress.h"
 #include "jobs/queues.h"
 #include "jobs/types.h"
@@ -55,6 +56,7 @@
   std::uint32_t count = 0;
   std::uint32_t open = 0;  ///< Tasks that are not done.
   bool unblocked = false;
+  ImageId image;
 };
 
 struct Job {
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -18,6 +18,7 @@
 #include "chart/chart.h"
 #include "chart/interpreter.h"
 #include "core/log_line.h"
+#include "core/name_table.h"
 #include "jobs/interference_model.h"
 #include "jobs/job_table.h"
 #include "jobs/queues.h"
@@ -159,7 +160,7 @@
   void SendStop(Task& task);
   void NoteRunning(Task& task);
   void LeaveWorker(Task& task);
-  bool IsState(const Task& task, std::string_view state) const;
+  static bool IsState(const Task& task, chart::StateId state);
 
   // Workers.
   void DispatchContact(Worker& worker, std::string_view event);
@@ -178,10 +179,10 @@
   std::int64_t LeaseUntil(const Worker& worker) const;
   void LearnInterference(const Worker& worker);
   void AdjustPace(Worker& worker);
-  void SetPaceOf(const Worker& worker, Task& task, std::uint32_t percent);
+  void SetPaceOf(Worker& worker, Task& task, std::uint32_t percent);
   void MoveSlowed();
-  static int OtherServingImages(const Worker& worker, const StepSpec& step);
-  static double SpareMillis(const Worker& worker);
+  int OtherServingImages(Worker& worker, ImageId image) const;
+  void RefreshRooms(Worker& worker) const;
   std::vector<Neighbour> NeighboursOf(const Task& task,
                                       const Worker& worker,
                                       bool with_spare) const;
@@ -190,19 +191,22 @@
   double AllowedUtilisation(const StepSpec& step) const;
   double RoomFor(const Task& serving,
                  std::span<const Neighbour> neighbours) const;
-  double RoomOn(const Worker& worker, const StepSpec& added) const;
+  double RoomOn(Worker& worker, ImageId image, const StepSpec& added) const;
   bool AllConfirmed() const;
   bool MayUse(const Worker& worker) const;
 
   // Placement.
   void Place();
-  void PlaceGroup(Job& job, Group& group);
+  bool PlaceGroup(Job& job, Group& group);
+  bool Suits(const Worker& worker, const Job& job, const Group& group) const;
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
   void KeepFree(const Job& job, const Group& group);
-  bool TakesSpareWork(const Worker& worker, const StepSpec& step) const;
+  bool TakesSpareWork(Worker& worker,
+                      ImageId image,
+                      const StepSpec& step) const;
   static bool Serves(const Worker& worker);
-  double Score(const Worker& worker, const StepSpec& step) const;
+  double Score(Worker& worker, ImageId image, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
   // Commits.
@@ -229,6 +233,16 @@
   bool deposed_ = false;
   core::TimePoint gained_;
 
+  /// States of the chart `task_run` that decisions look at.
+  struct TaskStates {
+    chart::StateId blocked;
+    chart::StateId ready;
+    chart::StateId starting;
+    chart::StateId running;
+    chart::StateId stopping;
+    chart::StateId done;
+  };
+  TaskStates states_;
   JobTable jobs_;
   WorkerPool workers_;
   TableFollower job_rows_;
@@ -247,7 +261,9 @@
   std::vector<Row> early_rows_;  ///< Seen before the progress was read.
 
   std::unordered_map<CallId, PendingCall> calls_;
+  core::NameTable<ImageId> images_;
   InterferenceModel interference_;
+  core::TimePoint next_move_;
   /// By image that serves: the smallest tail seen, in milliseconds.
   std::map<std::string, double, std::less<>> idle_tails_;
   /// By job: utilisation without spare work next to it.
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -46,6 +46,16 @@
   core::TimePoint renewal_sent;
   core::TimePoint next_renewal;
 
+  /// Room that each serving task has left for disturbance, and processors for
+  /// spare work. Recomputed when the tasks, their paces or tails change.
+  struct ServingRoom {
+    ImageId image;
+    double room = 0;
+  };
+  std::vector<ServingRoom> rooms;
+  double spare_millis = 0;
+  bool rooms_valid = false;
+
   std::uint32_t failures_in_row = 0;
   core::TimePoint avoid_until;  ///< Quarantine after failures.
   std::uint32_t quarantines = 0;
--- a/packages/jobs/src/interference_model.cc
+++ b/packages/jobs/src/interference_model.cc
@@ -7,9 +7,6 @@
 namespace hickoryusher::jobs {
 namespace {
 
-// A pair that has not been seen: most pairs have weights near 0, some 1 to 4.
-constexpr double kFirstMean = 0.3;
-constexpr double kFirstVariance = 1.0;
 constexpr double kMaxMean = 8.0;
 
 // Weights change within seconds, so that no estimate becomes certain.
@@ -20,17 +17,28 @@
 
 }  // namespace
 
-InterferenceModel::Weight InterferenceModel::Find(
-    std::string_view serving,
-    std::string_view image) const {
-  const auto found =
-      weights_.find(Pair(std::string(serving), std::string(image)));
-  return found == weights_.end()
-             ? Weight{.mean = kFirstMean, .variance = kFirstVariance}
-             : found->second;
+InterferenceModel::Weight InterferenceModel::Find(ImageId serving,
+                                                  ImageId image) const {
+  if (serving.value() >= weights_.size() ||
+      image.value() >= weights_[serving.value()].size()) {
+    return {};
+  }
+  return weights_[serving.value()][image.value()];
+}
+
+InterferenceModel::Weight& InterferenceModel::Row(ImageId serving,
+                                                  ImageId image) {
+  if (serving.value() >= weights_.size()) {
+    weights_.resize(serving.value() + 1);
+  }
+  std::vector<Weight>& row = weights_[serving.value()];
+  if (image.value() >= row.size()) {
+    row.resize(image.value() + 1);
+  }
+  return row[image.value()];
 }
 
-double InterferenceModel::Raise(std::string_view serving,
+double InterferenceModel::Raise(ImageId serving,
                                 std::span<const Neighbour> neighbours) const {
   return std::accumulate(
       neighbours.begin(), neighbours.end(), 0.0,
@@ -40,7 +48,7 @@
 }
 
 double InterferenceModel::CautiousRaise(
-    std::string_view serving,
+    ImageId serving,
     std::span<const Neighbour> neighbours) const {
   return std::accumulate(
       neighbours.begin(), neighbours.end(), 0.0,
@@ -51,27 +59,31 @@
       });
 }
 
-void InterferenceModel::Learn(std::string_view serving,
+void InterferenceModel::Learn(ImageId serving,
                               std::span<const Neighbour> neighbours,
                               double raise,
                               double noise) {
   const double error = raise - Raise(serving, neighbours);
   // Several tasks of one image count as one larger neighbour.
-  std::map<std::string_view, double> shares;
+  std::vector<Neighbour> merged;
   for (const Neighbour& n : neighbours) {
-    shares[n.image] += n.share;
+    const auto same = std::ranges::find(merged, n.image, &Neighbour::image);
+    if (same == merged.end()) {
+      merged.push_back(n);
+    } else {
+      same->share += n.share;
+    }
   }
   double uncertainty = noise * noise;
-  for (const auto& [image, share] : shares) {
-    uncertainty += Find(serving, image).variance * share * share;
+  for (const Neighbour& n : merged) {
+    uncertainty += Find(serving, n.image).variance * n.share * n.share;
   }
-  for (const auto& [image, share] : shares) {
-    Weight weight = Find(serving, image);
-    const double gain = weight.variance * share / uncertainty;
+  for (const Neighbour& n : merged) {
+    Weight& weight = Row(serving, n.image);
+    const double gain = weight.variance * n.share / uncertainty;
     weight.mean = std::clamp(weight.mean + gain * error, 0.0, kMaxMean);
     weight.variance =
-        std::max(kLeastVariance, weight.variance * (1 - gain * share));
-    weights_[Pair(std::string(serving), std::string(image))] = weight;
+        std::max(kLeastVariance, weight.variance * (1 - gain * n.share));
   }
 }
 
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -61,7 +61,6 @@
 }
 
 void SliceScheduler::CollectJobs(Commit& commit) {
-  const chart::StateId done = charts_.task_run.FindState("done");
   while (!dirty_.empty() && commit.jobs.size() < kJobsPerCommit) {
     const std::string id = *dirty_.begin();
     dirty_.erase(dirty_.begin());
@@ -74,7 +73,7 @@
     commit.rows.conditions.push_back(
         {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
-        {.key = key, .value = EncodeProgress(job->ToProgress(done))});
+        {.key = key, .value = EncodeProgress(job->ToProgress(states_.done))});
     const bool over =
         IsFinal(job->phase) &&
         std::ranges::none_of(job->tasks, [](const Task& task) {
@@ -214,7 +213,7 @@
   std::size_t waiting_services = 0;
   jobs_.ForEach([&](const Job& job) {
     for (const Task& task : job.tasks) {
-      if (IsState(task, "ready")) {
+      if (IsState(task, states_.ready)) {
         ++ready;
         waiting_services += job.StepOf(task).long_running ? 1 : 0;
       }
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -54,6 +54,10 @@
                           worker.entry.capacity.cpu_millis, 1));
 }
 
+ImageId ImageOf(const Task& task) {
+  return task.job->groups[task.group].image;
+}
+
 double NeedMillis(const Task& task) {
   return static_cast<double>(task.job->StepOf(task).need.cpu_millis);
 }
@@ -82,23 +86,31 @@
       cores = NeedMillis(*other) * other->pace_percent / kFullPace;
     }
     if (cores > 0) {
-      neighbours.push_back({.image = other->job->StepOf(*other).image,
+      neighbours.push_back({.image = ImageOf(*other),
                             .share = ShareOf(cores, worker)});
     }
   }
   return neighbours;
 }
 
-double SliceScheduler::SpareMillis(const Worker& worker) {
-  auto spare = static_cast<double>(worker.free().cpu_millis);
+void SliceScheduler::RefreshRooms(Worker& worker) const {
+  if (worker.rooms_valid) {
+    return;
+  }
+  worker.rooms_valid = true;
+  worker.rooms.clear();
+  worker.spare_millis = static_cast<double>(worker.free().cpu_millis);
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      spare += (1 - kServingUse) * NeedMillis(*task);
+      worker.spare_millis += (1 - kServingUse) * NeedMillis(*task);
+      worker.rooms.push_back(
+          {.image = ImageOf(*task),
+           .room = RoomFor(*task, NeighboursOf(*task, worker,
+                                               /*with_spare=*/true))});
     } else if (IsSpare(*task)) {
-      spare -= NeedMillis(*task) * task->pace_percent / kFullPace;
+      worker.spare_millis -= NeedMillis(*task) * task->pace_percent / kFullPace;
     }
   }
-  return spare;
 }
 
 double SliceScheduler::CalmUtilisation(const Job& job) const {
@@ -125,7 +137,7 @@
 // be without spare work next to them.
 void SliceScheduler::LearnInterference(const Worker& worker) {
   for (Task* task : worker.tasks) {
-    if (!IsServing(*task) || !IsState(*task, "running") || task->usage <= 0) {
+    if (!IsServing(*task) || !IsState(*task, states_.running) || task->usage <= 0) {
       continue;
     }
     const StepSpec& step = task->job->StepOf(*task);
@@ -140,11 +152,11 @@
         calm_utilisations_.try_emplace(task->job->spec.id, observed)
             .first->second;
     if (!neighbours.empty()) {
-      interference_.Learn(step.image, neighbours, observed / calm - 1,
+      interference_.Learn(ImageOf(*task), neighbours, observed / calm - 1,
                           kUtilisationNoise / calm);
     }
     const double cleared =
-        observed / (1 + interference_.Raise(step.image, neighbours));
+        observed / (1 + interference_.Raise(ImageOf(*task), neighbours));
     calm += kCalmRate * (cleared - calm);
   }
 }
@@ -157,59 +169,58 @@
   const double calm =
       std::max(kLeastUtilisation, CalmUtilisation(*serving.job));
   return AllowedUtilisation(step) / calm - 1 -
-         interference_.Raise(step.image, neighbours);
+         interference_.Raise(ImageOf(serving), neighbours);
 }
 
-double SliceScheduler::RoomOn(const Worker& worker,
+// What is left of it with one more task of spare work.
+double SliceScheduler::RoomOn(Worker& worker,
+                              ImageId image,
                               const StepSpec& added) const {
+  RefreshRooms(worker);
   const Neighbour more = {
-      .image = added.image,
+      .image = image,
       .share = ShareOf(static_cast<double>(added.need.cpu_millis), worker)};
   double room = kMostRoom;
-  for (const Task* task : worker.tasks) {
-    if (IsServing(*task)) {
-      const std::vector<Neighbour> neighbours =
-          NeighboursOf(*task, worker, /*with_spare=*/true);
-      room = std::min(room, RoomFor(*task, neighbours) -
-                                interference_.CautiousRaise(
-                                    task->job->StepOf(*task).image,
-                                    std::span(&more, 1)));
-    }
+  for (const Worker::ServingRoom& serving : worker.rooms) {
+    room = std::min(room, serving.room - interference_.CautiousRaise(
+                                             serving.image,
+                                             std::span(&more, 1)));
   }
   return room;
 }
 
 // Images that serve and are not on the worker yet would each have to get on
 // with the spare work there.
-int SliceScheduler::OtherServingImages(const Worker& worker,
-                                       const StepSpec& step) {
-  std::set<std::string_view> images;
-  for (const Task* task : worker.tasks) {
-    if (IsServing(*task)) {
-      images.insert(task->job->StepOf(*task).image);
+int SliceScheduler::OtherServingImages(Worker& worker, ImageId image) const {
+  RefreshRooms(worker);
+  std::vector<ImageId> images;
+  for (const Worker::ServingRoom& serving : worker.rooms) {
+    if (serving.image != image &&
+        std::ranges::find(images, serving.image) == images.end()) {
+      images.push_back(serving.image);
     }
   }
-  images.erase(step.image);
   return static_cast<int>(images.size());
 }
 
-bool SliceScheduler::TakesSpareWork(const Worker& worker,
+bool SliceScheduler::TakesSpareWork(Worker& worker,
+                                    ImageId image,
                                     const StepSpec& step) const {
-  if (SpareMillis(worker) <
-      kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
-    return false;
-  }
-  return RoomOn(worker, step) >= 0;
+  RefreshRooms(worker);
+  return worker.spare_millis >= kLeastSpareShare * static_cast<double>(
+                                                       step.need.cpu_millis) &&
+         RoomOn(worker, image, step) >= 0;
 }
 
 // The least disturbing spare work keeps its full speed until the tails' room
 // is used up.
 void SliceScheduler::AdjustPace(Worker& worker) {
   LearnInterference(worker);
+  worker.rooms_valid = false;
   std::vector<Task*> spare;
   std::ranges::copy_if(worker.tasks, std::back_inserter(spare),
                        [this](const Task* task) {
-                         return IsSpare(*task) && IsState(*task, "running");
+                         return IsSpare(*task) && IsState(*task, states_.running);
                        });
   if (spare.empty()) {
     return;
@@ -223,16 +234,14 @@
                            task->job->StepOf(*task).latency_target));
       });
   const auto raise_by = [&](const Task& task) {
-    const StepSpec& step = task.job->StepOf(task);
     const Neighbour full = {
-        .image = step.image,
+        .image = ImageOf(task),
         .share = ShareOf(NeedMillis(task), worker)};
     double worst = 0;
     for (const Task* serving : worker.tasks) {
       if (IsServing(*serving)) {
-        worst = std::max(worst, interference_.Raise(
-                                    serving->job->StepOf(*serving).image,
-                                    std::span(&full, 1)));
+        worst = std::max(worst, interference_.Raise(ImageOf(*serving),
+                                                  std::span(&full, 1)));
       }
     }
     return worst;
@@ -263,11 +272,15 @@
 // A task that is slowed for long holds its job up. One that saves its progress
 // goes on elsewhere, if there is room.
 void SliceScheduler::MoveSlowed() {
+  if (now_ < next_move_) {
+    return;
+  }
+  next_move_ = now_ + kTick;
   for (const auto& worker : workers_.all()) {
     const std::vector<Task*> tasks = worker->tasks;
     for (Task* task : tasks) {
       if (task->slowed_since > now_ - kSlowedTooLong ||
-          !IsState(*task, "running") ||
+          !IsState(*task, states_.running) ||
           !task->job->StepOf(*task).saves_progress) {
         continue;
       }
@@ -286,7 +299,7 @@
   }
 }
 
-void SliceScheduler::SetPaceOf(const Worker& worker,
+void SliceScheduler::SetPaceOf(Worker& worker,
                                Task& task,
                                std::uint32_t percent) {
   if (task.pace_percent == percent) {
@@ -297,6 +310,7 @@
                    .Add("worker", worker.entry.id)
                    .Add("from", task.pace_percent)
                    .Add("percent", percent));
+  worker.rooms_valid = false;
   task.pace_percent = percent;
   task.slowed_since =
       percent > kPaceStep ? core::TimePoint::max()
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -35,12 +35,24 @@
                       job->objective, std::string_view(job->spec.id),
                       group->first);
   }
+
+  // A group that finds no room shows that there is none for this one either.
+  bool NeedsNoLessThan(const Candidate& other) const {
+    const StepSpec& step = job->StepOf(*group);
+    const StepSpec& smaller = other.job->StepOf(*other.group);
+    return !step.long_running && smaller.max_per_worker == 0 &&
+           smaller.required_label.empty() &&
+           step.uses_spare_cpu == smaller.uses_spare_cpu &&
+           group->image == other.group->image &&
+           job->queue.service == other.job->queue.service &&
+           Fits(smaller.need, step.need);
+  }
 };
 
 }  // namespace
 
 bool SliceScheduler::IsReady(const Task& task) const {
-  return IsState(task, "ready") && now_ >= task.not_before;
+  return IsState(task, states_.ready) && now_ >= task.not_before;
 }
 
 void SliceScheduler::Place() {
@@ -58,7 +70,7 @@
       const bool ready =
           group.unblocked &&
           std::ranges::any_of(job.TasksOf(group), [this](const Task& task) {
-            return IsState(task, "ready");
+            return IsState(task, states_.ready);
           });
       if (ready) {
         candidates.push_back(
@@ -73,18 +85,28 @@
   if (candidates.size() > kGroupsPerPass) {
     candidates.resize(kGroupsPerPass);
   }
+  std::vector<const Candidate*> unplaced;
   for (const Candidate& candidate : candidates) {
+    const auto needs_no_less = [&](const Candidate* other) {
+      return candidate.NeedsNoLessThan(*other);
+    };
+    if (std::ranges::any_of(unplaced, needs_no_less)) {
+      continue;
+    }
     if (candidate.job->StepOf(*candidate.group).gang) {
       PlaceGang(*candidate.job, *candidate.group);
     } else {
-      PlaceGroup(*candidate.job, *candidate.group);
+      if (!PlaceGroup(*candidate.job, *candidate.group)) {
+        unplaced.push_back(&candidate);
+      }
     }
   }
 }
 
-void SliceScheduler::PlaceGroup(Job& job, Group& group) {
+// @returns false if there is no room for one of the tasks.
+bool SliceScheduler::PlaceGroup(Job& job, Group& group) {
   for (Task& task : job.TasksOf(group)) {
-    if (!IsState(task, "ready")) {
+    if (!IsState(task, states_.ready)) {
       continue;
     }
     if (now_ < task.not_before) {
@@ -97,11 +119,12 @@
         KeepFree(job, group);
         continue;
       }
-      return;
+      return false;
     }
     task.worker = worker->id;
     Dispatch(task, "place");
   }
+  return true;
 }
 
 // A gang waits, and holds capacity, until all of its members are present.
@@ -139,17 +162,40 @@
   }
 }
 
-// Nothing else that reserves processors goes to the worker with the most of
-// them until a task that must stay up has found its place.
-void SliceScheduler::KeepFree(const Job& job, const Group& group) {
+// Everything but the free capacity.
+bool SliceScheduler::Suits(const Worker& worker,
+                           const Job& job,
+                           const Group& group) const {
   const StepSpec& step = job.StepOf(group);
-  const Worker* best = nullptr;
+  if (!MayUse(worker) || worker.entry.service != job.queue.service ||
+      (!step.required_label.empty() && !worker.HasLabel(step.required_label))) {
+    return false;
+  }
+  if (step.max_per_worker == 0) {
+    return true;
+  }
+  const auto same_step =
+      std::ranges::count_if(worker.tasks, [&](const Task* other) {
+        return other->job == &job && &job.groups[other->group] == &group;
+      });
+  return same_step < std::int64_t{step.max_per_worker};
+}
+
+// Nothing else that reserves capacity goes to the worker that will soonest have
+// room for a task that must stay up. Tasks that end by themselves make room.
+void SliceScheduler::KeepFree(const Job& job, const Group& group) {
+  const core::Resources need = Reservation(job.StepOf(group));
+  Worker* best = nullptr;
   for (const auto& worker : workers_.all()) {
-    const bool suits =
-        MayUse(*worker) && worker->entry.service == job.queue.service &&
-        !kept_free_.contains(worker->id) &&
-        Fits(Reservation(step), worker->entry.capacity) &&
-        (step.required_label.empty() || worker->HasLabel(step.required_label));
+    core::Resources lasting;
+    for (const Task* task : worker->tasks) {
+      if (task->job->StepOf(*task).long_running) {
+        lasting += Reservation(task->job->StepOf(*task));
+      }
+    }
+    const bool suits = Suits(*worker, job, group) &&
+                       !kept_free_.contains(worker->id) &&
+                       Fits(need, worker->entry.capacity - lasting);
     if (suits && (best == nullptr ||
                   worker->free().cpu_millis > best->free().cpu_millis)) {
       best = worker.get();
@@ -165,27 +211,16 @@
                                      const Task& task) {
   const StepSpec& step = job.StepOf(group);
   const core::Resources need = Reservation(step);
-  const auto same_step = [&](const Worker& worker) {
-    return std::ranges::count_if(worker.tasks, [&](const Task* other) {
-      return other->job == &job && other->group == task.group;
-    });
-  };
   Worker* best = nullptr;
   double best_score = 0;
   for (const auto& worker : workers_.all()) {
-    const bool fits =
-        MayUse(*worker) && worker->entry.service == job.queue.service &&
-        Fits(need, worker->free()) &&
-        (step.required_label.empty() ||
-         worker->HasLabel(step.required_label)) &&
-        (step.max_per_worker == 0 ||
-         same_step(*worker) < std::int64_t{step.max_per_worker});
-    if (!fits || (step.uses_spare_cpu ? !TakesSpareWork(*worker, step)
-                                      : !step.long_running &&
-                                            kept_free_.contains(worker->id))) {
+    if (!Fits(need, worker->free()) || !Suits(*worker, job, group) ||
+        (!step.long_running && kept_free_.contains(worker->id)) ||
+        (step.uses_spare_cpu &&
+         !TakesSpareWork(*worker, group.image, step))) {
       continue;
     }
-    double score = Score(*worker, step);
+    double score = Score(*worker, group.image, step);
     if (worker->id == task.last_failed_on) {
       score -= kFarDataPenaltyMillis;
     }
@@ -197,18 +232,19 @@
   return best;
 }
 
-double SliceScheduler::Score(const Worker& worker,
+double SliceScheduler::Score(Worker& worker,
+                             ImageId image,
                              const StepSpec& step) const {
   const double far = !step.data_rack.empty() && !worker.HasLabel(step.data_rack)
                          ? kFarDataPenaltyMillis
                          : 0;
   if (step.uses_spare_cpu) {
-    return SpareMillis(worker) - far +
-           kRoomMillis * std::min(RoomOn(worker, step), 1.0);
+    return worker.spare_millis - far +
+           kRoomMillis * std::min(RoomOn(worker, image, step), 1.0);
   }
   const double apart =
       step.latency_target > core::Duration()
-          ? kOtherImagePenaltyMillis * OtherServingImages(worker, step)
+          ? kOtherImagePenaltyMillis * OtherServingImages(worker, image)
           : 0;
   return static_cast<double>(worker.free().cpu_millis -
                              worker.spare_cpu_demand) -
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -24,6 +24,12 @@
     : options_(std::move(options)),
       charts_(charts),
       ids_(ids),
+      states_{.blocked = charts.task_run.FindState("blocked"),
+              .ready = charts.task_run.FindState("ready"),
+              .starting = charts.task_run.FindState("starting"),
+              .running = charts.task_run.FindState("running"),
+              .stopping = charts.task_run.FindState("stopping"),
+              .done = charts.task_run.FindState("done")},
       jobs_(charts.task_run.initial()),
       job_rows_({.table = JobTableName(options_.slice.name),
                  .part = options_.slice.name,
@@ -176,6 +182,9 @@
                             const StoredJob& stored) {
   Job& job = jobs_.Add(std::move(spec));
   job.queue.name = stored.queue;
+  for (Group& group : job.groups) {
+    group.image = images_.Intern(job.StepOf(group).image);
+  }
   job.restored = row.version < options_.fence_version;
   job.accepted_unix_ms = stored.accepted_unix_ms;
   // Both rows were written by one transaction.
@@ -214,13 +223,12 @@
     job.halted = true;
     MarkDirty(job, /*urgent=*/false);
   }
-  const chart::StateId done = charts_.task_run.FindState("done");
   for (Task& task : job.tasks) {
     if (task.number < progress.failures.size()) {
       task.failures = progress.failures[task.number];
     }
     if (task.number < progress.done.size() && progress.done[task.number]) {
-      task.state = done;
+      task.state = states_.done;
       --job.groups[task.group].open;
     }
   }
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -102,8 +102,8 @@
   return bindings;
 }
 
-bool SliceScheduler::IsState(const Task& task, std::string_view state) const {
-  return charts_.task_run.StateName(task.state) == state;
+bool SliceScheduler::IsState(const Task& task, chart::StateId state) {
+  return task.state == state;
 }
 
 void SliceScheduler::Dispatch(Task& task,
@@ -215,7 +215,7 @@
     DispatchContact(worker, "other_life");
     return;
   }
-  if (IsState(task, "stopping")) {
+  if (IsState(task, states_.stopping)) {
     TakeStopAnswer(task, answer);
     return;
   }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -251,7 +251,7 @@
     StopUnknown(worker, run);
     return;
   }
-  const bool idle = IsState(*task, "blocked") || IsState(*task, "ready");
+  const bool idle = IsState(*task, states_.blocked) || IsState(*task, states_.ready);
   if (idle && run.run > task->run) {
     // Started by an earlier owner.
     task->run = run.run;
@@ -265,7 +265,7 @@
     StopUnknown(worker, run);
     return;
   }
-  if (IsState(*task, "starting")) {
+  if (IsState(*task, states_.starting)) {
     Dispatch(*task, "adopt");
   }
   if (!run.checkpoint.empty()) {
--- a/packages/telemetry/src/logger.cc
+++ b/packages/telemetry/src/logger.cc
@@ -3,6 +3,9 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -11,6 +14,11 @@
 namespace hickoryusher::telemetry {
 namespace {
 
+constexpr std::chrono::milliseconds kBatchInterval{50};
+
+// Larger than the lines of one batch at a full load.
+constexpr std::size_t kErrorBufferBytes = 64UL * 1024;
+
 void Configure() {
   el::Configurations configuration;
   configuration.setToDefault();
@@ -36,6 +44,7 @@
 
 Logger::Logger(std::size_t capacity) : ring_(capacity) {
   Configure();
+  std::setvbuf(stderr, nullptr, _IOFBF, kErrorBufferBytes);
   el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
       "standard_error");
   thread_ = runtime::DutyThread("telemetry", [this] { Run(); });
@@ -60,7 +69,10 @@
     ring_.WaitDrain(lines);
     std::ranges::for_each(lines,
                           [](const std::string& line) { LOG(INFO) << line; });
+    std::fflush(stderr);
     lines.clear();
+    // Lines of one batch share a wake-up and a write.
+    std::this_thread::sleep_for(kBatchInterval);
   }
 }
 
