--- a/packages/entry/app/main.cc
+++ b/packages/entry/app/main.cc
@@ -42,8 +42,8 @@
       "run on the users' platform; --config and --check-config then name the "
       "platform's settings file, by default the one in HICKORYUSHER_CONFIG")(
       "charts", po::value<std::string>()->default_value("charts"),
-      "folder of the state charts, with --platform")(
-      "version", "print the version");
+      "folder of the state charts, with --platform")("version",
+                                                     "print the version");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -41,7 +41,7 @@
   ClientVerb verb = ClientVerb::kQuery;
   std::string host;
   std::string path;
-  std::string document;       ///< Of kSubmit.
+  std::string document;        ///< Of kSubmit.
   std::string document_error;  ///< Why the document cannot be read, if so.
   JobDemand demand;
   core::TimePoint give_up;  ///< When the caller stops waiting for an answer.
@@ -75,8 +75,7 @@
   std::optional<core::Duration> retry_after;
 };
 
-using ClientResult =
-    std::variant<CallDone, JobState, PendingJobs, CallRefused>;
+using ClientResult = std::variant<CallDone, JobState, PendingJobs, CallRefused>;
 
 struct ClientAnswer {
   core::RequestId request;
--- a/packages/jobs/include/jobs/interference_model.h
+++ b/packages/jobs/include/jobs/interference_model.h
@@ -36,8 +36,7 @@
              double noise);
 
   /// @returns the expected raise.
-  double Raise(ImageId serving,
-               std::span<const Neighbour> neighbours) const;
+  double Raise(ImageId serving, std::span<const Neighbour> neighbours) const;
 
   /// @returns a raise that is probably not exceeded.
   double CautiousRaise(ImageId serving,
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -35,14 +35,14 @@
   std::uint32_t resends = 0;   ///< Of the current order.
   std::string checkpoint;
   std::uint32_t percent = 0;
-  double usage = 0;  ///< As in ActiveRun.
+  double usage = 0;                  ///< As in ActiveRun.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
   core::TimePoint slowed_since = core::TimePoint::max();
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
   bool stop_unanswered = false;
-  core::TimePoint started;     ///< When the current run was first known.
-  core::TimePoint advanced;    ///< When `percent` last grew.
+  core::TimePoint started;   ///< When the current run was first known.
+  core::TimePoint advanced;  ///< When `percent` last grew.
   /// A report on a request sent later than this that does not list the run
   /// proves that it is not there. max() while an order is unanswered.
   core::TimePoint settled = core::TimePoint::max();
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -257,7 +257,7 @@
   std::map<std::string, StoredProgress, std::less<>> stored_progress_;
   RowVersion roster_version_ = 0;
   bool roster_due_ = false;
-  bool restored_ = false;  ///< All jobs and their progress are known.
+  bool restored_ = false;        ///< All jobs and their progress are known.
   std::vector<Row> early_rows_;  ///< Seen before the progress was read.
 
   std::unordered_map<CallId, PendingCall> calls_;
--- a/packages/jobs/include/jobs/types.h
+++ b/packages/jobs/include/jobs/types.h
@@ -28,7 +28,7 @@
 struct StepSpec {
   std::uint32_t count = 1;
   core::Resources need;
-  core::Duration estimate{};  ///< Declared run time; often far off.
+  core::Duration estimate{};         ///< Declared run time; often far off.
   std::vector<std::uint32_t> after;  ///< Steps whose tasks must be done first.
   bool saves_progress = false;
   bool gang = false;            ///< The tasks work only together.
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -37,8 +37,7 @@
 constexpr std::size_t kMaxJobIdBytes = 100;
 
 bool IsJobId(std::string_view text) {
-  return text.size() <= kMaxJobIdBytes &&
-         std::ranges::all_of(text, [](char c) {
+  return text.size() <= kMaxJobIdBytes && std::ranges::all_of(text, [](char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
                   (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
          });
@@ -48,7 +47,7 @@
 
 std::string_view ToString(Refusal refusal) {
   constexpr std::array<std::string_view, 6> kNames = {
-      "not_configured", "store_down", "unknown_queue",
+      "not_configured", "store_down",  "unknown_queue",
       "bad_document",   "no_such_job", "unknown_outcome"};
   return kNames.at(static_cast<std::size_t>(refusal));
 }
@@ -88,9 +87,7 @@
   Answer(call, std::move(refused));
 }
 
-void Intake::Take(ClientCall call,
-                  core::TimePoint now,
-                  std::int64_t unix_ms) {
+void Intake::Take(ClientCall call, core::TimePoint now, std::int64_t unix_ms) {
   now_ = now;
   if (config_ == nullptr) {
     Refuse(call, Refusal::kNotConfigured);
@@ -132,15 +129,14 @@
   const auto candidates = CandidateSlices(job, options_.slices.size());
   const std::size_t slice = ChooseSlice(candidates, call.demand);
   const std::string& name = options_.slices[slice].name;
-  CommitRows commit{
-      .puts = {{.key = ProgressRow(name, job),
-                .value = EncodeProgress(Progress())},
-               {.key = JobRow(name, job),
-                .value = EncodeStoredJob(
-                    {.queue = queue.name,
-                     .accepted_unix_ms = unix_ms,
-                     .document = std::move(call.document)})}},
-      .several_parts = candidates.size() > 1};
+  CommitRows commit{.puts = {{.key = ProgressRow(name, job),
+                              .value = EncodeProgress(Progress())},
+                             {.key = JobRow(name, job),
+                              .value = EncodeStoredJob(
+                                  {.queue = queue.name,
+                                   .accepted_unix_ms = unix_ms,
+                                   .document = std::move(call.document)})}},
+                    .several_parts = candidates.size() > 1};
   for (const std::size_t candidate : candidates) {
     commit.conditions.push_back(
         {.key = ProgressRow(options_.slices[candidate].name, job),
@@ -357,8 +353,8 @@
     const auto load = LoadInSliceRow(row.value);
     if (!load) {
       // Just claimed: the owner has not read its jobs yet.
-      options_.log(core::LogLine("slice_load_unknown")
-                       .Add("slice", row.key.key));
+      options_.log(
+          core::LogLine("slice_load_unknown").Add("slice", row.key.key));
       continue;
     }
     if (const auto found = load->pending.find(pending.queue);
@@ -370,10 +366,9 @@
 }
 
 void Intake::GiveUp(const Pending& pending) {
-  const bool maybe = pending.unanswered && pending.call.verb !=
-                                               ClientVerb::kQuery;
-  Refuse(pending.call,
-         maybe ? Refusal::kUnknownOutcome : Refusal::kStoreDown);
+  const bool maybe =
+      pending.unanswered && pending.call.verb != ClientVerb::kQuery;
+  Refuse(pending.call, maybe ? Refusal::kUnknownOutcome : Refusal::kStoreDown);
 }
 
 void Intake::Run(core::TimePoint now) {
@@ -408,9 +403,9 @@
 core::TimePoint Intake::next_timer() const {
   core::TimePoint next = core::TimePoint::max();
   for (const auto& [id, pending] : pending_) {
-    next = std::min({next, pending.call.give_up,
-                     pending.in_flight ? pending.call.give_up
-                                       : pending.send_at});
+    next =
+        std::min({next, pending.call.give_up,
+                  pending.in_flight ? pending.call.give_up : pending.send_at});
   }
   return next;
 }
--- a/packages/jobs/src/interference_model.cc
+++ b/packages/jobs/src/interference_model.cc
@@ -40,11 +40,10 @@
 
 double InterferenceModel::Raise(ImageId serving,
                                 std::span<const Neighbour> neighbours) const {
-  return std::accumulate(
-      neighbours.begin(), neighbours.end(), 0.0,
-      [&](double sum, const Neighbour& n) {
-        return sum + Find(serving, n.image).mean * n.share;
-      });
+  return std::accumulate(neighbours.begin(), neighbours.end(), 0.0,
+                         [&](double sum, const Neighbour& n) {
+                           return sum + Find(serving, n.image).mean * n.share;
+                         });
 }
 
 double InterferenceModel::CautiousRaise(
--- a/packages/jobs/src/progress.cc
+++ b/packages/jobs/src/progress.cc
@@ -89,10 +89,9 @@
   if (phase == kPhaseNames.end() || !done || !failures) {
     return std::nullopt;
   }
-  return Progress{
-      .phase = static_cast<JobPhase>(phase - kPhaseNames.begin()),
-      .done = *std::move(done),
-      .failures = *std::move(failures)};
+  return Progress{.phase = static_cast<JobPhase>(phase - kPhaseNames.begin()),
+                  .done = *std::move(done),
+                  .failures = *std::move(failures)};
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/queues.cc
+++ b/packages/jobs/src/queues.cc
@@ -12,9 +12,8 @@
       queues_(std::move(queues)),
       services_(std::move(services)) {
   // Longest prefix first, so that the first match is the best one.
-  std::ranges::stable_sort(queues_, std::ranges::greater(), [](const Queue& q) {
-    return q.path_prefix.size();
-  });
+  std::ranges::stable_sort(queues_, std::ranges::greater(),
+                           [](const Queue& q) { return q.path_prefix.size(); });
 }
 
 const Queue* QueueConfig::Match(std::string_view host,
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -75,8 +75,8 @@
   SliceInfo info;
   chart::StateId state;
   Holding holding;
-  RowVersion version = 0;        ///< Of the slice's row, as last seen.
-  RowVersion claim_version = 0;  ///< Of this process's claim.
+  RowVersion version = 0;         ///< Of the slice's row, as last seen.
+  RowVersion claim_version = 0;   ///< Of this process's claim.
   std::optional<SliceLoad> load;  ///< As last read, or as set by the owner.
   bool listed = false;
   core::TimePoint unchanged_since;  ///< Seen without a gap since then.
@@ -94,9 +94,7 @@
   core::TimePoint now;
 };
 
-SliceBoard::SliceBoard(Options options,
-                       const chart::Chart& chart,
-                       CallIds& ids)
+SliceBoard::SliceBoard(Options options, const chart::Chart& chart, CallIds& ids)
     : options_(std::move(options)), chart_(chart), ids_(ids) {}
 
 SliceBoard::~SliceBoard() = default;
@@ -104,14 +102,12 @@
 chart::Bindings<SliceBoard::Context> SliceBoard::MakeBindings() {
   chart::Bindings<Context> bindings;
   bindings
-      .Action("send_claim",
-              [](Context& c) {
-                c.board.SendWrite(c.slice, true, false, c.now);
-              })
-      .Action("send_release",
-              [](Context& c) {
-                c.board.SendWrite(c.slice, false, true, c.now);
-              })
+      .Action(
+          "send_claim",
+          [](Context& c) { c.board.SendWrite(c.slice, true, false, c.now); })
+      .Action(
+          "send_release",
+          [](Context& c) { c.board.SendWrite(c.slice, false, true, c.now); })
       .Action("note_renewal",
               [](Context& c) { c.slice.renewed = c.slice.write_sent; })
       .Action("announce_gain",
@@ -145,8 +141,7 @@
   }
   for (const SliceInfo& info : board->options_.slices) {
     Slice slice;
-    slice.id =
-        core::SliceId(static_cast<std::uint32_t>(board->slices_.size()));
+    slice.id = core::SliceId(static_cast<std::uint32_t>(board->slices_.size()));
     slice.info = info;
     slice.state = chart.initial();
     board->slices_.push_back(std::move(slice));
@@ -204,8 +199,8 @@
     list_call_ = ids_.Next();
     list_sent_ = now;
     next_list_ = now + kListInterval;
-    commands_.push_back(ReadRows{.call = *list_call_,
-                                 .table = std::string(kSliceTable)});
+    commands_.push_back(
+        ReadRows{.call = *list_call_, .table = std::string(kSliceTable)});
   }
   for (Slice& slice : slices_) {
     if (chart_.StateName(slice.state) != "owning") {
@@ -223,18 +218,16 @@
                            bool claim,
                            bool release,
                            core::TimePoint now) {
-  Holding holding = {.epoch = slice.holding.epoch + (claim ? 1 : 0),
-                     .process = release ? std::string(kReleased)
-                                        : options_.process,
-                     .incarnation = options_.incarnation};
-  const RowKey key = {.table = std::string(kSliceTable),
-                      .part = {},
-                      .key = slice.info.name};
-  CommitRows commit{
-      .call = ids_.Next(),
-      .conditions = {{.key = key, .version = slice.version}},
-      .puts = {{.key = key, .value = Encode(holding)}},
-      .several_parts = claim};
+  Holding holding = {
+      .epoch = slice.holding.epoch + (claim ? 1 : 0),
+      .process = release ? std::string(kReleased) : options_.process,
+      .incarnation = options_.incarnation};
+  const RowKey key = {
+      .table = std::string(kSliceTable), .part = {}, .key = slice.info.name};
+  CommitRows commit{.call = ids_.Next(),
+                    .conditions = {{.key = key, .version = slice.version}},
+                    .puts = {{.key = key, .value = Encode(holding)}},
+                    .several_parts = claim};
   if (!claim && slice.load) {
     commit.puts.front().value += '\n' + EncodeSliceLoad(*slice.load);
   }
@@ -277,8 +270,7 @@
   for (Slice& slice : slices_) {
     const auto row = std::ranges::find_if(
         read.rows, [&](const Row& r) { return r.key.key == slice.info.name; });
-    if (row != read.rows.end() &&
-        chart_.StateName(slice.state) != "owning") {
+    if (row != read.rows.end() && chart_.StateName(slice.state) != "owning") {
       slice.load = LoadInSliceRow(row->value);
     }
     Observe(slice, row == read.rows.end() ? nullptr : &*row, now);
@@ -318,26 +310,25 @@
                                  const StoreEvent& event,
                                  core::TimePoint now) {
   const bool claiming = chart_.StateName(slice.state) == "claiming";
-  std::visit(
-      core::Overloaded{
-          [&](const RowsCommitted& done) {
-            slice.version = done.version;
-            slice.holding.process = options_.process;
-            slice.holding.incarnation = options_.incarnation;
-            if (claiming) {
-              slice.holding.epoch = slice.claim_epoch;
-              slice.claim_version = done.version;
-            }
-            Dispatch(slice, claiming ? "claim_won" : "renewed", now);
-          },
-          [&](const RowsConflicted& conflict) {
-            TakeConflict(slice, conflict, now);
-          },
-          [&](const auto&) {
-            slice.next_write = now + kRetryPause;
-            Dispatch(slice, "claim_unanswered", now);
-          }},
-      event);
+  std::visit(core::Overloaded{
+                 [&](const RowsCommitted& done) {
+                   slice.version = done.version;
+                   slice.holding.process = options_.process;
+                   slice.holding.incarnation = options_.incarnation;
+                   if (claiming) {
+                     slice.holding.epoch = slice.claim_epoch;
+                     slice.claim_version = done.version;
+                   }
+                   Dispatch(slice, claiming ? "claim_won" : "renewed", now);
+                 },
+                 [&](const RowsConflicted& conflict) {
+                   TakeConflict(slice, conflict, now);
+                 },
+                 [&](const auto&) {
+                   slice.next_write = now + kRetryPause;
+                   Dispatch(slice, "claim_unanswered", now);
+                 }},
+             event);
 }
 
 void SliceBoard::TakeConflict(Slice& slice,
@@ -382,8 +373,8 @@
 
 void SliceBoard::ReleaseAll(core::TimePoint now) {
   releasing_ = true;
-  std::ranges::for_each(
-      slices_, [&](Slice& slice) { Dispatch(slice, "release", now); });
+  std::ranges::for_each(slices_,
+                        [&](Slice& slice) { Dispatch(slice, "release", now); });
 }
 
 std::vector<StoreCommand> SliceBoard::TakeCommands() {
@@ -398,8 +389,8 @@
   core::TimePoint next = list_call_ ? core::TimePoint::max() : next_list_;
   for (const Slice& slice : slices_) {
     if (chart_.StateName(slice.state) == "owning") {
-      next = std::min(next, slice.write ? slice.renewed + kOwnerGrace
-                                        : slice.next_write);
+      next = std::min(
+          next, slice.write ? slice.renewed + kOwnerGrace : slice.next_write);
     }
   }
   return next;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -26,8 +26,7 @@
 
 void SliceScheduler::MarkDirty(Job& job, bool urgent) {
   dirty_.insert(job.spec.id);
-  commit_due_ =
-      std::min(commit_due_, urgent ? now_ : now_ + kCommitLinger);
+  commit_due_ = std::min(commit_due_, urgent ? now_ : now_ + kCommitLinger);
 }
 
 void SliceScheduler::StartCommit() {
@@ -74,11 +73,10 @@
         {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
         {.key = key, .value = EncodeProgress(job->ToProgress(states_.done))});
-    const bool over =
-        IsFinal(job->phase) &&
-        std::ranges::none_of(job->tasks, [](const Task& task) {
-          return task.worker.valid();
-        });
+    const bool over = IsFinal(job->phase) &&
+                      std::ranges::none_of(job->tasks, [](const Task& task) {
+                        return task.worker.valid();
+                      });
     if (over) {
       commit.rows.removals.push_back(JobRow(options_.slice.name, id));
       commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
@@ -91,8 +89,8 @@
   roster_due_ = false;
   std::string text;
   for (const auto& worker : workers_.all()) {
-    const bool gone = !worker->listed && worker->tasks.empty() &&
-                      now_ >= worker->lease_end;
+    const bool gone =
+        !worker->listed && worker->tasks.empty() && now_ >= worker->lease_end;
     if (!gone) {
       text += worker->entry.id + ' ' + worker->entry.address + '\n';
       commit.roster.push_back(worker->id);
@@ -120,8 +118,7 @@
 }
 
 void SliceScheduler::CollectRemovals(Commit& commit) {
-  for (std::size_t i = 0; i < kRemovalsPerCommit && !final_jobs_.empty();
-       ++i) {
+  for (std::size_t i = 0; i < kRemovalsPerCommit && !final_jobs_.empty(); ++i) {
     const auto& [since, id] = final_jobs_.front();
     if (now_ < since + options_.limits.keep_final_jobs) {
       return;
@@ -268,11 +265,10 @@
             std::int64_t{group.open} * Reservation(step).cpu_millis;
       }
     }
-    const bool begun =
-        job.phase != JobPhase::kQueued ||
-        std::ranges::any_of(job.tasks, [](const Task& task) {
-          return task.starts > 0 || task.worker.valid();
-        });
+    const bool begun = job.phase != JobPhase::kQueued ||
+                       std::ranges::any_of(job.tasks, [](const Task& task) {
+                         return task.starts > 0 || task.worker.valid();
+                       });
     if (!begun) {
       ++load.pending[job.queue.name];
     }
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -65,8 +65,8 @@
 }  // namespace
 
 bool SliceScheduler::Serves(const Worker& worker) {
-  return std::ranges::any_of(
-      worker.tasks, [](const Task* task) { return IsServing(*task); });
+  return std::ranges::any_of(worker.tasks,
+                             [](const Task* task) { return IsServing(*task); });
 }
 
 // What works next to a task on its worker, except for the task itself. The load
@@ -86,8 +86,8 @@
       cores = NeedMillis(*other) * other->pace_percent / kFullPace;
     }
     if (cores > 0) {
-      neighbours.push_back({.image = ImageOf(*other),
-                            .share = ShareOf(cores, worker)});
+      neighbours.push_back(
+          {.image = ImageOf(*other), .share = ShareOf(cores, worker)});
     }
   }
   return neighbours;
@@ -137,7 +137,8 @@
 // be without spare work next to them.
 void SliceScheduler::LearnInterference(const Worker& worker) {
   for (Task* task : worker.tasks) {
-    if (!IsServing(*task) || !IsState(*task, states_.running) || task->usage <= 0) {
+    if (!IsServing(*task) || !IsState(*task, states_.running) ||
+        task->usage <= 0) {
       continue;
     }
     const StepSpec& step = task->job->StepOf(*task);
@@ -146,11 +147,9 @@
     double& idle =
         idle_tails_.try_emplace(step.image, task->usage).first->second;
     idle = std::min(idle, task->usage);
-    const double observed =
-        std::max(kLeastUtilisation, 1 - idle / task->usage);
-    double& calm =
-        calm_utilisations_.try_emplace(task->job->spec.id, observed)
-            .first->second;
+    const double observed = std::max(kLeastUtilisation, 1 - idle / task->usage);
+    double& calm = calm_utilisations_.try_emplace(task->job->spec.id, observed)
+                       .first->second;
     if (!neighbours.empty()) {
       interference_.Learn(ImageOf(*task), neighbours, observed / calm - 1,
                           kUtilisationNoise / calm);
@@ -182,9 +181,9 @@
       .share = ShareOf(static_cast<double>(added.need.cpu_millis), worker)};
   double room = kMostRoom;
   for (const Worker::ServingRoom& serving : worker.rooms) {
-    room = std::min(room, serving.room - interference_.CautiousRaise(
-                                             serving.image,
-                                             std::span(&more, 1)));
+    room =
+        std::min(room, serving.room - interference_.CautiousRaise(
+                                          serving.image, std::span(&more, 1)));
   }
   return room;
 }
@@ -207,8 +206,8 @@
                                     ImageId image,
                                     const StepSpec& step) const {
   RefreshRooms(worker);
-  return worker.spare_millis >= kLeastSpareShare * static_cast<double>(
-                                                       step.need.cpu_millis) &&
+  return worker.spare_millis >=
+             kLeastSpareShare * static_cast<double>(step.need.cpu_millis) &&
          RoomOn(worker, image, step) >= 0;
 }
 
@@ -218,30 +217,27 @@
   LearnInterference(worker);
   worker.rooms_valid = false;
   std::vector<Task*> spare;
-  std::ranges::copy_if(worker.tasks, std::back_inserter(spare),
-                       [this](const Task* task) {
-                         return IsSpare(*task) && IsState(*task, states_.running);
-                       });
+  std::ranges::copy_if(
+      worker.tasks, std::back_inserter(spare), [this](const Task* task) {
+        return IsSpare(*task) && IsState(*task, states_.running);
+      });
   if (spare.empty()) {
     return;
   }
-  const bool alarm =
-      std::ranges::any_of(worker.tasks, [](const Task* task) {
-        return IsServing(*task) &&
-               task->usage >
-                   kAlarmTargetShare *
-                       static_cast<double>(core::ToMillis(
-                           task->job->StepOf(*task).latency_target));
-      });
+  const bool alarm = std::ranges::any_of(worker.tasks, [](const Task* task) {
+    return IsServing(*task) &&
+           task->usage > kAlarmTargetShare *
+                             static_cast<double>(core::ToMillis(
+                                 task->job->StepOf(*task).latency_target));
+  });
   const auto raise_by = [&](const Task& task) {
-    const Neighbour full = {
-        .image = ImageOf(task),
-        .share = ShareOf(NeedMillis(task), worker)};
+    const Neighbour full = {.image = ImageOf(task),
+                            .share = ShareOf(NeedMillis(task), worker)};
     double worst = 0;
     for (const Task* serving : worker.tasks) {
       if (IsServing(*serving)) {
-        worst = std::max(worst, interference_.Raise(ImageOf(*serving),
-                                                  std::span(&full, 1)));
+        worst = std::max(
+            worst, interference_.Raise(ImageOf(*serving), std::span(&full, 1)));
       }
     }
     return worst;
@@ -249,9 +245,8 @@
   double room = kMostRoom;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      room = std::min(
-          room, RoomFor(*task, NeighboursOf(*task, worker,
-                                            /*with_spare=*/false)));
+      room = std::min(room, RoomFor(*task, NeighboursOf(*task, worker,
+                                                        /*with_spare=*/false)));
     }
   }
   std::ranges::sort(spare, {}, [&](Task* task) { return raise_by(*task); });
@@ -312,9 +307,8 @@
                    .Add("percent", percent));
   worker.rooms_valid = false;
   task.pace_percent = percent;
-  task.slowed_since =
-      percent > kPaceStep ? core::TimePoint::max()
-                          : std::min(task.slowed_since, now_);
+  task.slowed_since = percent > kPaceStep ? core::TimePoint::max()
+                                          : std::min(task.slowed_since, now_);
   worker_commands_.push_back(jobs::SetPace{
       .call = ids_.Next(),
       .to = {.address = worker.entry.address, .worker = worker.entry.id},
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -73,11 +73,10 @@
             return IsState(task, states_.ready);
           });
       if (ready) {
-        candidates.push_back(
-            {.job = &job,
-             .group = &group,
-             .long_running = job.StepOf(group).long_running,
-             .worthless = now_ > job.worthless});
+        candidates.push_back({.job = &job,
+                              .group = &group,
+                              .long_running = job.StepOf(group).long_running,
+                              .worthless = now_ > job.worthless});
       }
     }
   });
@@ -216,8 +215,7 @@
   for (const auto& worker : workers_.all()) {
     if (!Fits(need, worker->free()) || !Suits(*worker, job, group) ||
         (!step.long_running && kept_free_.contains(worker->id)) ||
-        (step.uses_spare_cpu &&
-         !TakesSpareWork(*worker, group.image, step))) {
+        (step.uses_spare_cpu && !TakesSpareWork(*worker, group.image, step))) {
       continue;
     }
     double score = Score(*worker, group.image, step);
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -90,9 +90,8 @@
     return;
   }
   if (const auto update = job_rows_.Handle(event, now)) {
-    const auto& rows =
-        std::visit([](const auto& u) -> const auto& { return u.rows; },
-                   *update);
+    const auto& rows = std::visit(
+        [](const auto& u) -> const auto& { return u.rows; }, *update);
     std::ranges::for_each(rows, [this](const Row& row) { TakeRow(row); });
     FinishRestore();
   }
@@ -195,8 +194,8 @@
                                                  job.queue.stretch) +
       job.queue.objective_extra;
   const core::TimePoint accepted =
-      now_ - std::max(milliseconds(unix_ms_ - job.accepted_unix_ms),
-                      milliseconds(0));
+      now_ -
+      std::max(milliseconds(unix_ms_ - job.accepted_unix_ms), milliseconds(0));
   job.objective = accepted + objective;
   // A job earns up to three times its objective.
   job.worthless = accepted + 3 * objective;
@@ -238,10 +237,11 @@
   if (job.DueUnixMs(group.occurrence) > unix_ms_) {
     return false;
   }
-  const std::size_t first = std::size_t{group.occurrence} * job.spec.steps.size();
-  return std::ranges::all_of(
-      job.StepOf(group).after,
-      [&](std::uint32_t step) { return job.groups[first + step].open == 0; });
+  const std::size_t first =
+      std::size_t{group.occurrence} * job.spec.steps.size();
+  return std::ranges::all_of(job.StepOf(group).after, [&](std::uint32_t step) {
+    return job.groups[first + step].open == 0;
+  });
 }
 
 void SliceScheduler::Unblock(Job& job) {
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -27,10 +27,9 @@
   using Context = TaskContext;
   chart::Bindings<Context> bindings;
   bindings
-      .Guard("restarts",
-             [](const Context& c) {
-               return c.job().StepOf(c.task).long_running;
-             })
+      .Guard(
+          "restarts",
+          [](const Context& c) { return c.job().StepOf(c.task).long_running; })
       .Guard("attempts_left",
              [](const Context& c) {
                return c.job().StepOf(c.task).long_running ||
@@ -65,9 +64,7 @@
               })
       .Action("send_stop", [](Context& c) { c.scheduler.SendStop(c.task); })
       .Action("note_started",
-              [](Context& c) {
-                c.scheduler.NoteRunning(c.task);
-              })
+              [](Context& c) { c.scheduler.NoteRunning(c.task); })
       .Action("note_adopted",
               [](Context& c) {
                 Worker& worker = c.scheduler.workers_.Get(c.task.worker);
@@ -160,24 +157,23 @@
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
   NoteLease(worker, until);
-  worker_commands_.push_back(
-      StartRun{.call = call,
-               .to = {.address = worker.entry.address,
-                      .worker = worker.entry.id},
-               .epoch = options_.epoch,
-               .task = job.AddressOf(task),
-               .run = task.run,
-               .payload = job.spec.payload,
-               .checkpoint = task.checkpoint,
-               .lease_until_ms = until});
+  worker_commands_.push_back(StartRun{
+      .call = call,
+      .to = {.address = worker.entry.address, .worker = worker.entry.id},
+      .epoch = options_.epoch,
+      .task = job.AddressOf(task),
+      .run = task.run,
+      .payload = job.spec.payload,
+      .checkpoint = task.checkpoint,
+      .lease_until_ms = until});
   if (task.resends == 0) {
-    options_.log(core::LogLine("task_placed")
-                     .Add("task", ToText(job.AddressOf(task)))
-                     .Add("run", task.run)
-                     .Add("worker", worker.entry.id)
-                     .Add("free_millis", worker.free().cpu_millis)
-                     .Add("report_age_ms",
-                          core::ToMillis(now_ - worker.clock_at)));
+    options_.log(
+        core::LogLine("task_placed")
+            .Add("task", ToText(job.AddressOf(task)))
+            .Add("run", task.run)
+            .Add("worker", worker.entry.id)
+            .Add("free_millis", worker.free().cpu_millis)
+            .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)));
   }
 }
 
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -67,8 +67,7 @@
   }
 }
 
-void SliceScheduler::TakeWorker(const WorkerEntry& entry,
-                                core::TimePoint now) {
+void SliceScheduler::TakeWorker(const WorkerEntry& entry, core::TimePoint now) {
   now_ = now;
   if (entry.failure_domain != options_.slice.failure_domain) {
     return;
@@ -78,13 +77,12 @@
     worker = &workers_.Add(entry, charts_.worker_contact.initial());
     worker->born_unix_ms = entry.born_unix_ms;
     // An earlier owner may have given leases until its own grace ended.
-    worker->lease_end =
-        gained_ +
-        (options_.predecessor_ended ? core::Duration()
-                                    : SliceBoard::kOwnerGrace) +
-        std::chrono::duration_cast<core::Duration>(
-            options_.limits.longest_lease * kSlowClockFactor) +
-        kClockMargin;
+    worker->lease_end = gained_ +
+                        (options_.predecessor_ended ? core::Duration()
+                                                    : SliceBoard::kOwnerGrace) +
+                        std::chrono::duration_cast<core::Duration>(
+                            options_.limits.longest_lease * kSlowClockFactor) +
+                        kClockMargin;
     roster_due_ = true;
     commit_due_ = std::min(commit_due_, now_ + kTick);
   } else {
@@ -112,23 +110,22 @@
 
 void SliceScheduler::Handle(const WorkerEvent& event, core::TimePoint now) {
   now_ = now;
-  const CallId call =
-      std::visit([](const auto& e) { return e.call; }, event);
+  const CallId call = std::visit([](const auto& e) { return e.call; }, event);
   const auto found = calls_.find(call);
   if (found == calls_.end()) {
     return;
   }
   const PendingCall pending = std::move(found->second);
   calls_.erase(found);
-  std::visit(core::Overloaded{
-                 [&](const TaskCall& c, const OrderAnswered& answer) {
-                   TakeOrderAnswer(c, answer);
-                 },
-                 [&](const RenewalCall& c, const LeaseAnswered& answer) {
-                   TakeRenewal(workers_.Get(c.worker), answer);
-                 },
-                 [](const auto&, const auto&) {}},
-             pending, event);
+  std::visit(
+      core::Overloaded{[&](const TaskCall& c, const OrderAnswered& answer) {
+                         TakeOrderAnswer(c, answer);
+                       },
+                       [&](const RenewalCall& c, const LeaseAnswered& answer) {
+                         TakeRenewal(workers_.Get(c.worker), answer);
+                       },
+                       [](const auto&, const auto&) {}},
+      pending, event);
 }
 
 void SliceScheduler::TakeRenewal(Worker& worker, const LeaseAnswered& answer) {
@@ -161,17 +158,16 @@
     worker.next_renewal = now_ + kTick;
     return;
   }
-  std::ranges::for_each(report.ended, [&](const EndedRun& end) {
-    TakeEnd(worker, end);
-  });
-  std::ranges::for_each(report.running, [&](const ActiveRun& run) {
-    TakeActive(worker, run);
-  });
+  std::ranges::for_each(report.ended,
+                        [&](const EndedRun& end) { TakeEnd(worker, end); });
+  std::ranges::for_each(report.running,
+                        [&](const ActiveRun& run) { TakeActive(worker, run); });
   DropMissing(worker, report);
   DispatchContact(worker, "report");
   AdjustPace(worker);
   const bool unstored = worker.last_end > worker.acknowledged;
-  worker.next_renewal = now_ + (unstored ? kUnstoredEndPause : core::Duration());
+  worker.next_renewal =
+      now_ + (unstored ? kUnstoredEndPause : core::Duration());
 }
 
 void SliceScheduler::TakeEnd(Worker& worker, const EndedRun& end) {
@@ -198,8 +194,8 @@
   }
   // A lasting task may fail at any time; only an early failure speaks against
   // its worker.
-  const bool worn = job->StepOf(*task).long_running &&
-                    now_ > task->started + kEarlyFailure;
+  const bool worn =
+      job->StepOf(*task).long_running && now_ > task->started + kEarlyFailure;
   if (end.kind == EndKind::kDone || (end.kind == EndKind::kFailed && !worn)) {
     JudgeWorker(worker, end.kind);
   }
@@ -256,7 +252,8 @@
     StopUnknown(worker, run);
     return;
   }
-  const bool idle = IsState(*task, states_.blocked) || IsState(*task, states_.ready);
+  const bool idle =
+      IsState(*task, states_.blocked) || IsState(*task, states_.ready);
   if (idle && run.run > task->run) {
     // Started by an earlier owner.
     task->run = run.run;
@@ -342,11 +339,10 @@
     }
     const bool confirmed =
         charts_.worker_contact.StateName(worker->contact) == "live";
-    const bool wanted = !worker->tasks.empty() ||
-                        worker->last_end > worker->acknowledged ||
-                        (!confirmed && (worker->listed || worker->enrolled) &&
-                         charts_.worker_contact.StateName(worker->contact) !=
-                             "lapsed");
+    const bool wanted =
+        !worker->tasks.empty() || worker->last_end > worker->acknowledged ||
+        (!confirmed && (worker->listed || worker->enrolled) &&
+         charts_.worker_contact.StateName(worker->contact) != "lapsed");
     if (wanted && !worker->renewal && now_ >= worker->next_renewal) {
       RenewLease(*worker);
     }
@@ -361,18 +357,16 @@
       .to = {.address = worker.entry.address, .worker = worker.entry.id},
       .epoch = options_.epoch,
       .acknowledged = worker.acknowledged};
-  const bool live =
-      charts_.worker_contact.StateName(worker.contact) == "live";
+  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // A renewal without an answer may still extend the lease, so a worker that
   // is silent is only asked: otherwise its tasks could never be taken as over.
   if (!worker.tasks.empty() && live) {
     const std::int64_t until = LeaseUntil(worker);
     NoteLease(worker, until);
     order.lease_until_ms = until;
-    const bool serves =
-        std::ranges::any_of(worker.tasks, [](const Task* task) {
-          return task->job->StepOf(*task).latency_target > core::Duration();
-        });
+    const bool serves = std::ranges::any_of(worker.tasks, [](const Task* task) {
+      return task->job->StepOf(*task).latency_target > core::Duration();
+    });
     if (worker.last_end == worker.acknowledged) {
       order.wait = serves ? kServingReportWait : kReportWait;
     }
--- a/packages/jobs/tests/fake_store.cc
+++ b/packages/jobs/tests/fake_store.cc
@@ -33,14 +33,12 @@
       break;
   }
   return std::visit(
-      core::Overloaded{
-          [this](const CommitRows& c) -> std::optional<StoreEvent> {
-            return Apply(c);
-          },
-          [this](const ReadRows& c) -> std::optional<StoreEvent> {
-            return Apply(c);
-          },
-          [this](const FollowRows& c) { return Apply(c); }},
+      core::Overloaded{[this](const CommitRows& c)
+                           -> std::optional<StoreEvent> { return Apply(c); },
+                       [this](const ReadRows& c) -> std::optional<StoreEvent> {
+                         return Apply(c);
+                       },
+                       [this](const FollowRows& c) { return Apply(c); }},
       command);
 }
 
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -137,8 +137,7 @@
 
 std::string FakeWorkers::WorkerOf(const TaskAddress& task) const {
   for (const auto& [name, worker] : workers_) {
-    if (std::ranges::find(worker.runs, task, &Run::task) !=
-        worker.runs.end()) {
+    if (std::ranges::find(worker.runs, task, &Run::task) != worker.runs.end()) {
       return name;
     }
   }
--- /dev/null
+++ b/packages/jobs/tests/intake_test.cc
@@ -0,0 +1,228 @@
+#include "jobs/intake.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "fake_store.h"
+
+namespace hickoryusher::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Intake with a store, two slices and one queue.
+class IntakeWorld {
+ public:
+  IntakeWorld() { intake_.SetConfig(Config(1)); }
+
+  static QueueConfigPtr Config(std::uint64_t version) {
+    return std::make_shared<const QueueConfig>(
+        version,
+        std::vector<Queue>{
+            {.name = "diary", .host = "h", .path_prefix = "/d/"},
+            {.name = "night", .host = "h", .path_prefix = "/d/night/"}},
+        std::vector<Service>{});
+  }
+
+  void Call(ClientVerb verb,
+            const std::string& path,
+            const std::string& host = "h") {
+    intake_.Take({.request = core::RequestId(1),
+                  .verb = verb,
+                  .host = host,
+                  .path = path,
+                  .document = "document",
+                  .demand = {.millis = 1'000, .reserved_millis = 1'000},
+                  .give_up = now_ + 2s},
+                 now_, 77);
+    Advance(100ms);
+  }
+
+  void Advance(std::chrono::milliseconds duration) {
+    const core::TimePoint end = now_ + duration;
+    while (now_ < end) {
+      now_ += 20ms;
+      intake_.Run(now_);
+      for (auto commands = intake_.TakeCommands(); !commands.empty();
+           commands = intake_.TakeCommands()) {
+        for (const StoreCommand& command : commands) {
+          intake_.Handle(*store.Run(command), now_);
+        }
+      }
+      for (ClientAnswer& answer : intake_.TakeAnswers()) {
+        CHECK_FALSE(last.has_value());
+        last = std::move(answer.result);
+      }
+    }
+  }
+
+  /// @returns the answer of the last call, which must have come.
+  ClientResult Take() {
+    REQUIRE(last.has_value());
+    return *std::exchange(last, std::nullopt);
+  }
+  Refusal TakeRefusal() { return std::get<CallRefused>(Take()).refusal; }
+
+  /// @returns the slice in which the job is stored; empty if in none.
+  std::string SliceOf(const std::string& job) const {
+    for (const char* slice : {"a-0", "b-0"}) {
+      if (store.Find(JobRow(slice, job))) {
+        return slice;
+      }
+    }
+    return {};
+  }
+
+  Intake& intake() { return intake_; }
+
+  FakeStore store;
+  std::optional<ClientResult> last;
+
+ private:
+  core::TimePoint now_{1h};
+  CallIds ids_;
+  Intake intake_{{.slices = {{.name = "a-0"}, {.name = "b-0"}},
+                  .log = [](const core::LogLine&) {}},
+                 ids_};
+};
+
+TEST_CASE("an accepted job is stored with its queue", "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  const std::string slice = world.SliceOf("job1");
+  REQUIRE_FALSE(slice.empty());
+  const auto stored =
+      DecodeStoredJob(world.store.Find(JobRow(slice, "job1"))->value);
+  REQUIRE(stored.has_value());
+  CHECK(stored->queue == "diary");
+  CHECK(stored->accepted_unix_ms == 77);
+  CHECK(stored->document == "document");
+}
+
+TEST_CASE("the longest prefix names the queue", "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kSubmit, "/d/night/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  const auto stored = DecodeStoredJob(
+      world.store.Find(JobRow(world.SliceOf("job1"), "job1"))->value);
+  CHECK(stored->queue == "night");
+}
+
+// A job that is handed in twice through processes with other views of the load
+// must not be stored in two slices.
+TEST_CASE("a job is stored in one slice only", "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  const bool in_first = world.SliceOf("job1") == "a-0";
+  const SliceLoad busy = {.demand_millis = 9'000,
+                          .reserved_millis = 9'000,
+                          .capacity_millis = 10'000};
+  const SliceLoad idle = {.capacity_millis = 10'000};
+  world.intake().SetLoads({in_first ? busy : idle, in_first ? idle : busy});
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  CHECK(world.store.Find(JobRow("a-0", "job1")).has_value() !=
+        world.store.Find(JobRow("b-0", "job1")).has_value());
+}
+
+TEST_CASE("jobs go where the smallest share is reserved", "[intake]") {
+  IntakeWorld world;
+  world.intake().SetLoads(
+      {SliceLoad{.reserved_millis = 500, .capacity_millis = 1'000},
+       SliceLoad{.reserved_millis = 600, .capacity_millis = 10'000}});
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(world.SliceOf("job1") == "b-0");
+}
+
+TEST_CASE("a lost answer is cleared up by the next attempt", "[intake]") {
+  IntakeWorld world;
+  world.store.SetFault(FakeStore::Fault::kLoseAnswer);
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK_FALSE(world.last.has_value());
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(300ms);
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+}
+
+// Guards P5: "not accepted" may only be said of a job that never runs.
+TEST_CASE("a job that may have been stored is not called refused", "[intake]") {
+  IntakeWorld world;
+  world.store.SetFault(FakeStore::Fault::kPostpone);
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.Advance(3s);
+  CHECK(world.TakeRefusal() == Refusal::kUnknownOutcome);
+}
+
+TEST_CASE("a job is refused when the store is down", "[intake]") {
+  IntakeWorld world;
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.Advance(1s);
+  const ClientResult first = world.Take();
+  CHECK(std::get<CallRefused>(first).refusal == Refusal::kStoreDown);
+  CHECK(std::get<CallRefused>(first).retry_after.has_value());
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(1s);
+  CHECK(world.SliceOf("job1").empty());
+  world.Call(ClientVerb::kSubmit, "/d/job2");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+}
+
+TEST_CASE("states are read from any slice", "[intake]") {
+  IntakeWorld world;
+  world.store.Put(ProgressRow("b-0", "job1"),
+                  EncodeProgress({.phase = JobPhase::kActive}));
+  world.Call(ClientVerb::kQuery, "/d/job1");
+  CHECK(std::get<JobState>(world.Take()).phase == JobPhase::kActive);
+  world.Call(ClientVerb::kQuery, "/d/other");
+  CHECK(world.TakeRefusal() == Refusal::kNoSuchJob);
+}
+
+TEST_CASE("a cancellation is stored for an open job only", "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.Take();
+  world.Call(ClientVerb::kCancel, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  CHECK(world.store.Find(CancelRow(world.SliceOf("job1"), "job1")));
+  world.Call(ClientVerb::kCancel, "/d/other");
+  CHECK(world.TakeRefusal() == Refusal::kNoSuchJob);
+  world.store.Put(ProgressRow("a-0", "done"),
+                  EncodeProgress({.phase = JobPhase::kCompleted}));
+  world.Call(ClientVerb::kCancel, "/d/done");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  CHECK_FALSE(world.store.Find(CancelRow("a-0", "done")));
+}
+
+TEST_CASE("waiting jobs are summed over the slices", "[intake]") {
+  IntakeWorld world;
+  for (const char* slice : {"a-0", "b-0"}) {
+    world.store.Put({.table = SliceTableName(), .part = {}, .key = slice},
+                    "1 p 1\n" + EncodeSliceLoad({.pending = {{"diary", 2}}}));
+  }
+  world.Call(ClientVerb::kQuery, "/d/");
+  CHECK(std::get<PendingJobs>(world.Take()).count == 4);
+}
+
+TEST_CASE("paths without a queue and calls before the configuration",
+          "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kQuery, "/x/job1");
+  CHECK(world.TakeRefusal() == Refusal::kUnknownQueue);
+  world.Call(ClientVerb::kQuery, "/d/job1", "other");
+  CHECK(world.TakeRefusal() == Refusal::kUnknownQueue);
+  world.Call(ClientVerb::kSubmit, "/d/a!b");
+  CHECK(world.TakeRefusal() == Refusal::kBadDocument);
+  world.Call(ClientVerb::kSubmit, "/d/");
+  CHECK(world.TakeRefusal() == Refusal::kBadDocument);
+  world.intake().SetConfig(nullptr);
+  world.Call(ClientVerb::kQuery, "/d/job1");
+  CHECK(world.TakeRefusal() == Refusal::kNotConfigured);
+}
+
+}  // namespace
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/tests/records_test.cc
@@ -0,0 +1,107 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "fake_store.h"
+#include "jobs/interference_model.h"
+#include "jobs/progress.h"
+#include "jobs/slice_scheduler.h"
+#include "jobs/table_follower.h"
+
+namespace hickoryusher::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("progress survives its encoding", "[records]") {
+  const Progress progress{.phase = JobPhase::kActive,
+                          .done = {true, false, true, true, false, true},
+                          .failures = {0, 2, 0, 1}};
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->phase == progress.phase);
+  CHECK(decoded->failures == progress.failures);
+  for (std::size_t i = 0; i < decoded->done.size(); ++i) {
+    CHECK(decoded->done[i] == (i < progress.done.size() && progress.done[i]));
+  }
+}
+
+TEST_CASE("damaged records are refused", "[records]") {
+  for (const char* text : {"", "active", "active/", "unknown//", "active/x/",
+                           "active//1", "active//a,", "active//,"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeProgress(text).has_value());
+  }
+  for (const char* text : {"", "queue", "queue\n12", "queue\nx\n{}"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeStoredJob(text).has_value());
+  }
+  for (const char* text : {"", "1", "1 2", "1 2 3\nqueue", "1 2 3\nqueue x"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeSliceLoad(text).has_value());
+  }
+}
+
+TEST_CASE("addresses of tasks survive their encoding", "[records]") {
+  const TaskAddress address{
+      .job = "0a.b", .occurrence = 3, .step = 1, .index = 17};
+  CHECK(ToText(address) == "0a.b.3.1.17");
+  CHECK(ParseTaskAddress("0a.b.3.1.17") == address);
+  for (const char* text : {"", "1.2.3", ".1.2.3", "j.1.2.", "j.1.x.3"}) {
+    INFO(text);
+    CHECK_FALSE(ParseTaskAddress(text).has_value());
+  }
+}
+
+TEST_CASE("a follower reads, follows and reads again", "[records]") {
+  FakeStore store;
+  CallIds ids;
+  const RowKey key{.table = "t", .part = "p", .key = "k"};
+  TableFollower follower({.table = "t", .part = "p", .wait = 1s}, ids);
+  const core::TimePoint now(1h);
+  store.Put(key, "1");
+  const auto first = follower.Handle(*store.Run(*follower.Next(now)), now);
+  REQUIRE(first.has_value());
+  CHECK(std::get<TableSnapshot>(*first).rows.size() == 1);
+  CHECK(follower.synced());
+
+  const StoreCommand waiting = *follower.Next(now);
+  CHECK_FALSE(store.Run(waiting).has_value());
+  CHECK_FALSE(follower.Next(now).has_value());
+  store.Put(key, "2");
+  const auto second = follower.Handle(*store.Run(waiting), now);
+  REQUIRE(second.has_value());
+  CHECK(std::get<TableChanges>(*second).rows.at(0).value == "2");
+
+  const StoreCommand lost = *follower.Next(now);
+  CHECK_FALSE(follower.Handle(HistoryLost{.call = CallOf(lost)}, now));
+  CHECK_FALSE(follower.synced());
+  const auto again = follower.Handle(*store.Run(*follower.Next(now)), now);
+  CHECK(std::holds_alternative<TableSnapshot>(*again));
+
+  const StoreCommand refused = *follower.Next(now);
+  CHECK_FALSE(follower.Handle(StoreRefused{.call = CallOf(refused)}, now));
+  CHECK_FALSE(follower.Next(now).has_value());
+  CHECK(follower.Next(now + 200ms).has_value());
+}
+
+TEST_CASE("the interference of a pair of images is learned", "[records]") {
+  constexpr ImageId kServing(0);
+  constexpr ImageId kHeavy(1);
+  constexpr ImageId kLight(2);
+  InterferenceModel model;
+  const std::vector<Neighbour> both{{.image = kHeavy, .share = 0.2},
+                                    {.image = kLight, .share = 0.3}};
+  const std::vector<Neighbour> light{{.image = kLight, .share = 0.4}};
+  for (int i = 0; i < 30; ++i) {
+    model.Learn(kServing, both, 0.2 * 3.0, 0.1);
+    model.Learn(kServing, light, 0.0, 0.1);
+  }
+  const Neighbour heavy{.image = kHeavy, .share = 1};
+  CHECK(model.Raise(kServing, std::span(&heavy, 1)) == Approx(3.0).margin(0.4));
+  CHECK(model.Raise(kServing, light) == Approx(0.0).margin(0.1));
+  CHECK(model.CautiousRaise(kServing, light) >= model.Raise(kServing, light));
+}
+
+}  // namespace
+}  // namespace hickoryusher::jobs
--- /dev/null
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -0,0 +1,234 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chart_yaml/load.h"
+#include "fake_store.h"
+#include "jobs/slice_board.h"
+
+namespace hickoryusher::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::SliceId kYoff(0);
+
+chart::Chart LoadChart() {
+  chart_yaml::Loader loader;
+  auto chart =
+      loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/slice_ownership.yaml");
+  REQUIRE(chart.has_value());
+  return *std::move(chart);
+}
+
+/// One process with its own view of a store that it may share.
+class Member {
+ public:
+  Member(FakeStore& store,
+         const std::string& process,
+         const std::string& failure_domain,
+         const std::string& incarnation = "1")
+      : store_(store), chart_(LoadChart()) {
+    std::vector<chart::Problem> problems;
+    board_ = SliceBoard::Create(
+        {.process = process,
+         .incarnation = incarnation,
+         .failure_domain = failure_domain,
+         .slices = {{.name = "yoff-0", .failure_domain = "yoff"}},
+         .log = [](const core::LogLine&) {}},
+        chart_, ids_, problems);
+    REQUIRE(problems.empty());
+  }
+
+  void Run(core::TimePoint now) {
+    board_->Run(now);
+    for (const StoreCommand& command : board_->TakeCommands()) {
+      if (reaches_store) {
+        board_->Handle(*store_.Run(command), now);
+      } else {
+        board_->Handle(StoreUnanswered{.call = CallOf(command)}, now);
+      }
+    }
+    for (const SliceNotice& notice : board_->TakeNotices()) {
+      if (const auto* gained = std::get_if<SliceGained>(&notice)) {
+        gains.push_back(*gained);
+      } else {
+        ++losses;
+      }
+    }
+  }
+
+  SliceBoard& board() { return *board_; }
+
+  bool reaches_store = true;
+  std::vector<SliceGained> gains;
+  std::size_t losses = 0;
+
+ private:
+  FakeStore& store_;
+  chart::Chart chart_;
+  CallIds ids_;
+  std::unique_ptr<SliceBoard> board_;
+};
+
+class Cluster {
+ public:
+  void Advance(std::chrono::milliseconds duration,
+               std::vector<Member*> members) {
+    const core::TimePoint end = now_ + duration;
+    while (now_ < end) {
+      now_ += 20ms;
+      for (Member* member : members) {
+        member->Run(now_);
+      }
+    }
+  }
+  core::TimePoint now() const { return now_; }
+
+  FakeStore store;
+
+ private:
+  core::TimePoint now_{1h};
+};
+
+TEST_CASE("one of two processes owns a slice", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(10s, {&a, &b});
+  CHECK(a.gains.size() + b.gains.size() == 1);
+  CHECK(a.losses + b.losses == 0);
+}
+
+TEST_CASE("a dead owner is followed by a process of its failure domain",
+          "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  Member far(cluster.store, "far", "port");
+  cluster.Advance(2s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  // The leases of its tasks last 6 s from the last renewal.
+  cluster.Advance(4500ms, {&b, &far});
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.gains[0].epoch == a.gains[0].epoch + 1);
+  CHECK_FALSE(b.gains[0].predecessor_ended);
+  CHECK(far.gains.empty());
+}
+
+TEST_CASE("another failure domain follows when nobody is left", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member far(cluster.store, "far", "port");
+  cluster.Advance(2s, {&a, &far});
+  cluster.Advance(10s, {&far});
+  CHECK(far.gains.size() == 1);
+}
+
+TEST_CASE("a slice is handed over at once", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(2s, {&a});
+  a.board().ReleaseAll(cluster.now());
+  cluster.Advance(1500ms, {&a, &b});
+  CHECK(a.losses == 1);
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.gains[0].predecessor_ended);
+}
+
+TEST_CASE("a restarted process takes its slice back at once", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff", "1");
+  cluster.Advance(2s, {&a});
+  Member again(cluster.store, "a", "yoff", "2");
+  cluster.Advance(500ms, {&again});
+  REQUIRE(again.gains.size() == 1);
+  CHECK(again.gains[0].predecessor_ended);
+}
+
+// A claim whose answer was lost must be neither lost nor made twice.
+TEST_CASE("an unanswered claim is found", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.store.SetFault(FakeStore::Fault::kLoseAnswer);
+  a.board().Run(cluster.now());
+  for (const StoreCommand& command : a.board().TakeCommands()) {
+    a.board().Handle(RowsRead{.call = CallOf(command)}, cluster.now());
+  }
+  cluster.Advance(100ms, {&a});
+  cluster.store.SetFault(FakeStore::Fault::kNone);
+  cluster.Advance(3s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  CHECK(a.gains[0].epoch == 1);
+  CHECK(a.gains[0].fence_version ==
+        cluster.store.Find(FenceRow("yoff-0"))->version);
+}
+
+TEST_CASE("an unanswered renewal does not depose its sender", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.Advance(2s, {&a});
+  cluster.store.SetFault(FakeStore::Fault::kLoseAnswer);
+  cluster.Advance(1500ms, {&a});
+  cluster.store.SetFault(FakeStore::Fault::kNone);
+  cluster.Advance(5s, {&a});
+  CHECK(a.losses == 0);
+}
+
+// The store may be down for everybody; work goes on meanwhile.
+TEST_CASE("an owner goes on through an outage of the store", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(2s, {&a, &b});
+  const bool a_owns = a.gains.size() == 1;
+  Member& owner = a_owns ? a : b;
+  Member& other = a_owns ? b : a;
+  a.reaches_store = false;
+  b.reaches_store = false;
+  cluster.Advance(9s, {&a, &b});
+  CHECK(owner.losses == 0);
+  // The other one has seen no renewal for long, but nobody could renew.
+  a.reaches_store = true;
+  b.reaches_store = true;
+  cluster.Advance(3s, {&other, &owner});
+  CHECK(owner.losses == 0);
+  CHECK(other.gains.empty());
+}
+
+TEST_CASE("an owner that the store does not hear gives up in time", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(2s, {&a});
+  a.reaches_store = false;
+  constexpr auto kGrace = std::chrono::duration_cast<std::chrono::milliseconds>(
+      SliceBoard::kOwnerGrace);
+  cluster.Advance(kGrace + 500ms, {&a, &b});
+  CHECK(b.gains.size() == 1);
+  CHECK(a.losses == 1);
+}
+
+TEST_CASE("a load is published with the renewals", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(2s, {&a});
+  a.board().SetLoad(kYoff, {.demand_millis = 5,
+                            .reserved_millis = 3,
+                            .capacity_millis = 7,
+                            .pending = {{"diary", 2}}});
+  cluster.Advance(2500ms, {&a, &b});
+  const auto load = b.board().Loads().at(0);
+  REQUIRE(load.has_value());
+  CHECK(load->demand_millis == 5);
+  CHECK(load->reserved_millis == 3);
+  CHECK(load->capacity_millis == 7);
+  CHECK(load->pending.at("diary") == 2);
+}
+
+}  // namespace
+}  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -134,8 +134,8 @@
   world.AddWorker("w1");
   world.Submit("j", "c");
   world.Advance(500ms);
-  world.workers.Handle(
-      RenewLease{.to = {.worker = "w1"}, .epoch = 99}, core::TimePoint());
+  world.workers.Handle(RenewLease{.to = {.worker = "w1"}, .epoch = 99},
+                       core::TimePoint());
   world.Advance(3s);
   CHECK(world.owner->deposed());
 }
@@ -287,8 +287,7 @@
   CHECK(world.workers.runs("w1").size() == 1);
 }
 
-TEST_CASE("the store is written once for ends that come together",
-          "[slice]") {
+TEST_CASE("the store is written once for ends that come together", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
   for (int i = 0; i < 10; ++i) {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -15,8 +15,8 @@
 
 chart::Chart LoadChart(const std::string& name) {
   chart_yaml::Loader loader;
-  auto chart = loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/" + name +
-                               ".yaml");
+  auto chart =
+      loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/" + name + ".yaml");
   REQUIRE(chart.has_value());
   return *std::move(chart);
 }
@@ -86,26 +86,24 @@
   for (const std::string& id : registry) {
     AddWorker(id);
   }
-  owner->SetConfig(
-      std::make_shared<const QueueConfig>(
-          1,
-          std::vector<Queue>{{.name = "diary",
-                              .host = "h",
-                              .path_prefix = "/d/",
-                              .service = "noise",
-                              .max_attempts = 2}},
-          std::vector<Service>{}),
-      now_);
+  owner->SetConfig(std::make_shared<const QueueConfig>(
+                       1,
+                       std::vector<Queue>{{.name = "diary",
+                                           .host = "h",
+                                           .path_prefix = "/d/",
+                                           .service = "noise",
+                                           .max_attempts = 2}},
+                       std::vector<Service>{}),
+                   now_);
 }
 
 void SliceWorld::Submit(const std::string& id, const std::string& steps) {
   const auto answer = store.Run(CommitRows{
       .conditions = {{.key = ProgressRow(kSlice, id), .version = 0}},
-      .puts = {{.key = ProgressRow(kSlice, id),
-                .value = EncodeProgress(Progress())},
-               {.key = JobRow(kSlice, id),
-                .value = EncodeStoredJob({.queue = "diary",
-                                          .document = steps})}}});
+      .puts = {
+          {.key = ProgressRow(kSlice, id), .value = EncodeProgress(Progress())},
+          {.key = JobRow(kSlice, id),
+           .value = EncodeStoredJob({.queue = "diary", .document = steps})}}});
   REQUIRE(std::holds_alternative<RowsCommitted>(*answer));
 }
 
--- a/packages/jobs_process/include/jobs_process/ports.h
+++ b/packages/jobs_process/include/jobs_process/ports.h
@@ -23,11 +23,9 @@
 /// of its own, since it remembers the calls in flight.
 struct OutsideCodec {
   std::function<http::StartExchange(const jobs::StoreCommand&)> encode_store;
-  std::function<http::StartExchange(const jobs::WorkerCommand&)>
-      encode_worker;
+  std::function<http::StartExchange(const jobs::WorkerCommand&)> encode_worker;
   /// @returns nothing for an event that is no answer to a known call.
-  std::function<std::optional<OutsideEvent>(const http::UpstreamEvent&)>
-      decode;
+  std::function<std::optional<OutsideEvent>(const http::UpstreamEvent&)> decode;
 };
 
 /// How this process speaks with the outside. Everything else in the process is
@@ -37,12 +35,10 @@
 
   std::string config_table;
   std::string config_key;
-  std::function<std::optional<jobs::QueueConfig>(std::string_view)>
-      read_config;
+  std::function<std::optional<jobs::QueueConfig>(std::string_view)> read_config;
 
   std::string registry_table;
-  std::function<std::optional<jobs::WorkerEntry>(const jobs::Row&)>
-      read_worker;
+  std::function<std::optional<jobs::WorkerEntry>(const jobs::Row&)> read_worker;
 
   std::function<std::optional<jobs::JobSpec>(const jobs::StoredJob&)>
       read_document;
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -31,10 +31,9 @@
       outputs_(std::move(outputs)),
       codec_(ports.make_codec()),
       intake_({.slices = std::move(slices), .log = outputs_.log}, ids_),
-      config_rows_({.table = ports.config_table,
-                    .part = {},
-                    .wait = kConfigFollowWait},
-                   ids_),
+      config_rows_(
+          {.table = ports.config_table, .part = {}, .wait = kConfigFollowWait},
+          ids_),
       inputs_(kRingSlots) {}
 
 IntakeDuty::~IntakeDuty() {
@@ -107,8 +106,8 @@
     }
     auto config = ports_.read_config(row.value);
     if (!config) {
-      outputs_.log(core::LogLine("config_unreadable")
-                       .Add("row_version", row.version));
+      outputs_.log(
+          core::LogLine("config_unreadable").Add("row_version", row.version));
       continue;
     }
     if (config_ != nullptr && config->version() <= config_->version()) {
@@ -128,13 +127,12 @@
   const bool ready = config_ != nullptr && !draining_.load() &&
                      now - config_rows_.last_answer() < kReadyWithoutStore;
   if (ready != std::exchange(was_ready_, ready)) {
-    outputs_.log(
-        core::LogLine("readiness_changed")
-            .Add("ready", ready)
-            .Add("configured", config_ != nullptr)
-            .Add("draining", draining_.load())
-            .Add("store_age_ms",
-                 core::ToMillis(now - config_rows_.last_answer())));
+    outputs_.log(core::LogLine("readiness_changed")
+                     .Add("ready", ready)
+                     .Add("configured", config_ != nullptr)
+                     .Add("draining", draining_.load())
+                     .Add("store_age_ms",
+                          core::ToMillis(now - config_rows_.last_answer())));
   }
   outputs_.respond_readiness(
       {.id = asked.request, .status = ready ? 200 : 503});
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -35,8 +35,8 @@
   std::vector<jobs::SliceInfo> slices;
   for (const std::string& domain : failure_domains) {
     for (int i = 0; i < kSlicesPerDomain; ++i) {
-      slices.push_back({.name = domain + "-" + std::to_string(i),
-                        .failure_domain = domain});
+      slices.push_back(
+          {.name = domain + "-" + std::to_string(i), .failure_domain = domain});
     }
   }
   return slices;
@@ -72,10 +72,9 @@
   std::unique_ptr<http::Upstream> StartUpstream(
       std::function<bool(http::UpstreamEvent&)> sink,
       std::vector<std::string>& errors);
-  std::unique_ptr<http::Front> StartFront(
-      const Listener& listener,
-      http::Front::RequestSink sink,
-      std::vector<std::string>& errors);
+  std::unique_ptr<http::Front> StartFront(const Listener& listener,
+                                          http::Front::RequestSink sink,
+                                          std::vector<std::string>& errors);
   void Stop();
 
   ProcessOptions options;
@@ -109,20 +108,19 @@
                 scheduler->inputs().TryPush(SchedulerInput(config));
               },
           .log = log});
-  scheduler =
-      SchedulerDuty::Create(ports,
-                            {.process = options.process,
-                             .incarnation = std::to_string(UnixMillis()),
-                             .failure_domain = options.failure_domain,
-                             .slices = slices,
-                             .limits = options.limits,
-                             .announce_loads =
-                                 [this](auto loads) {
-                                   intake->inputs().TryPush(IntakeInput(
-                                       LoadsRead{std::move(loads)}));
-                                 },
-                             .log = log},
-                            *std::move(charts), errors);
+  scheduler = SchedulerDuty::Create(
+      ports,
+      {.process = options.process,
+       .incarnation = std::to_string(UnixMillis()),
+       .failure_domain = options.failure_domain,
+       .slices = slices,
+       .limits = options.limits,
+       .announce_loads =
+           [this](auto loads) {
+             intake->inputs().TryPush(IntakeInput(LoadsRead{std::move(loads)}));
+           },
+       .log = log},
+      *std::move(charts), errors);
   return scheduler != nullptr && StartDuties(errors);
 }
 
@@ -236,8 +234,8 @@
   // New connections arrive until the balancer has noticed.
   std::this_thread::sleep_until(begun + kBalancerNotice);
   impl_->callers->StopAccepting();
-  const bool idle = impl_->callers->WaitIdle(begun + impl_->options.drain_time -
-                                             kStopMargin);
+  const bool idle =
+      impl_->callers->WaitIdle(begun + impl_->options.drain_time - kStopMargin);
   Log(core::LogLine("process_stopped").Add("idle", idle));
   impl_->Stop();
 }
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -94,18 +94,17 @@
 }
 
 void SchedulerDuty::Take(SchedulerInput&& input, core::TimePoint now) {
-  std::visit(core::Overloaded{
-                 [&](const jobs::QueueConfigPtr& config) {
-                   config_ = config;
-                   for (const auto& [id, scheduler] : schedulers_) {
-                     scheduler->SetConfig(config, now);
-                   }
-                 },
-                 [&](const http::UpstreamEvent& e) { TakeEvent(e, now); },
-                 [&](const SliceReleaseRequested&) {
-                   board_->ReleaseAll(now);
-                 }},
-             std::move(input));
+  std::visit(
+      core::Overloaded{
+          [&](const jobs::QueueConfigPtr& config) {
+            config_ = config;
+            for (const auto& [id, scheduler] : schedulers_) {
+              scheduler->SetConfig(config, now);
+            }
+          },
+          [&](const http::UpstreamEvent& e) { TakeEvent(e, now); },
+          [&](const SliceReleaseRequested&) { board_->ReleaseAll(now); }},
+      std::move(input));
 }
 
 void SchedulerDuty::TakeEvent(const http::UpstreamEvent& event,
@@ -129,18 +128,17 @@
 
 void SchedulerDuty::TakeRegistry(const jobs::TableUpdate& update,
                                  core::TimePoint now) {
-  std::visit(core::Overloaded{
-                 [&](const jobs::TableSnapshot& snapshot) {
-                   DropMissing(snapshot, now);
-                   for (const jobs::Row& row : snapshot.rows) {
-                     TakeRegistryRow(row, now);
-                   }
-                 },
-                 [&](const jobs::TableChanges& changes) {
-                   for (const jobs::Row& row : changes.rows) {
-                     TakeRegistryRow(row, now);
-                   }
-                 }},
+  std::visit(core::Overloaded{[&](const jobs::TableSnapshot& snapshot) {
+                                DropMissing(snapshot, now);
+                                for (const jobs::Row& row : snapshot.rows) {
+                                  TakeRegistryRow(row, now);
+                                }
+                              },
+                              [&](const jobs::TableChanges& changes) {
+                                for (const jobs::Row& row : changes.rows) {
+                                  TakeRegistryRow(row, now);
+                                }
+                              }},
              update);
 }
 
@@ -161,10 +159,8 @@
   });
 }
 
-void SchedulerDuty::TakeRegistryRow(const jobs::Row& row,
-                                    core::TimePoint now) {
-  const auto entry =
-      row.removed ? std::nullopt : ports_.read_worker(row);
+void SchedulerDuty::TakeRegistryRow(const jobs::Row& row, core::TimePoint now) {
+  const auto entry = row.removed ? std::nullopt : ports_.read_worker(row);
   if (!entry) {
     if (!row.removed) {
       options_.log(
@@ -182,8 +178,7 @@
   }
 }
 
-void SchedulerDuty::Gain(const jobs::SliceGained& gained,
-                         core::TimePoint now) {
+void SchedulerDuty::Gain(const jobs::SliceGained& gained, core::TimePoint now) {
   std::vector<chart::Problem> problems;
   auto scheduler = jobs::SliceScheduler::Create(
       {.slice = options_.slices.at(gained.slice.value()),
@@ -194,8 +189,7 @@
        .limits = options_.limits,
        .read_document = ports_.read_document,
        .log = options_.log},
-      {.task_run = charts_.task_run,
-       .worker_contact = charts_.worker_contact},
+      {.task_run = charts_.task_run, .worker_contact = charts_.worker_contact},
       ids_, now, problems);
   if (scheduler == nullptr) {
     for (const chart::Problem& problem : problems) {
@@ -236,12 +230,11 @@
 
 void SchedulerDuty::TakeNotices(core::TimePoint now) {
   for (const jobs::SliceNotice& notice : board_->TakeNotices()) {
-    std::visit(core::Overloaded{[&](const jobs::SliceGained& gained) {
-                                  Gain(gained, now);
-                                },
-                                [&](const jobs::SliceLost& lost) {
-                                  schedulers_.erase(lost.slice);
-                                }},
+    std::visit(core::Overloaded{
+                   [&](const jobs::SliceGained& gained) { Gain(gained, now); },
+                   [&](const jobs::SliceLost& lost) {
+                     schedulers_.erase(lost.slice);
+                   }},
                notice);
   }
   if (schedulers_.empty() && registry_rows_) {
@@ -279,12 +272,10 @@
     }
   }
   for (const auto& [id, scheduler] : schedulers_) {
-    for (const jobs::StoreCommand& command :
-         scheduler->TakeStoreCommands()) {
+    for (const jobs::StoreCommand& command : scheduler->TakeStoreCommands()) {
       Send(command, now);
     }
-    for (const jobs::WorkerCommand& command :
-         scheduler->TakeWorkerCommands()) {
+    for (const jobs::WorkerCommand& command : scheduler->TakeWorkerCommands()) {
       Send(command, now);
     }
   }
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -26,9 +26,8 @@
 /// The slices can be handed over: the process stops.
 struct SliceReleaseRequested {};
 
-using SchedulerInput = std::variant<jobs::QueueConfigPtr,
-                                    http::UpstreamEvent,
-                                    SliceReleaseRequested>;
+using SchedulerInput = std::
+    variant<jobs::QueueConfigPtr, http::UpstreamEvent, SliceReleaseRequested>;
 
 /// The charts of the scheduler thread.
 struct SchedulerCharts {
