--- a/packages/jobs/include/jobs/progress.h
+++ b/packages/jobs/include/jobs/progress.h
@@ -11,6 +11,16 @@
 
 namespace hickoryusher::jobs {
 
+/// Failed runs of a task.
+struct FailureCount {
+  std::uint32_t count = 0;
+  /// The last run that was counted. A worker lists its end again until it is
+  /// acknowledged, perhaps to another owner, and it must not count twice.
+  RunNumber last_run = 0;
+
+  bool operator==(const FailureCount&) const = default;
+};
+
 /// What is durable about a job besides its specification.
 ///
 /// @remarks Tasks are numbered through a job: by occurrence, then step, then
@@ -18,8 +28,8 @@
 struct Progress {
   JobPhase phase = JobPhase::kQueued;
   std::vector<bool> done;  ///< By task number; shorter if the rest is open.
-  /// Failed runs by task number; shorter if the rest has none.
-  std::vector<std::uint32_t> failures;
+  /// By task number; shorter if the rest has none.
+  std::vector<FailureCount> failures;
 };
 
 std::string_view ToString(JobPhase phase);
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -172,7 +172,7 @@
   void TakeActive(Worker& worker, const ActiveRun& run);
   void DropMissing(Worker& worker, const WorkerReport& report);
   void StopUnknown(Worker& worker, const ActiveRun& run);
-  void JudgeWorker(Worker& worker, EndKind kind);
+  void JudgeWorker(Worker& worker, EndKind kind, std::string_view job);
   void RenewLeases();
   void RenewLease(Worker& worker);
   void NoteLease(Worker& worker, std::int64_t until_ms);
@@ -269,6 +269,7 @@
   /// By job: utilisation without spare work next to it.
   std::map<std::string, double, std::less<>> calm_utilisations_;
   bool placement_due_ = false;
+  core::TimePoint next_placement_;
   std::set<core::WorkerId> kept_free_;  ///< Of the current pass.
 
   std::set<std::string> dirty_;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -56,7 +56,9 @@
   double spare_millis = 0;
   bool rooms_valid = false;
 
-  std::uint32_t failures_in_row = 0;
+  /// Jobs of which runs failed here since the last good end, each once: a job
+  /// that always fails says nothing about its workers.
+  std::vector<std::string> failing_jobs;
   core::TimePoint avoid_until;  ///< Quarantine after failures.
   std::uint32_t quarantines = 0;
 
--- a/packages/jobs/src/progress.cc
+++ b/packages/jobs/src/progress.cc
@@ -41,27 +41,47 @@
   return done;
 }
 
-std::string EncodeFailures(const std::vector<std::uint32_t>& failures) {
+std::string EncodeFailures(const std::vector<FailureCount>& failures) {
   std::string text;
-  for (const std::uint32_t count : failures) {
-    text += std::to_string(count) + ',';
+  for (const FailureCount& failure : failures) {
+    text += std::to_string(failure.count);
+    if (failure.count > 0) {
+      text += ':' + std::to_string(failure.last_run);
+    }
+    text += ',';
   }
   return text;
 }
 
-std::optional<std::vector<std::uint32_t>> DecodeFailures(
-    std::string_view text) {
-  std::vector<std::uint32_t> failures;
+/// Cuts a number and the character after it off @p text.
+/// @returns nothing unless the character is one of @p ends.
+template <typename Number>
+std::optional<char> TakeNumber(std::string_view& text,
+                               Number& number,
+                               std::string_view ends) {
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (result.ec != std::errc() || result.ptr == text.data() + text.size() ||
+      ends.find(*result.ptr) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const char end = *result.ptr;
+  text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()) + 1);
+  return end;
+}
+
+std::optional<std::vector<FailureCount>> DecodeFailures(std::string_view text) {
+  std::vector<FailureCount> failures;
   while (!text.empty()) {
-    std::uint32_t count = 0;
-    const auto result =
-        std::from_chars(text.data(), text.data() + text.size(), count);
-    if (result.ec != std::errc() || result.ptr == text.data() + text.size() ||
-        *result.ptr != ',') {
+    FailureCount failure;
+    auto end = TakeNumber(text, failure.count, ":,");
+    if (end == ':') {
+      end = TakeNumber(text, failure.last_run, ",");
+    }
+    if (!end) {
       return std::nullopt;
     }
-    failures.push_back(count);
-    text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()) + 1);
+    failures.push_back(failure);
   }
   return failures;
 }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -14,6 +14,7 @@
 // A change of the job table is answered at once; the wait only bounds how long
 // a silent connection goes unnoticed.
 constexpr core::Duration kJobFollowWait = milliseconds(1500);
+constexpr core::Duration kPlacementInterval = milliseconds(500);
 constexpr core::Duration kReadRetryPause = milliseconds(200);
 
 }  // namespace
@@ -306,6 +307,11 @@
     }
   });
   RenewLeases();
+  if (now >= next_placement_) {
+    // Quarantines and pauses end without an event.
+    next_placement_ = now + kPlacementInterval;
+    placement_due_ = true;
+  }
   if (std::exchange(placement_due_, false)) {
     Place();
     MoveSlowed();
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -33,7 +33,7 @@
       .Guard("attempts_left",
              [](const Context& c) {
                return c.job().StepOf(c.task).long_running ||
-                      c.task.failures + 1 < c.job().queue.max_attempts;
+                      c.task.failures.count + 1 < c.job().queue.max_attempts;
              })
       .Guard("resends_left",
              [](const Context& c) { return c.task.resends < kMaxResends; })
@@ -84,7 +84,8 @@
               })
       .Action("count_failure",
               [](Context& c) {
-                ++c.task.failures;
+                ++c.task.failures.count;
+                c.task.failures.last_run = c.end->run;
                 c.scheduler.MarkDirty(c.job(), /*urgent=*/false);
               })
       .Action("note_done",
@@ -117,7 +118,7 @@
     options_.log(core::LogLine("job_failed")
                      .Add("job", job.spec.id)
                      .Add("task", ToText(job.AddressOf(task)))
-                     .Add("failures", task.failures));
+                     .Add("failures", task.failures.count));
     Halt(job, job.phase);
   }
 }
@@ -242,7 +243,7 @@
                        .Add("worker", worker.entry.id)
                        .Add("reason", ToString(answer.outcome)));
       if (answer.outcome == OrderOutcome::kRefused) {
-        JudgeWorker(worker, EndKind::kFailed);
+        JudgeWorker(worker, EndKind::kFailed, call.job);
       }
       Dispatch(task, "refused");
       worker.next_renewal = now_;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -26,7 +26,7 @@
 // The store lists at most this many ends in one report.
 constexpr std::size_t kEndsPerReport = 500;
 
-// Failures of different runs in a row, without a good end between them, after
+// Different jobs with failed runs in a row, without a good end between them, after
 // which a worker gets no tasks for a while.
 constexpr std::uint32_t kFailuresToQuarantine = 3;
 constexpr core::Duration kFirstQuarantine = milliseconds(2000);
@@ -197,7 +197,7 @@
   const bool worn =
       job->StepOf(*task).long_running && now_ > task->started + kEarlyFailure;
   if (end.kind == EndKind::kDone || (end.kind == EndKind::kFailed && !worn)) {
-    JudgeWorker(worker, end.kind);
+    JudgeWorker(worker, end.kind, end.task.job);
   }
   if (end.kind == EndKind::kFailed) {
     task->last_failed_on = worker.id;
@@ -216,7 +216,9 @@
       SettlePhase(*job);
       break;
     case EndKind::kFailed:
-      Dispatch(*task, "ended_failed", &end);
+      if (end.run > task->failures.last_run) {
+        Dispatch(*task, "ended_failed", &end);
+      }
       break;
     default:
       Dispatch(*task, "ended_early", &end);
@@ -224,13 +226,20 @@
   placement_due_ = true;
 }
 
-void SliceScheduler::JudgeWorker(Worker& worker, EndKind kind) {
+void SliceScheduler::JudgeWorker(Worker& worker,
+                                 EndKind kind,
+                                 std::string_view job) {
   if (kind == EndKind::kDone) {
-    worker.failures_in_row = 0;
+    worker.failing_jobs.clear();
     worker.quarantines = 0;
     return;
   }
-  if (++worker.failures_in_row < kFailuresToQuarantine) {
+  if (std::ranges::find(worker.failing_jobs, job) !=
+      worker.failing_jobs.end()) {
+    return;
+  }
+  worker.failing_jobs.emplace_back(job);
+  if (worker.failing_jobs.size() < kFailuresToQuarantine) {
     return;
   }
   const core::Duration pause =
@@ -238,8 +247,8 @@
       (1U << std::min(worker.quarantines, kMaxQuarantineDoublings));
   worker.avoid_until = now_ + pause;
   ++worker.quarantines;
-  // A single further failure after the pause renews the quarantine.
-  worker.failures_in_row = kFailuresToQuarantine - 1;
+  // A single further job that fails after the pause renews the quarantine.
+  worker.failing_jobs.pop_back();
   options_.log(core::LogLine("worker_quarantined")
                    .Add("worker", worker.entry.id)
                    .Add("pause_ms", core::ToMillis(pause)));
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -221,6 +221,26 @@
   CHECK(world.PhaseOf("j") == JobPhase::kFailed);
 }
 
+// An end that was stored but not acknowledged was counted again by the next
+// owner (hunt on ysf-crowd, trouble-2 245145737827, LOST).
+TEST_CASE("a failure counts once, however often it is listed", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("j", "c");
+  world.Advance(500ms);
+  FakeWorkers before;
+  world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  before = world.workers;
+  world.Advance(200ms);
+  // The next owner finds the worker as it was before the acknowledgement.
+  before.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.workers = before;
+  world.TakeOver();
+  world.Advance(1s);
+  CHECK(world.PhaseOf("j") != JobPhase::kFailed);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 TEST_CASE("a cancelled job is stopped and shown as such", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
@@ -277,6 +297,41 @@
   }
 }
 
+// Jobs that can never be done put sound workers into quarantine, and lasting
+// tasks found no place (hunt on bruitsen, mix 722233726577, LOST).
+TEST_CASE("a job that always fails does not speak against its worker",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("poison", "c");
+  world.Submit("poison2", "c");
+  for (int i = 0; i < 2; ++i) {
+    world.Advance(500ms);
+    world.workers.End(SliceWorld::Task("poison"), EndKind::kFailed);
+    world.workers.End(SliceWorld::Task("poison2"), EndKind::kFailed);
+  }
+  world.Advance(500ms);
+  world.Submit("j", "c");
+  world.Advance(500ms);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
+TEST_CASE("a worker that fails the tasks of several jobs rests", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  for (const char* id : {"a", "b", "c"}) {
+    world.Submit(id, "c");
+    world.Advance(500ms);
+    world.workers.End(SliceWorld::Task(id), EndKind::kFailed);
+  }
+  world.Advance(300ms);
+  world.Submit("j", "c");
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 0);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
 TEST_CASE("capacity is never given twice", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
