Move lasting tasks off workers that leave, and lasting jobs to slices with room

Now tasks leave with the notice, and a lasting job with a task that finds no place for 0.9 s is stopped and handed to another slice by one conditional write. Ruled out: lending workers between slices (two owners' epochs on one worker).

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -69,6 +70,11 @@
   /// write, since an unanswered write may take effect seconds later.
   std::uint64_t progress_version = 0;
   std::int64_t accepted_unix_ms = 0;
+  /// The row as intake wrote it, of a job whose tasks all last.
+  std::string stored_text;
+  bool transferring = false;  ///< To another slice.
+  /// Since when a lasting task has had no place.
+  std::optional<core::TimePoint> unplaced_since;
   core::TimePoint objective;  ///< When the job should be completed.
   core::TimePoint worthless;  ///< Completed later, it is of no use.
   std::vector<Group> groups;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -70,7 +70,8 @@
  public:
   struct Options {
     SliceInfo slice;
-    core::SliceId id;
+    core::SliceId id;  ///< Index of the slice in all_slices.
+    std::vector<SliceInfo> all_slices;
     Epoch epoch = 0;
     RowVersion fence_version = 0;
     bool predecessor_ended = false;  ///< As in SliceGained.
@@ -108,6 +109,9 @@
   std::vector<WorkerCommand> TakeWorkerCommands();
   core::TimePoint next_timer() const { return next_timer_; }
 
+  /// @param loads of all slices, by index.
+  void SetLoads(std::vector<std::optional<SliceLoad>> loads);
+
   /// @returns what callers and other processes are told about the slice;
   /// nothing before its jobs have been read.
   std::optional<SliceLoad> load();
@@ -180,7 +184,6 @@
   void LearnInterference(const Worker& worker);
   void AdjustPace(Worker& worker);
   void SetPaceOf(Worker& worker, Task& task, std::uint32_t percent);
-  void MoveSlowed();
   int OtherServingImages(Worker& worker, ImageId image) const;
   void RefreshRooms(Worker& worker) const;
   std::vector<Neighbour> NeighboursOf(const Task& task,
@@ -209,6 +212,14 @@
   double Score(Worker& worker, ImageId image, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
+  // Moves.
+  void MoveTasks();
+  std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
+  void TransferJobs();
+  void BeginTransfer(Job& job, std::size_t target);
+  void ContinueTransfer();
+  void FinishTransfer(const StoreEvent& event);
+
   // Commits.
   void MarkDirty(Job& job, bool urgent);
   void StartCommit();
@@ -278,6 +289,16 @@
   core::TimePoint commit_retry_;
   std::deque<std::pair<core::TimePoint, std::string>> final_jobs_;
 
+  /// A job that is being handed to another slice.
+  struct Transfer {
+    std::string job;
+    std::size_t target = 0;
+    std::optional<CallId> call;
+    core::TimePoint not_before;
+  };
+  std::optional<Transfer> transfer_;
+  std::vector<std::optional<SliceLoad>> loads_;
+
   core::TimePoint next_load_log_;
 
   std::vector<StoreCommand> store_commands_;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -30,7 +30,7 @@
 }
 
 void SliceScheduler::StartCommit() {
-  if (commit_ || now_ < commit_due_ || now_ < commit_retry_ || !restored_) {
+  if (commit_ || (transfer_ && transfer_->call) || now_ < commit_due_ || now_ < commit_retry_ || !restored_) {
     return;
   }
   Commit commit;
@@ -64,7 +64,7 @@
     const std::string id = *dirty_.begin();
     dirty_.erase(dirty_.begin());
     Job* job = jobs_.Find(id);
-    if (job == nullptr) {
+    if (job == nullptr || job->transferring) {
       continue;
     }
     const RowKey key = ProgressRow(options_.slice.name, id);
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -20,9 +20,6 @@
 constexpr std::uint32_t kPaceStep = 25;
 constexpr std::uint32_t kFullPace = 100;
 
-// Moving a task costs its stop, its start and 100 ms of work.
-constexpr core::Duration kSlowedTooLong = std::chrono::milliseconds(600);
-
 // Share of its reservation that a task that serves uses itself.
 constexpr double kServingUse = 0.6;
 
@@ -264,36 +261,6 @@
   }
 }
 
-// A task that is slowed for long holds its job up. One that saves its progress
-// goes on elsewhere, if there is room.
-void SliceScheduler::MoveSlowed() {
-  if (now_ < next_move_) {
-    return;
-  }
-  next_move_ = now_ + kTick;
-  for (const auto& worker : workers_.all()) {
-    const std::vector<Task*> tasks = worker->tasks;
-    for (Task* task : tasks) {
-      if (task->slowed_since > now_ - kSlowedTooLong ||
-          !IsState(*task, states_.running) ||
-          !task->job->StepOf(*task).saves_progress) {
-        continue;
-      }
-      const Worker* other =
-          ChooseWorker(*task->job, task->job->groups[task->group], *task);
-      if (other == nullptr || other == worker.get()) {
-        continue;
-      }
-      options_.log(core::LogLine("slowed_task_moved")
-                       .Add("task", ToText(task->job->AddressOf(*task)))
-                       .Add("from", worker->entry.id)
-                       .Add("pace", task->pace_percent));
-      task->slowed_since = core::TimePoint::max();
-      Dispatch(*task, "halt");
-    }
-  }
-}
-
 void SliceScheduler::SetPaceOf(Worker& worker,
                                Task& task,
                                std::uint32_t percent) {
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -116,6 +116,7 @@
     if (worker == nullptr) {
       if (job.StepOf(group).long_running) {
         KeepFree(job, group);
+        job.unplaced_since = job.unplaced_since.value_or(now_);
         continue;
       }
       return false;
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -86,6 +86,10 @@
     }
     return;
   }
+  if (transfer_ && transfer_->call == call) {
+    FinishTransfer(event);
+    return;
+  }
   if (commit_ && commit_->rows.call == call) {
     FinishCommit(event);
     return;
@@ -154,7 +158,7 @@
   if (mark == std::string_view::npos) {
     TakeJobRow(row);
   } else if (Job* job = jobs_.Find(key.substr(0, mark));
-             job != nullptr && !job->halted) {
+             job != nullptr && (!job->halted || job->transferring)) {
     options_.log(
         core::LogLine("job_cancelled").Add("job", key.substr(0, mark)));
     Halt(*job, JobPhase::kCancelled);
@@ -187,6 +191,9 @@
   }
   job.restored = row.version < options_.fence_version;
   job.accepted_unix_ms = stored.accepted_unix_ms;
+  if (std::ranges::all_of(job.spec.steps, &StepSpec::long_running)) {
+    job.stored_text = row.value;
+  }
   // Both rows were written by one transaction.
   job.progress_version = row.version;
   RefreshQueue(job);
@@ -262,6 +269,7 @@
 }
 
 void SliceScheduler::Halt(Job& job, JobPhase phase) {
+  job.transferring = false;
   job.halted = true;
   job.phase = phase;
   for (Task& task : job.tasks) {
@@ -314,8 +322,10 @@
   }
   if (std::exchange(placement_due_, false)) {
     Place();
-    MoveSlowed();
+    MoveTasks();
+    TransferJobs();
   }
+  ContinueTransfer();
   LogLoad();
   StartCommit();
   next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
--- /dev/null
+++ b/packages/jobs/src/slice_transfer.cc
@@ -0,0 +1,212 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/intake.h"
+#include "slice_scheduler_p.h"
+
+/// Moves work away: tasks from workers that leave or disturb, and lasting jobs
+/// to other slices.
+namespace hickoryusher::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Moving a task costs its stop, its start and 100 ms of work.
+constexpr core::Duration kSlowedTooLong = milliseconds(600);
+
+// A lasting task without a place is to be somewhere 3 s after its last run
+// could have been replaced; stopping the others of its job and handing the job
+// over takes well under a second.
+constexpr core::Duration kUnplacedTooLong = milliseconds(900);
+
+// Jobs go to another slice only while the store answers, since they run
+// nowhere until it has.
+constexpr core::Duration kStoreFresh = milliseconds(2000);
+
+// What a slice has free has to be larger than the job by this, because its
+// workers each have only a part of it.
+constexpr double kTransferMargin = 1.5;
+
+bool IsLasting(const Job& job) {
+  return std::ranges::all_of(job.spec.steps, &StepSpec::long_running);
+}
+
+}  // namespace
+
+void SliceScheduler::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
+  loads_ = std::move(loads);
+}
+
+// A task that is slowed for long holds its job up, and one on a worker that
+// leaves ends with it. They go on elsewhere, if there is room.
+void SliceScheduler::MoveTasks() {
+  if (now_ < next_move_) {
+    return;
+  }
+  next_move_ = now_ + kTick;
+  for (const auto& worker : workers_.all()) {
+    const std::vector<Task*> tasks = worker->tasks;
+    for (Task* task : tasks) {
+      const StepSpec& step = task->job->StepOf(*task);
+      const bool slowed = task->slowed_since <= now_ - kSlowedTooLong;
+      const bool leaving = worker->entry.draining;
+      const bool movable =
+          step.saves_progress || (leaving && step.long_running);
+      if (!IsState(*task, states_.running) || !movable ||
+          (!slowed && !leaving)) {
+        continue;
+      }
+      const Worker* other =
+          ChooseWorker(*task->job, task->job->groups[task->group], *task);
+      if (other == nullptr || other == worker.get()) {
+        continue;
+      }
+      options_.log(core::LogLine("task_moved")
+                       .Add("task", ToText(task->job->AddressOf(*task)))
+                       .Add("from", worker->entry.id)
+                       .Add("reason", leaving ? "worker_leaves" : "slowed")
+                       .Add("pace", task->pace_percent));
+      task->slowed_since = core::TimePoint::max();
+      Dispatch(*task, "halt");
+      // The next one may find the room of this one taken.
+      worker->rooms_valid = false;
+    }
+  }
+}
+
+// @returns the slice with the most room for the job, or nothing.
+std::optional<std::size_t> SliceScheduler::ChooseSliceFor(
+    const Job& job) const {
+  const std::int64_t need = DemandOf(job.spec).reserved_millis;
+  std::optional<std::size_t> best;
+  std::int64_t most_free = 0;
+  for (const std::size_t candidate :
+       CandidateSlices(job.spec.id, options_.all_slices.size())) {
+    const bool own = candidate == options_.id.value();
+    if (own || candidate >= loads_.size() || !loads_[candidate]) {
+      continue;
+    }
+    const std::int64_t free =
+        loads_[candidate]->capacity_millis - loads_[candidate]->reserved_millis;
+    if (static_cast<double>(free) >=
+            kTransferMargin * static_cast<double>(need) &&
+        free > most_free) {
+      best = candidate;
+      most_free = free;
+    }
+  }
+  return best;
+}
+
+// Hands lasting jobs with a task that finds no place to slices with room.
+void SliceScheduler::TransferJobs() {
+  if (transfer_) {
+    return;
+  }
+  jobs_.ForEach([this](Job& job) {
+    if (transfer_ || !job.unplaced_since) {
+      return;
+    }
+    const bool all_placed =
+        std::ranges::none_of(job.tasks, [this](const Task& task) {
+          return IsState(task, states_.ready);
+        });
+    if (all_placed || job.halted) {
+      job.unplaced_since.reset();
+      return;
+    }
+    if (now_ < *job.unplaced_since + kUnplacedTooLong || !IsLasting(job) ||
+        now_ > job_rows_.last_answer() + kStoreFresh) {
+      return;
+    }
+    if (const auto target = ChooseSliceFor(job)) {
+      BeginTransfer(job, *target);
+    }
+  });
+}
+
+void SliceScheduler::BeginTransfer(Job& job, std::size_t target) {
+  options_.log(core::LogLine("job_transfer_begun")
+                   .Add("job", job.spec.id)
+                   .Add("from", options_.slice.name)
+                   .Add("to", options_.all_slices[target].name));
+  transfer_ = Transfer{.job = job.spec.id, .target = target};
+  job.transferring = true;
+  job.halted = true;
+  for (Task& task : job.tasks) {
+    Dispatch(task, "halt");
+  }
+}
+
+// Sends the write once nothing of the job runs any more.
+void SliceScheduler::ContinueTransfer() {
+  if (!transfer_ || transfer_->call || now_ < transfer_->not_before) {
+    return;
+  }
+  Job* job = jobs_.Find(transfer_->job);
+  if (job == nullptr || !job->transferring) {
+    transfer_.reset();
+    return;
+  }
+  const bool runs = std::ranges::any_of(
+      job->tasks, [](const Task& task) { return task.worker.valid(); });
+  if (runs || commit_) {
+    return;
+  }
+  const std::string& from = options_.slice.name;
+  const std::string& to = options_.all_slices[transfer_->target].name;
+  const std::string& id = job->spec.id;
+  transfer_->call = ids_.Next();
+  store_commands_.push_back(CommitRows{
+      .call = *transfer_->call,
+      .conditions = {{.key = FenceRow(from), .version = options_.fence_version},
+                     {.key = ProgressRow(from, id),
+                      .version = job->progress_version},
+                     {.key = CancelRow(from, id), .version = 0},
+                     {.key = ProgressRow(to, id), .version = 0}},
+      .puts = {{.key = ProgressRow(to, id),
+                .value = EncodeProgress({.phase = job->phase})},
+               {.key = JobRow(to, id), .value = job->stored_text}},
+      .removals = {ProgressRow(from, id), JobRow(from, id)},
+      .several_parts = true});
+}
+
+void SliceScheduler::FinishTransfer(const StoreEvent& event) {
+  Transfer& transfer = *transfer_;
+  transfer.call.reset();
+  transfer.not_before = now_ + kTick;
+  const auto* conflict = std::get_if<RowsConflicted>(&event);
+  bool moved = std::holds_alternative<RowsCommitted>(event);
+  if (conflict != nullptr) {
+    const auto version_of = [&](const RowKey& key) {
+      const auto row = std::ranges::find(conflict->present, key, &Row::key);
+      return row == conflict->present.end() ? RowVersion{0} : row->version;
+    };
+    const std::string& from = options_.slice.name;
+    if (version_of(FenceRow(from)) != options_.fence_version) {
+      deposed_ = true;
+      return;
+    }
+    Job& job = *jobs_.Find(transfer.job);
+    job.progress_version = version_of(ProgressRow(from, transfer.job));
+    // Only this owner removes the row: an unanswered attempt took effect.
+    moved = job.progress_version == 0;
+    if (!moved && version_of(CancelRow(from, transfer.job)) != 0) {
+      job.transferring = false;
+      Halt(job, JobPhase::kCancelled);
+      transfer_.reset();
+      return;
+    }
+  }
+  if (moved) {
+    options_.log(core::LogLine("job_transferred")
+                     .Add("job", transfer.job)
+                     .Add("to", options_.all_slices[transfer.target].name));
+    dirty_.erase(transfer.job);
+    calm_utilisations_.erase(transfer.job);
+    jobs_.Remove(transfer.job);
+    transfer_.reset();
+  }
+}
+
+}  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -140,6 +140,11 @@
   } else {
     worker.next_renewal = now_ + kSilentRetryPause;
     DispatchContact(worker, "no_answer");
+    if (answer.outcome == OrderOutcome::kUnreachable &&
+        worker.entry.draining && !worker.listed) {
+      // It announced its end, has signed off, and takes no connection.
+      DispatchContact(worker, "lease_over");
+    }
   }
 }
 
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -332,6 +332,61 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
 }
 
+// Lasting tasks went down with their worker, 6 s before they were missed (hunt
+// on ysf-crowd, mix 384124526537, LOST).
+TEST_CASE("lasting tasks leave a worker that leaves", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("w", "w");
+  world.Advance(500ms);
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.Drain("w1");
+  world.Advance(500ms);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("w")) == "w2");
+}
+
+TEST_CASE("a lasting job without room goes to a slice with room", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("w", "w");
+  world.Advance(500ms);
+  world.owner->SetLoads({SliceLoad{},
+                         SliceLoad{.reserved_millis = 10'000,
+                                   .capacity_millis = 100'000}});
+  world.Submit("v", "w");
+  world.Advance(700ms);
+  CHECK(world.store.Find(JobRow(kSlice, "v")).has_value());
+  world.Advance(1s);
+  CHECK_FALSE(world.store.Find(JobRow(kSlice, "v")).has_value());
+  CHECK_FALSE(world.store.Find(ProgressRow(kSlice, "v")).has_value());
+  CHECK(world.store.Find(JobRow(kOtherSlice, "v")).has_value());
+  CHECK(world.store.Find(ProgressRow(kOtherSlice, "v")).has_value());
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("w")) == "w1");
+}
+
+TEST_CASE("an unanswered transfer is neither lost nor made twice", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("w", "w");
+  world.Advance(500ms);
+  world.owner->SetLoads(
+      {SliceLoad{}, SliceLoad{.capacity_millis = 100'000}});
+  world.Submit("v", "w");
+  world.Advance(800ms);
+  world.store.SetFault(GENERATE(FakeStore::Fault::kLoseAnswer,
+                                FakeStore::Fault::kPostpone));
+  world.Advance(300ms);
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(1s);
+  world.store.ApplyPostponed();
+  world.Advance(1s);
+  CHECK_FALSE(world.owner->deposed());
+  CHECK_FALSE(world.store.Find(JobRow(kSlice, "v")).has_value());
+  CHECK(world.store.Find(JobRow(kOtherSlice, "v")).has_value());
+  CHECK(world.workers.starts(SliceWorld::Task("v")) == 0);
+}
+
 TEST_CASE("capacity is never given twice", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -64,6 +64,16 @@
                     now_);
 }
 
+void SliceWorld::Drain(const std::string& id) {
+  owner->TakeWorker({.id = id,
+                     .service = "noise",
+                     .address = id + ":1",
+                     .failure_domain = "yoff",
+                     .draining = true,
+                     .capacity = {.cpu_millis = 32'000}},
+                    now_);
+}
+
 void SliceWorld::TakeOver(bool predecessor_ended) {
   ++epoch_;
   store.Put(FenceRow(kSlice), std::to_string(epoch_));
@@ -72,6 +82,9 @@
   std::vector<chart::Problem> problems;
   owner = SliceScheduler::Create(
       {.slice = {.name = kSlice, .failure_domain = "yoff"},
+       .id = core::SliceId(0),
+       .all_slices = {{.name = kSlice, .failure_domain = "yoff"},
+                      {.name = kOtherSlice, .failure_domain = "port"}},
        .epoch = epoch_,
        .fence_version = store.Find(FenceRow(kSlice))->version,
        .predecessor_ended = predecessor_ended,
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -15,6 +15,7 @@
 namespace hickoryusher::jobs {
 
 inline const std::string kSlice = "yoff-0";
+inline const std::string kOtherSlice = "port-0";
 
 /// An owner of one slice with a store, workers and a clock that tests move.
 class SliceWorld {
@@ -37,6 +38,9 @@
   /// Moves the clock in small steps, and carries out all commands.
   void Advance(std::chrono::milliseconds duration);
 
+  /// Marks a worker as leaving in the registry.
+  void Drain(const std::string& id);
+
   JobPhase PhaseOf(const std::string& id) const;
 
   static TaskAddress Task(const std::string& job, std::uint32_t step = 0) {
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -183,6 +183,7 @@
   auto scheduler = jobs::SliceScheduler::Create(
       {.slice = options_.slices.at(gained.slice.value()),
        .id = gained.slice,
+       .all_slices = options_.slices,
        .epoch = gained.epoch,
        .fence_version = gained.fence_version,
        .predecessor_ended = gained.predecessor_ended,
@@ -224,6 +225,7 @@
     if (auto load = scheduler->load()) {
       board_->SetLoad(id, *std::move(load));
     }
+    scheduler->SetLoads(board_->Loads());
   }
   options_.announce_loads(board_->Loads());
 }
