Release slices after the renewal in flight; make room for lasting tasks

Lasting tasks that fit nowhere get room by moving a smaller one, and a job goes to another slice only if its tasks fit into what the workers there have free.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -120,6 +120,9 @@
   void TakeWriteResult(Slice& slice,
                        const StoreEvent& event,
                        core::TimePoint now);
+  void TakeReleaseResult(Slice& slice,
+                         const StoreEvent& event,
+                         core::TimePoint now);
   void TakeConflict(Slice& slice,
                     const RowsConflicted& conflict,
                     core::TimePoint now);
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hickoryusher::jobs {
 
@@ -16,10 +17,15 @@
   std::int64_t demand_millis = 0;
   std::int64_t reserved_millis = 0;
   std::int64_t capacity_millis = 0;
+  /// What the workers with the most of it have free, in descending order.
+  std::vector<std::int64_t> free_millis;
   /// Jobs by queue for which no task has started.
   std::map<std::string, std::uint32_t, std::less<>> pending;
 };
 
+/// Workers whose free capacity is published.
+inline constexpr std::size_t kPublishedWorkers = 12;
+
 std::string EncodeSliceLoad(const SliceLoad& load);
 
 /// @returns nothing if @p text is not of the form that EncodeSliceLoad writes.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -204,7 +204,7 @@
   bool Suits(const Worker& worker, const Job& job, const Group& group) const;
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
-  void KeepFree(const Job& job, const Group& group);
+  bool KeepFree(const Job& job, const Group& group);
   bool TakesSpareWork(Worker& worker,
                       ImageId image,
                       const StepSpec& step) const;
@@ -215,6 +215,9 @@
   // Moves.
   void MoveTasks();
   std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
+  bool MayStop(const Task& task) const;
+  void MakeRoom(const Task& task);
+  bool IsClaimed(const Worker& worker, const Task& task) const;
   void TransferJobs();
   void BeginTransfer(Job& job, std::size_t target);
   void ContinueTransfer();
@@ -297,6 +300,13 @@
     core::TimePoint not_before;
   };
   std::optional<Transfer> transfer_;
+
+  /// A worker from which a task was moved to make room for another one.
+  struct Claim {
+    const Task* task = nullptr;
+    core::TimePoint until;
+  };
+  std::map<core::WorkerId, Claim> claims_;
   std::vector<std::optional<SliceLoad>> loads_;
 
   core::TimePoint next_load_log_;
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -27,6 +27,9 @@
 // Processes of the slice's own failure domain come first.
 constexpr core::Duration kOtherDomainDelay = milliseconds(4000);
 
+// Nobody has to be waited for once the owner has given the slice up.
+constexpr core::Duration kOtherDomainReleaseDelay = milliseconds(700);
+
 // Spreads the slices over the processes.
 constexpr core::Duration kDelayPerOwnedSlice = milliseconds(1000);
 
@@ -86,6 +89,8 @@
   core::TimePoint next_write;
   Epoch claim_epoch = 0;
   bool vacant = false;  ///< When claimed.
+  bool release_due = false;
+  bool write_releases = false;  ///< The write in flight is a release.
 };
 
 struct SliceBoard::Context {
@@ -181,9 +186,11 @@
   if (releasing_ || !slice.listed || slice.write) {
     return false;
   }
-  core::Duration wait = slice.info.failure_domain == options_.failure_domain
-                            ? core::Duration()
-                            : kOtherDomainDelay;
+  core::Duration wait{};
+  if (slice.info.failure_domain != options_.failure_domain) {
+    wait = slice.holding.process == kReleased ? kOtherDomainReleaseDelay
+                                              : kOtherDomainDelay;
+  }
   wait += kDelayPerOwnedSlice *
           std::ranges::count_if(slices_, [this](const Slice& other) {
             return chart_.StateName(other.state) == "owning";
@@ -203,6 +210,10 @@
         ReadRows{.call = *list_call_, .table = std::string(kSliceTable)});
   }
   for (Slice& slice : slices_) {
+    // An earlier write's answer tells the version that the release depends on.
+    if (slice.release_due && !slice.write && now >= slice.next_write) {
+      SendWrite(slice, false, true, now);
+    }
     if (chart_.StateName(slice.state) != "owning") {
       continue;
     }
@@ -237,11 +248,10 @@
                            .value = std::to_string(holding.epoch)});
     slice.claim_epoch = holding.epoch;
   }
-  if (!release) {
-    slice.write = commit.call;
-    slice.write_sent = now;
-    slice.next_write = now + kRenewInterval;
-  }
+  slice.write = commit.call;
+  slice.write_sent = now;
+  slice.write_releases = release;
+  slice.next_write = now + kRenewInterval;
   commands_.push_back(std::move(commit));
 }
 
@@ -310,6 +320,10 @@
                                  const StoreEvent& event,
                                  core::TimePoint now) {
   const bool claiming = chart_.StateName(slice.state) == "claiming";
+  if (slice.release_due) {
+    TakeReleaseResult(slice, event, now);
+    return;
+  }
   std::visit(core::Overloaded{
                  [&](const RowsCommitted& done) {
                    slice.version = done.version;
@@ -331,6 +345,29 @@
              event);
 }
 
+// The answer to a release, or to the renewal before it.
+void SliceBoard::TakeReleaseResult(Slice& slice,
+                                   const StoreEvent& event,
+                                   core::TimePoint now) {
+  const bool release = slice.write_releases;
+  slice.next_write = now;
+  if (const auto* done = std::get_if<RowsCommitted>(&event)) {
+    slice.version = done->version;
+    slice.release_due = !release;
+  } else if (const auto* conflict = std::get_if<RowsConflicted>(&event)) {
+    const auto holding =
+        conflict->present.empty()
+            ? std::nullopt
+            : DecodeHolding(conflict->present.front().value);
+    const bool own = holding && holding->process == options_.process &&
+                     holding->incarnation == options_.incarnation;
+    slice.release_due = own;
+    slice.version = own ? conflict->present.front().version : 0;
+  } else {
+    slice.next_write = now + kRetryPause;
+  }
+}
+
 void SliceBoard::TakeConflict(Slice& slice,
                               const RowsConflicted& conflict,
                               core::TimePoint now) {
@@ -388,6 +425,9 @@
 core::TimePoint SliceBoard::next_timer() const {
   core::TimePoint next = list_call_ ? core::TimePoint::max() : next_list_;
   for (const Slice& slice : slices_) {
+    if (slice.release_due && !slice.write) {
+      next = std::min(next, slice.next_write);
+    }
     if (chart_.StateName(slice.state) == "owning") {
       next = std::min(
           next, slice.write ? slice.renewed + kOwnerGrace : slice.next_write);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -250,9 +250,14 @@
   }
   SliceLoad load;
   for (const auto& worker : workers_.all()) {
-    load.capacity_millis +=
-        MayUse(*worker) ? worker->entry.capacity.cpu_millis : 0;
+    if (MayUse(*worker)) {
+      load.capacity_millis += worker->entry.capacity.cpu_millis;
+      load.free_millis.push_back(worker->free().cpu_millis);
+    }
   }
+  std::ranges::sort(load.free_millis, std::ranges::greater());
+  load.free_millis.resize(
+      std::min(load.free_millis.size(), kPublishedWorkers));
   jobs_.ForEach([&](const Job& job) {
     if (job.halted) {
       return;
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -7,7 +7,12 @@
 std::string EncodeSliceLoad(const SliceLoad& load) {
   std::string text = std::to_string(load.demand_millis) + ' ' +
                      std::to_string(load.reserved_millis) + ' ' +
-                     std::to_string(load.capacity_millis) + '\n';
+                     std::to_string(load.capacity_millis) + ' ' +
+                     std::to_string(load.free_millis.size());
+  for (const std::int64_t free : load.free_millis) {
+    text += ' ' + std::to_string(free);
+  }
+  text += '\n';
   for (const auto& [queue, count] : load.pending) {
     text += queue + ' ' + std::to_string(count) + '\n';
   }
@@ -17,12 +22,19 @@
 std::optional<SliceLoad> DecodeSliceLoad(std::string_view text) {
   SliceLoad load;
   std::istringstream in{std::string(text)};
+  std::uint32_t count = 0;
   if (!(in >> load.demand_millis >> load.reserved_millis >>
-        load.capacity_millis)) {
+        load.capacity_millis >> count) ||
+      count > kPublishedWorkers) {
     return std::nullopt;
   }
+  load.free_millis.resize(count);
+  for (std::int64_t& free : load.free_millis) {
+    if (!(in >> free)) {
+      return std::nullopt;
+    }
+  }
   std::string queue;
-  std::uint32_t count = 0;
   while (in >> queue) {
     if (!(in >> count)) {
       return std::nullopt;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -115,7 +115,9 @@
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
       if (job.StepOf(group).long_running) {
-        KeepFree(job, group);
+        if (!KeepFree(job, group)) {
+          MakeRoom(task);
+        }
         job.unplaced_since = job.unplaced_since.value_or(now_);
         continue;
       }
@@ -183,7 +185,8 @@
 
 // Nothing else that reserves capacity goes to the worker that will soonest have
 // room for a task that must stay up. Tasks that end by themselves make room.
-void SliceScheduler::KeepFree(const Job& job, const Group& group) {
+// @returns false if no worker will have.
+bool SliceScheduler::KeepFree(const Job& job, const Group& group) {
   const core::Resources need = Reservation(job.StepOf(group));
   Worker* best = nullptr;
   for (const auto& worker : workers_.all()) {
@@ -204,6 +207,7 @@
   if (best != nullptr) {
     kept_free_.insert(best->id);
   }
+  return best != nullptr;
 }
 
 Worker* SliceScheduler::ChooseWorker(const Job& job,
@@ -216,6 +220,7 @@
   for (const auto& worker : workers_.all()) {
     if (!Fits(need, worker->free()) || !Suits(*worker, job, group) ||
         (!step.long_running && kept_free_.contains(worker->id)) ||
+        IsClaimed(*worker, task) ||
         (step.uses_spare_cpu && !TakesSpareWork(*worker, group.image, step))) {
       continue;
     }
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -23,14 +23,48 @@
 // nowhere until it has.
 constexpr core::Duration kStoreFresh = milliseconds(2000);
 
-// What a slice has free has to be larger than the job by this, because its
-// workers each have only a part of it.
-constexpr double kTransferMargin = 1.5;
+// A worker is kept for the task for which another one was moved off it at most
+// this long.
+constexpr core::Duration kClaimTime = milliseconds(2000);
 
 bool IsLasting(const Job& job) {
   return std::ranges::all_of(job.spec.steps, &StepSpec::long_running);
 }
 
+/// @returns true if stopping the job's tasks breaks no promise about how many
+/// are available.
+bool MayStopAll(const Job& job) {
+  return std::ranges::all_of(job.spec.steps, [](const StepSpec& step) {
+    return step.max_unavailable == 0;
+  });
+}
+
+/// @returns true if the tasks of the job fit next to each other.
+bool FitsInto(const Job& job, std::vector<std::int64_t> free) {
+  for (const Group& group : job.groups) {
+    const StepSpec& step = job.StepOf(group);
+    const std::int64_t need = Reservation(step).cpu_millis;
+    std::vector<std::uint32_t> placed(free.size());
+    for (std::uint32_t task = 0; task < group.count; ++task) {
+      const std::uint32_t most =
+          step.max_per_worker == 0 ? group.count : step.max_per_worker;
+      std::size_t best = free.size();
+      for (std::size_t i = 0; i < free.size(); ++i) {
+        if (free[i] >= need && placed[i] < most &&
+            (best == free.size() || free[i] > free[best])) {
+          best = i;
+        }
+      }
+      if (best == free.size()) {
+        return false;
+      }
+      free[best] -= need;
+      ++placed[best];
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 void SliceScheduler::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
@@ -74,10 +108,9 @@
   }
 }
 
-// @returns the slice with the most room for the job, or nothing.
+// @returns the slice with the most room among those where the job fits.
 std::optional<std::size_t> SliceScheduler::ChooseSliceFor(
     const Job& job) const {
-  const std::int64_t need = DemandOf(job.spec).reserved_millis;
   std::optional<std::size_t> best;
   std::int64_t most_free = 0;
   for (const std::size_t candidate :
@@ -86,11 +119,9 @@
     if (own || candidate >= loads_.size() || !loads_[candidate]) {
       continue;
     }
-    const std::int64_t free =
-        loads_[candidate]->capacity_millis - loads_[candidate]->reserved_millis;
-    if (static_cast<double>(free) >=
-            kTransferMargin * static_cast<double>(need) &&
-        free > most_free) {
+    const SliceLoad& load = *loads_[candidate];
+    const std::int64_t free = load.capacity_millis - load.reserved_millis;
+    if (free > most_free && FitsInto(job, load.free_millis)) {
       best = candidate;
       most_free = free;
     }
@@ -98,8 +129,68 @@
   return best;
 }
 
+bool SliceScheduler::MayStop(const Task& task) const {
+  const Job& job = *task.job;
+  const StepSpec& step = job.StepOf(task);
+  if (step.max_unavailable == 0) {
+    return true;
+  }
+  const Group& group = job.groups[task.group];
+  const auto tasks = std::span(job.tasks).subspan(group.first, group.count);
+  const auto away = std::ranges::count_if(tasks, [this](const Task& other) {
+    return !IsState(other, states_.running) || other.percent < 100;
+  });
+  return away < std::int64_t{step.max_unavailable};
+}
+
+// Moves a smaller lasting task off a worker, so that the free capacity there is
+// in one piece for @p task.
+void SliceScheduler::MakeRoom(const Task& task) {
+  const Job& job = *task.job;
+  const Group& group = job.groups[task.group];
+  const core::Resources need = Reservation(job.StepOf(group));
+  for (const auto& worker : workers_.all()) {
+    if (!Suits(*worker, job, group) || claims_.contains(worker->id)) {
+      continue;
+    }
+    for (Task* smaller : worker->tasks) {
+      const StepSpec& step = smaller->job->StepOf(*smaller);
+      const core::Resources gained = Reservation(step);
+      if (!step.long_running || smaller->job == &job ||
+          !IsState(*smaller, states_.running) || !MayStop(*smaller) ||
+          gained.cpu_millis >= need.cpu_millis ||
+          !Fits(need, worker->free() + gained)) {
+        continue;
+      }
+      const Worker* other =
+          ChooseWorker(*smaller->job, smaller->job->groups[smaller->group],
+                       *smaller);
+      if (other == nullptr || other == worker.get()) {
+        continue;
+      }
+      options_.log(core::LogLine("room_made")
+                       .Add("for", ToText(job.AddressOf(task)))
+                       .Add("moved", ToText(smaller->job->AddressOf(*smaller)))
+                       .Add("worker", worker->entry.id)
+                       .Add("to", other->entry.id));
+      claims_[worker->id] = {.task = &task, .until = now_ + kClaimTime};
+      Dispatch(*smaller, "halt");
+      return;
+    }
+  }
+}
+
+bool SliceScheduler::IsClaimed(const Worker& worker, const Task& task) const {
+  const auto claim = claims_.find(worker.id);
+  return claim != claims_.end() && claim->second.task != &task &&
+         now_ < claim->second.until;
+}
+
 // Hands lasting jobs with a task that finds no place to slices with room.
 void SliceScheduler::TransferJobs() {
+  std::erase_if(claims_, [this](const auto& claim) {
+    return now_ >= claim.second.until;
+  });
   if (transfer_) {
     return;
   }
@@ -116,6 +207,7 @@
       return;
     }
     if (now_ < *job.unplaced_since + kUnplacedTooLong || !IsLasting(job) ||
+        !MayStopAll(job) ||
         now_ > job_rows_.last_answer() + kStoreFresh) {
       return;
     }
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -36,7 +36,8 @@
     INFO(text);
     CHECK_FALSE(DecodeStoredJob(text).has_value());
   }
-  for (const char* text : {"", "1", "1 2", "1 2 3\nqueue", "1 2 3\nqueue x"}) {
+  for (const char* text : {"", "1", "1 2", "1 2 3", "1 2 3 1", "1 2 3 99\n", "1 2 3 0\nqueue",
+        "1 2 3 0\nqueue x"}) {
     INFO(text);
     CHECK_FALSE(DecodeSliceLoad(text).has_value());
   }
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -139,6 +139,31 @@
   CHECK(b.gains[0].predecessor_ended);
 }
 
+// A renewal in flight made the release fail, and nobody took the slice for 3 s
+// (ysf-crowd mix 817666130961).
+TEST_CASE("a release waits for the renewal in flight", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member far(cluster.store, "far", "port");
+  cluster.Advance(2s, {&a});
+  CallId renewal;
+  for (core::TimePoint now = cluster.now(); !renewal.valid(); now += 20ms) {
+    a.board().Run(now);
+    for (const StoreCommand& command : a.board().TakeCommands()) {
+      if (std::holds_alternative<CommitRows>(command)) {
+        renewal = CallOf(command);
+      }
+      const StoreEvent answer = *cluster.store.Run(command);
+      if (renewal.valid()) {
+        a.board().ReleaseAll(now);
+      }
+      a.board().Handle(answer, now);
+    }
+  }
+  cluster.Advance(4s, {&a, &far});
+  CHECK(far.gains.size() == 1);
+}
+
 TEST_CASE("a restarted process takes its slice back at once", "[board]") {
   Cluster cluster;
   Member a(cluster.store, "a", "yoff", "1");
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -353,7 +353,8 @@
   world.Advance(500ms);
   world.owner->SetLoads({SliceLoad{},
                          SliceLoad{.reserved_millis = 10'000,
-                                   .capacity_millis = 100'000}});
+                                   .capacity_millis = 100'000,
+                                   .free_millis = {32'000, 32'000}}});
   world.Submit("v", "w");
   world.Advance(700ms);
   CHECK(world.store.Find(JobRow(kSlice, "v")).has_value());
@@ -371,7 +372,8 @@
   world.Submit("w", "w");
   world.Advance(500ms);
   world.owner->SetLoads(
-      {SliceLoad{}, SliceLoad{.capacity_millis = 100'000}});
+      {SliceLoad{}, SliceLoad{.capacity_millis = 100'000,
+                             .free_millis = {32'000}}});
   world.Submit("v", "w");
   world.Advance(800ms);
   world.store.SetFault(GENERATE(FakeStore::Fault::kLoseAnswer,
