--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -112,7 +112,10 @@
           [](Context& c) { c.board.SendWrite(c.slice, true, false, c.now); })
       .Action(
           "send_release",
-          [](Context& c) { c.board.SendWrite(c.slice, false, true, c.now); })
+          [](Context& c) {
+            c.slice.release_due = true;
+            c.slice.next_write = c.now;
+          })
       .Action("note_renewal",
               [](Context& c) { c.slice.renewed = c.slice.write_sent; })
       .Action("announce_gain",
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -58,6 +58,12 @@
           .state;
   if (worker.contact != before) {
     placement_due_ = true;
+    const std::string_view state =
+        charts_.worker_contact.StateName(worker.contact);
+    if (state == "lapsed" || (state == "live" && !worker.enrolled)) {
+      roster_due_ = true;
+      commit_due_ = std::min(commit_due_, now_ + kTick);
+    }
     options_.log(
         core::LogLine("worker_contact")
             .Add("worker", worker.entry.id)
@@ -391,8 +397,9 @@
 }
 
 bool SliceScheduler::AllConfirmed() const {
+  // A worker that is not in the roster has never had a task.
   return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
-    return charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
+    return worker->enrolled && charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
   });
 }
 
