Keep one worker for each lasting task without a place; refuse those without room

Now the claim stays until the task has its place, a job stays at least 4 s in a slice, and a lasting job is refused with Retry-After when lasting tasks would reserve over 90% in every slice that may take it. Ruled out: splitting jobs over slices (cancels would need both).

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -29,6 +29,7 @@
 struct JobDemand {
   std::int64_t millis = 0;
   std::int64_t reserved_millis = 0;  ///< The part that it reserves.
+  std::int64_t lasting_millis = 0;   ///< The part that it never gives back.
 };
 
 /// @returns the demand of the job's widest step.
@@ -50,6 +51,7 @@
 enum class Refusal {
   kNotConfigured,  ///< No configuration has been read yet.
   kStoreDown,      ///< The job was not stored.
+  kNoCapacity,     ///< The fleet has no lasting room for the job's tasks.
   kUnknownQueue,
   kBadDocument,
   kNoSuchJob,
@@ -152,6 +154,8 @@
   void FinishCount(const Pending& pending, const RowsRead& read);
   void SendCancel(Pending pending, RowVersion version);
   void GiveUp(const Pending& pending);
+  bool HasLastingRoom(std::span<const std::size_t> candidates,
+                      const JobDemand& demand) const;
   bool StoreIsDown(core::TimePoint now) const;
 
   Options options_;
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -31,9 +31,9 @@
   chart::StateId state;
   core::WorkerId worker;  ///< Valid while a run may be there.
   RunNumber run = 0;
-  std::uint32_t starts = 0;    ///< By this owner.
+  std::uint32_t starts = 0;  ///< By this owner.
   FailedRuns failures;
-  std::uint32_t resends = 0;   ///< Of the current order.
+  std::uint32_t resends = 0;  ///< Of the current order.
   std::string checkpoint;
   std::uint32_t percent = 0;
   double usage = 0;                  ///< As in ActiveRun.
@@ -76,6 +76,7 @@
   bool transferring = false;  ///< To another slice.
   /// Since when a lasting task has had no place.
   std::optional<core::TimePoint> unplaced_since;
+  core::TimePoint taken;      ///< When this owner learned of it.
   core::TimePoint objective;  ///< When the job should be completed.
   core::TimePoint worthless;  ///< Completed later, it is of no use.
   std::vector<Group> groups;
--- a/packages/jobs/include/jobs/progress.h
+++ b/packages/jobs/include/jobs/progress.h
@@ -12,7 +12,8 @@
 namespace hickoryusher::jobs {
 
 /// The runs of a task that have failed. Each counts once, although workers list
-/// its end until it is acknowledged, perhaps to several owners and in any order.
+/// its end until it is acknowledged, perhaps to several owners and in any
+/// order.
 using FailedRuns = std::vector<RunNumber>;
 
 /// What is durable about a job besides its specification.
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -16,6 +16,7 @@
   /// among these, and those that workers have.
   std::int64_t demand_millis = 0;
   std::int64_t reserved_millis = 0;
+  std::int64_t lasting_millis = 0;  ///< The part of tasks that do not end.
   std::int64_t capacity_millis = 0;
   /// What the workers with the most of it have free, in descending order.
   std::vector<std::int64_t> free_millis;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -205,7 +205,7 @@
   bool Suits(const Worker& worker, const Job& job, const Group& group) const;
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
-  bool KeepFree(const Job& job, const Group& group);
+  bool KeepFree(const Task& task);
   bool TakesSpareWork(Worker& worker,
                       ImageId image,
                       const StepSpec& step) const;
@@ -217,7 +217,7 @@
   void MoveTasks();
   std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
   bool MayStop(const Task& task) const;
-  void MakeRoom(const Task& task);
+  bool MakeRoom(const Task& task);
   bool IsClaimed(const Worker& worker, const Task& task) const;
   void TransferJobs();
   void BeginTransfer(Job& job, std::size_t target);
@@ -285,7 +285,6 @@
   std::map<std::string, double, std::less<>> calm_utilisations_;
   bool placement_due_ = false;
   core::TimePoint next_placement_;
-  std::set<core::WorkerId> kept_free_;  ///< Of the current pass.
 
   std::set<std::string> dirty_;
   core::TimePoint commit_due_ = core::TimePoint::max();
@@ -307,7 +306,7 @@
   };
   std::optional<Transfer> transfer_;
 
-  /// A worker from which a task was moved to make room for another one.
+  /// A worker that is kept for a lasting task.
   struct Claim {
     const Task* task = nullptr;
     core::TimePoint until;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -33,6 +33,13 @@
 // Jobs whose slice is remembered; a lookup of others reads up to three rows.
 constexpr std::size_t kMaxKnownSlices = 20'000;
 
+// Share of a slice's processors that lasting tasks may reserve. The rest lets
+// them move when workers leave, and serves all other jobs.
+constexpr double kLastingShare = 0.9;
+
+// Room comes back when lasting jobs are cancelled, some in each minute.
+constexpr core::Duration kCapacityRetryAfter = milliseconds(5000);
+
 // The job id is part of row keys of at most 200 bytes.
 constexpr std::size_t kMaxJobIdBytes = 100;
 
@@ -46,8 +53,8 @@
 }  // namespace
 
 std::string_view ToString(Refusal refusal) {
-  constexpr std::array<std::string_view, 6> kNames = {
-      "not_configured", "store_down",  "unknown_queue",
+  constexpr std::array<std::string_view, 7> kNames = {
+      "not_configured", "store_down",  "no_capacity",    "unknown_queue",
       "bad_document",   "no_such_job", "unknown_outcome"};
   return kNames.at(static_cast<std::size_t>(refusal));
 }
@@ -84,6 +91,9 @@
   if (refusal == Refusal::kNotConfigured || refusal == Refusal::kStoreDown) {
     refused.retry_after = kStoreRetryAfter;
   }
+  if (refusal == Refusal::kNoCapacity) {
+    refused.retry_after = kCapacityRetryAfter;
+  }
   Answer(call, std::move(refused));
 }
 
@@ -127,6 +137,10 @@
   }
   last_probe_ = now_;
   const auto candidates = CandidateSlices(job, options_.slices.size());
+  if (!HasLastingRoom(candidates, call.demand)) {
+    Refuse(call, Refusal::kNoCapacity);
+    return;
+  }
   const std::size_t slice = ChooseSlice(candidates, call.demand);
   const std::string& name = options_.slices[slice].name;
   CommitRows commit{.puts = {{.key = ProgressRow(name, job),
@@ -161,6 +175,8 @@
     const JobDemand demand = {
         .millis = count * step.need.cpu_millis,
         .reserved_millis = count * Reservation(step).cpu_millis};
+    widest.lasting_millis = std::max(
+        widest.lasting_millis, step.long_running ? demand.reserved_millis : 0);
     widest.millis = std::max(widest.millis, demand.millis);
     widest.reserved_millis =
         std::max(widest.reserved_millis, demand.reserved_millis);
@@ -187,9 +203,29 @@
   const std::size_t chosen = *std::ranges::min_element(candidates, {}, share);
   added_[chosen].millis += demand.millis;
   added_[chosen].reserved_millis += demand.reserved_millis;
+  added_[chosen].lasting_millis += demand.lasting_millis;
   return chosen;
 }
 
+// A lasting job that finds no room would hold up others for as long as it is
+// not cancelled, so it is refused before it is stored.
+bool Intake::HasLastingRoom(std::span<const std::size_t> candidates,
+                            const JobDemand& demand) const {
+  if (demand.lasting_millis == 0) {
+    return true;
+  }
+  return std::ranges::any_of(candidates, [&](std::size_t slice) {
+    if (slice >= loads_.size() || !loads_[slice]) {
+      return true;  // Nothing speaks against it.
+    }
+    const std::int64_t wanted = loads_[slice]->lasting_millis +
+                                demand.lasting_millis +
+                                kUnseenFactor * added_[slice].lasting_millis;
+    return static_cast<double>(wanted) <=
+           kLastingShare * static_cast<double>(loads_[slice]->capacity_millis);
+  });
+}
+
 void Intake::Remember(const std::string& job, std::size_t slice) {
   if (!known_slices_.insert_or_assign(job, slice).second) {
     return;
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -111,12 +111,11 @@
       .Action(
           "send_claim",
           [](Context& c) { c.board.SendWrite(c.slice, true, false, c.now); })
-      .Action(
-          "send_release",
-          [](Context& c) {
-            c.slice.release_due = true;
-            c.slice.next_write = c.now;
-          })
+      .Action("send_release",
+              [](Context& c) {
+                c.slice.release_due = true;
+                c.slice.next_write = c.now;
+              })
       .Action("note_renewal",
               [](Context& c) { c.slice.renewed = c.slice.write_sent; })
       .Action("announce_gain",
@@ -348,7 +347,7 @@
                  },
                  [&](const auto&) {
                    slice.claim_unanswered |= claiming;
-            slice.next_write = now + kRetryPause;
+                   slice.next_write = now + kRetryPause;
                    Dispatch(slice, "claim_unanswered", now);
                  }},
              event);
@@ -364,10 +363,9 @@
     slice.version = done->version;
     slice.release_due = !release;
   } else if (const auto* conflict = std::get_if<RowsConflicted>(&event)) {
-    const auto holding =
-        conflict->present.empty()
-            ? std::nullopt
-            : DecodeHolding(conflict->present.front().value);
+    const auto holding = conflict->present.empty()
+                             ? std::nullopt
+                             : DecodeHolding(conflict->present.front().value);
     const bool own = holding && holding->process == options_.process &&
                      holding->incarnation == options_.incarnation;
     slice.release_due = own;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -33,7 +33,8 @@
 }
 
 void SliceScheduler::StartCommit() {
-  if (commit_ || (transfer_ && transfer_->call) || now_ < commit_due_ || now_ < commit_retry_ || !restored_) {
+  if (commit_ || (transfer_ && transfer_->call) || now_ < commit_due_ ||
+      now_ < commit_retry_ || !restored_) {
     return;
   }
   Commit commit;
@@ -264,7 +265,7 @@
                    .Add("cpu_millis", capacity.cpu_millis)
                    .Add("used_millis", used.cpu_millis)
                    .Add("spare_demand_millis", spare_demand)
-                   .Add("kept_free", kept_free_.size()));
+                   .Add("kept_free", claims_.size()));
 }
 
 std::optional<SliceLoad> SliceScheduler::load() {
@@ -279,8 +280,7 @@
     }
   }
   std::ranges::sort(load.free_millis, std::ranges::greater());
-  load.free_millis.resize(
-      std::min(load.free_millis.size(), kPublishedWorkers));
+  load.free_millis.resize(std::min(load.free_millis.size(), kPublishedWorkers));
   jobs_.ForEach([&](const Job& job) {
     if (job.halted) {
       return;
@@ -291,6 +291,10 @@
         load.demand_millis += std::int64_t{group.open} * step.need.cpu_millis;
         load.reserved_millis +=
             std::int64_t{group.open} * Reservation(step).cpu_millis;
+        load.lasting_millis +=
+            step.long_running
+                ? std::int64_t{group.open} * Reservation(step).cpu_millis
+                : 0;
       }
     }
     const bool begun = job.phase != JobPhase::kQueued ||
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -60,7 +60,6 @@
     return;
   }
   const bool confirmed = AllConfirmed();
-  kept_free_.clear();
   std::vector<Candidate> candidates;
   jobs_.ForEach([&](Job& job) {
     if (job.halted || (job.restored && !confirmed)) {
@@ -115,10 +114,9 @@
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
       if (job.StepOf(group).long_running) {
-        if (!KeepFree(job, group)) {
-          MakeRoom(task);
+        if (!KeepFree(task) && !MakeRoom(task)) {
+          job.unplaced_since = job.unplaced_since.value_or(now_);
         }
-        job.unplaced_since = job.unplaced_since.value_or(now_);
         continue;
       }
       return false;
@@ -183,21 +181,31 @@
   return same_step < std::int64_t{step.max_per_worker};
 }
 
-// Nothing else that reserves capacity goes to the worker that will soonest have
-// room for a task that must stay up. Tasks that end by themselves make room.
+// Keeps the worker that will soonest have room for a task that must stay up
+// from everything else that reserves processors. Tasks that end by themselves
+// make room, if no others follow them.
 // @returns false if no worker will have.
-bool SliceScheduler::KeepFree(const Job& job, const Group& group) {
+bool SliceScheduler::KeepFree(const Task& task) {
+  const Job& job = *task.job;
+  const Group& group = job.groups[task.group];
+  const auto kept = std::ranges::find_if(claims_, [&](const auto& claim) {
+    return claim.second.task == &task && now_ < claim.second.until;
+  });
+  if (kept != claims_.end() && Suits(workers_.Get(kept->first), job, group)) {
+    kept->second.until = now_ + kClaimTime;
+    return true;
+  }
   const core::Resources need = Reservation(job.StepOf(group));
   Worker* best = nullptr;
   for (const auto& worker : workers_.all()) {
     core::Resources lasting;
-    for (const Task* task : worker->tasks) {
-      if (task->job->StepOf(*task).long_running) {
-        lasting += Reservation(task->job->StepOf(*task));
+    for (const Task* other : worker->tasks) {
+      if (other->job->StepOf(*other).long_running) {
+        lasting += Reservation(other->job->StepOf(*other));
       }
     }
     const bool suits = Suits(*worker, job, group) &&
-                       !kept_free_.contains(worker->id) &&
+                       !IsClaimed(*worker, task) &&
                        Fits(need, worker->entry.capacity - lasting);
     if (suits && (best == nullptr ||
                   worker->free().cpu_millis > best->free().cpu_millis)) {
@@ -205,7 +213,7 @@
     }
   }
   if (best != nullptr) {
-    kept_free_.insert(best->id);
+    claims_[best->id] = {.task = &task, .until = now_ + kClaimTime};
   }
   return best != nullptr;
 }
@@ -219,8 +227,7 @@
   double best_score = 0;
   for (const auto& worker : workers_.all()) {
     if (!Fits(need, worker->free()) || !Suits(*worker, job, group) ||
-        (!step.long_running && kept_free_.contains(worker->id)) ||
-        IsClaimed(*worker, task) ||
+        (need.cpu_millis > 0 && IsClaimed(*worker, task)) ||
         (step.uses_spare_cpu && !TakesSpareWork(*worker, group.image, step))) {
       continue;
     }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -188,6 +188,7 @@
                             const StoredJob& stored) {
   Job& job = jobs_.Add(std::move(spec));
   job.queue.name = stored.queue;
+  job.taken = now_;
   for (Group& group : job.groups) {
     group.image = images_.Intern(job.StepOf(group).image);
   }
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -13,6 +13,10 @@
 /// wish unused.
 inline constexpr double kLeastSpareShare = 0.8;
 
+/// A worker is kept for a lasting task without a place this long, from the last
+/// time that the task was looked at.
+inline constexpr core::Duration kClaimTime = std::chrono::milliseconds(2000);
+
 /// What the actions of the chart `task_run` work on.
 struct SliceScheduler::TaskContext {
   SliceScheduler& scheduler;
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -23,9 +23,9 @@
 // nowhere until it has.
 constexpr core::Duration kStoreFresh = milliseconds(2000);
 
-// A worker is kept for the task for which another one was moved off it at most
-// this long.
-constexpr core::Duration kClaimTime = milliseconds(2000);
+// A job that has just come stays, so that jobs do not go round between slices
+// without room.
+constexpr core::Duration kLeastStay = milliseconds(4000);
 
 bool IsLasting(const Job& job) {
   return std::ranges::all_of(job.spec.steps, &StepSpec::long_running);
@@ -145,7 +145,8 @@
 
 // Moves a smaller lasting task off a worker, so that the free capacity there is
 // in one piece for @p task.
-void SliceScheduler::MakeRoom(const Task& task) {
+// @returns false if none can be moved.
+bool SliceScheduler::MakeRoom(const Task& task) {
   const Job& job = *task.job;
   const Group& group = job.groups[task.group];
   const core::Resources need = Reservation(job.StepOf(group));
@@ -162,9 +163,8 @@
           !Fits(need, worker->free() + gained)) {
         continue;
       }
-      const Worker* other =
-          ChooseWorker(*smaller->job, smaller->job->groups[smaller->group],
-                       *smaller);
+      const Worker* other = ChooseWorker(
+          *smaller->job, smaller->job->groups[smaller->group], *smaller);
       if (other == nullptr || other == worker.get()) {
         continue;
       }
@@ -175,9 +175,10 @@
                        .Add("to", other->entry.id));
       claims_[worker->id] = {.task = &task, .until = now_ + kClaimTime};
       Dispatch(*smaller, "halt");
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 bool SliceScheduler::IsClaimed(const Worker& worker, const Task& task) const {
@@ -198,16 +199,15 @@
     if (transfer_ || !job.unplaced_since) {
       return;
     }
-    const bool all_placed =
-        std::ranges::none_of(job.tasks, [this](const Task& task) {
-          return IsState(task, states_.ready);
-        });
+    const bool all_placed = std::ranges::none_of(
+        job.tasks,
+        [this](const Task& task) { return IsState(task, states_.ready); });
     if (all_placed || job.halted) {
       job.unplaced_since.reset();
       return;
     }
     if (now_ < *job.unplaced_since + kUnplacedTooLong || !IsLasting(job) ||
-        !MayStopAll(job) ||
+        !MayStopAll(job) || now_ < job.taken + kLeastStay ||
         now_ > job_rows_.last_answer() + kStoreFresh) {
       return;
     }
@@ -222,9 +222,11 @@
                    .Add("job", job.spec.id)
                    .Add("from", options_.slice.name)
                    .Add("to", options_.all_slices[target].name));
-  transfer_ = Transfer{.job = job.spec.id,
-                       .target = target,
-                       .job_version = job.stored_version};
+  // Until the target publishes its load again, others must not be sent into
+  // the same room.
+  loads_[target].reset();
+  transfer_ = Transfer{
+      .job = job.spec.id, .target = target, .job_version = job.stored_version};
   job.transferring = true;
   job.halted = true;
   for (Task& task : job.tasks) {
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -27,8 +27,8 @@
 // The store lists at most this many ends in one report.
 constexpr std::size_t kEndsPerReport = 500;
 
-// Different jobs with failed runs in a row, without a good end between them, after
-// which a worker gets no tasks for a while.
+// Different jobs with failed runs in a row, without a good end between them,
+// after which a worker gets no tasks for a while.
 constexpr std::uint32_t kFailuresToQuarantine = 3;
 constexpr core::Duration kFirstQuarantine = milliseconds(2000);
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
@@ -147,8 +147,8 @@
   } else {
     worker.next_renewal = now_ + kSilentRetryPause;
     DispatchContact(worker, "no_answer");
-    if (answer.outcome == OrderOutcome::kUnreachable &&
-        worker.entry.draining && !worker.listed) {
+    if (answer.outcome == OrderOutcome::kUnreachable && worker.entry.draining &&
+        !worker.listed) {
       // It announced its end, has signed off, and takes no connection.
       DispatchContact(worker, "lease_over");
     }
@@ -408,7 +408,8 @@
 bool SliceScheduler::AllConfirmed() const {
   // A worker that is not in the roster has never had a task.
   return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
-    return worker->enrolled && charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
+    return worker->enrolled &&
+           charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
   });
 }
 
