--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -162,6 +162,7 @@
   CallIds& ids_;
   QueueConfigPtr config_;
   core::TimePoint now_;
+  std::int64_t unix_ms_ = 0;  ///< Of the last call that came in.
   core::TimePoint last_success_;
   core::TimePoint last_failure_;
   core::TimePoint last_probe_;
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -12,6 +12,7 @@
 
 /// What the owner of a slice publishes about it with each renewal.
 struct SliceLoad {
+  std::int64_t unix_ms = 0;  ///< Time of day when it was computed.
   /// Thousandths of a core that open tasks wish for, those that they reserve
   /// among these, and those that workers have.
   std::int64_t demand_millis = 0;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -33,6 +33,9 @@
 // Jobs whose slice is remembered; a lookup of others reads up to three rows.
 constexpr std::size_t kMaxKnownSlices = 20'000;
 
+// A count may be 2 s old; the rest is for clocks that differ.
+constexpr std::int64_t kOldestLoadMs = 4000;
+
 // Share of a slice's processors that lasting tasks may reserve. The rest lets
 // them move when workers leave, and serves all other jobs.
 constexpr double kLastingShare = 0.9;
@@ -99,6 +102,7 @@
 
 void Intake::Take(ClientCall call, core::TimePoint now, std::int64_t unix_ms) {
   now_ = now;
+  unix_ms_ = unix_ms;
   if (config_ == nullptr) {
     Refuse(call, Refusal::kNotConfigured);
     return;
@@ -387,11 +391,11 @@
   std::uint32_t count = 0;
   for (const Row& row : read.rows) {
     const auto load = LoadInSliceRow(row.value);
-    if (!load) {
-      // Just claimed: the owner has not read its jobs yet.
-      options_.log(
-          core::LogLine("slice_load_unknown").Add("slice", row.key.key));
-      continue;
+    if (!load || unix_ms_ > load->unix_ms + kOldestLoadMs) {
+      // The slice is between two owners, or its owner cannot reach the store.
+      Refuse(pending.call, Refusal::kStoreDown,
+             "no recent count of slice " + row.key.key);
+      return;
     }
     if (const auto found = load->pending.find(pending.queue);
         found != load->pending.end()) {
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -272,7 +272,7 @@
   if (!restored_) {
     return std::nullopt;
   }
-  SliceLoad load;
+  SliceLoad load{.unix_ms = unix_ms_};
   for (const auto& worker : workers_.all()) {
     if (MayUse(*worker)) {
       load.capacity_millis += worker->entry.capacity.cpu_millis;
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -5,7 +5,8 @@
 namespace hickoryusher::jobs {
 
 std::string EncodeSliceLoad(const SliceLoad& load) {
-  std::string text = std::to_string(load.demand_millis) + ' ' +
+  std::string text = std::to_string(load.unix_ms) + ' ' +
+                     std::to_string(load.demand_millis) + ' ' +
                      std::to_string(load.reserved_millis) + ' ' +
                      std::to_string(load.lasting_millis) + ' ' +
                      std::to_string(load.capacity_millis) + ' ' +
@@ -24,7 +25,7 @@
   SliceLoad load;
   std::istringstream in{std::string(text)};
   std::uint32_t count = 0;
-  if (!(in >> load.demand_millis >> load.reserved_millis >>
+  if (!(in >> load.unix_ms >> load.demand_millis >> load.reserved_millis >>
         load.lasting_millis >> load.capacity_millis >> count) ||
       count > kPublishedWorkers) {
     return std::nullopt;
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -15,6 +15,10 @@
 // a silent connection goes unnoticed.
 constexpr core::Duration kJobFollowWait = milliseconds(1500);
 constexpr core::Duration kPlacementInterval = milliseconds(500);
+// An earlier owner that is cut off from the store in part may start jobs until
+// it has noticed its loss, by a renewal (one a second) or by a worker.
+constexpr core::Duration kPredecessorNotice = milliseconds(4000);
+
 constexpr core::Duration kReadRetryPause = milliseconds(200);
 
 }  // namespace
@@ -192,7 +196,8 @@
   for (Group& group : job.groups) {
     group.image = images_.Intern(job.StepOf(group).image);
   }
-  job.restored = row.version < options_.fence_version;
+  job.restored = row.version < options_.fence_version ||
+                 now_ < gained_ + kPredecessorNotice;
   job.accepted_unix_ms = stored.accepted_unix_ms;
   if (std::ranges::all_of(job.spec.steps, &StepSpec::long_running)) {
     job.stored_text = row.value;
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -226,6 +226,22 @@
   CHECK(std::get<PendingJobs>(world.Take()).count == 4);
 }
 
+// A slice between two owners counted as empty (deploy/days/zone-cut, MIXED).
+TEST_CASE("no count is given when a slice's is missing or old", "[intake]") {
+  IntakeWorld world;
+  const auto put = [&](const char* slice, const std::string& value) {
+    world.store.Put({.table = SliceTableName(), .part = {}, .key = slice},
+                    "1 p 1" + value);
+  };
+  put("a-0", "\n" + EncodeSliceLoad({.unix_ms = 77}));
+  put("b-0", "");
+  world.Call(ClientVerb::kQuery, "/d/");
+  CHECK(world.TakeRefusal() == Refusal::kStoreDown);
+  put("b-0", "\n" + EncodeSliceLoad({.unix_ms = 77 - 10'000}));
+  world.Call(ClientVerb::kQuery, "/d/");
+  CHECK(world.TakeRefusal() == Refusal::kStoreDown);
+}
+
 TEST_CASE("paths without a queue and calls before the configuration",
           "[intake]") {
   IntakeWorld world;
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -38,8 +38,8 @@
     CHECK_FALSE(DecodeStoredJob(text).has_value());
   }
   for (const char* text :
-       {"", "1", "1 2 3", "1 2 3 4", "1 2 3 4 1", "1 2 3 4 99\n",
-        "1 2 3 4 0\nqueue", "1 2 3 4 0\nqueue x"}) {
+       {"", "1", "1 2 3", "1 2 3 4 5", "1 2 3 4 5 1", "1 2 3 4 5 99\n",
+        "1 2 3 4 5 0\nqueue", "1 2 3 4 5 0\nqueue x"}) {
     INFO(text);
     CHECK_FALSE(DecodeSliceLoad(text).has_value());
   }
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -194,6 +194,33 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w2");
 }
 
+// A job that came after the claim was started by the earlier owner, which had
+// not noticed yet, and by the new one (deploy/days/platform-lost, TWICE 11).
+TEST_CASE("a new owner asks all workers before it starts new jobs", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("first", "c");
+  world.Advance(500ms);
+  // The earlier owner's start, after the claim, on a worker not yet asked.
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Submit("j", "c");
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.workers.Handle(StartRun{.to = {.worker = "w1"},
+                                .epoch = 1,
+                                .task = SliceWorld::Task("j"),
+                                .run = 1},
+                       core::TimePoint());
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.AddWorker("w2");
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.Advance(2s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 TEST_CASE("an unanswered start is sent again to the same worker", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
