--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -1,6 +1,7 @@
 #include "jobs/slice_scheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -191,7 +192,9 @@
                             JobSpec spec,
                             const StoredJob& stored) {
   Job& job = jobs_.Add(std::move(spec));
-  job.queue.name = stored.queue;
+  // Until the configuration names the queue, no failure is the last one.
+  job.queue = {.name = stored.queue,
+               .max_attempts = std::numeric_limits<std::uint32_t>::max()};
   job.taken = now_;
   for (Group& group : job.groups) {
     group.image = images_.Intern(job.StepOf(group).image);
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -165,8 +165,9 @@
   }
   worker.clock_ms = report.clock_ms;
   worker.clock_at = now_;
-  if (!restored_) {
-    // Which tasks are known is not known yet; the report is asked for again.
+  if (!restored_ || config_ == nullptr) {
+    // Which tasks there are, or how often they may fail, is not known yet; the
+    // report is asked for again.
     worker.next_renewal = now_ + kTick;
     return;
   }
