--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -323,6 +323,22 @@
   CHECK(world.PhaseOf("j") == JobPhase::kFailed);
 }
 
+// A restarted owner took the ends of tasks before it had the configuration, and
+// the first failure was one too many (bruitsen scale-1, LOST 4).
+TEST_CASE("no job fails before the configuration is known", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("j", "c");
+  world.Advance(500ms);
+  world.TakeOver(/*predecessor_ended=*/true, /*configured=*/false);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  world.Advance(1s);
+  CHECK(world.PhaseOf("j") != JobPhase::kFailed);
+  world.Configure();
+  world.Advance(1s);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 TEST_CASE("a cancelled job is stopped and shown as such", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -75,7 +75,7 @@
                     now_);
 }
 
-void SliceWorld::TakeOver(bool predecessor_ended) {
+void SliceWorld::TakeOver(bool predecessor_ended, bool configured) {
   ++epoch_;
   store.Put(FenceRow(kSlice), std::to_string(epoch_));
   waiting_.clear();
@@ -100,6 +100,12 @@
   for (const std::string& id : registry) {
     AddWorker(id);
   }
+  if (configured) {
+    Configure();
+  }
+}
+
+void SliceWorld::Configure() {
   owner->SetConfig(std::make_shared<const QueueConfig>(
                        1,
                        std::vector<Queue>{{.name = "diary",
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -27,7 +27,10 @@
 
   /// Makes a new owner of the slice, with the next epoch; the earlier one is
   /// gone.
-  void TakeOver(bool predecessor_ended = true);
+  void TakeOver(bool predecessor_ended = true, bool configured = true);
+
+  /// Gives the owner the configuration.
+  void Configure();
 
   /// Stores a job as intake does. Its document names the steps: `c` for a
   /// task of 1 core, `b` for 20 cores, `w` for a lasting task of 20 cores; one
