Place jobs that can still meet their objective before late ones

Cause: in an overload, order by objective alone gives capacity to jobs that will be late anyway, until all are. Ruled out: refusing by backlog (objectives come from estimates that are off by half or more).

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -105,6 +105,10 @@
 /// @returns the run time of the job's longest chain of steps, as declared.
 core::Duration LongestChain(const JobSpec& spec);
 
+/// @returns the same for the steps of @p job that are not done, of the latest
+/// occurrence that has begun.
+core::Duration RemainingChain(const Job& job);
+
 /// The open jobs of one slice.
 class JobTable {
  public:
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -62,6 +62,21 @@
   return longest;
 }
 
+core::Duration RemainingChain(const Job& job) {
+  std::vector<core::Duration> ends(job.spec.steps.size());
+  core::Duration longest{};
+  for (const Group& group : job.groups) {
+    const StepSpec& step = job.StepOf(group);
+    core::Duration start{};
+    for (const std::uint32_t before : step.after) {
+      start = std::max(start, ends[before]);
+    }
+    ends[group.step] = group.open == 0 ? start : start + step.estimate;
+    longest = std::max(longest, ends[group.step]);
+  }
+  return longest;
+}
+
 Job& JobTable::Add(JobSpec spec) {
   auto job = std::make_unique<Job>();
   job->spec = std::move(spec);
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -27,11 +27,13 @@
   Group* group = nullptr;
   bool long_running = false;
   bool worthless = false;
+  bool late = false;
 
   // Tasks that must stay up first, then jobs that can still be of use, by
-  // priority and objective.
+  // priority, those that can still meet their objective, and objective. In an
+  // overload, order by objective alone makes every job late.
   auto Key() const {
-    return std::tuple(!long_running, worthless, job->queue.priority,
+    return std::tuple(!long_running, worthless, job->queue.priority, late,
                       job->objective, std::string_view(job->spec.id),
                       group->first);
   }
@@ -72,10 +74,12 @@
             return IsState(task, states_.ready);
           });
       if (ready) {
-        candidates.push_back({.job = &job,
-                              .group = &group,
-                              .long_running = job.StepOf(group).long_running,
-                              .worthless = now_ > job.worthless});
+        candidates.push_back(
+            {.job = &job,
+             .group = &group,
+             .long_running = job.StepOf(group).long_running,
+             .worthless = now_ > job.worthless,
+             .late = now_ + RemainingChain(job) > job.objective});
       }
     }
   });
