--- a/packages/jobs/include/jobs/queues.h
+++ b/packages/jobs/include/jobs/queues.h
@@ -27,17 +27,10 @@
   core::Duration objective_extra{};
 };
 
-struct Service {
-  std::string name;
-  bool guards_capacity = true;
-};
-
 /// One version of the operators' configuration. Immutable.
 class QueueConfig {
  public:
-  QueueConfig(std::uint64_t version,
-              std::vector<Queue> queues,
-              std::vector<Service> services);
+  QueueConfig(std::uint64_t version, std::vector<Queue> queues);
 
   std::uint64_t version() const { return version_; }
 
@@ -53,7 +46,6 @@
  private:
   std::uint64_t version_;
   std::vector<Queue> queues_;
-  std::vector<Service> services_;
 };
 
 using QueueConfigPtr = std::shared_ptr<const QueueConfig>;
--- a/packages/jobs/src/queues.cc
+++ b/packages/jobs/src/queues.cc
@@ -5,12 +5,8 @@
 
 namespace hickoryusher::jobs {
 
-QueueConfig::QueueConfig(std::uint64_t version,
-                         std::vector<Queue> queues,
-                         std::vector<Service> services)
-    : version_(version),
-      queues_(std::move(queues)),
-      services_(std::move(services)) {
+QueueConfig::QueueConfig(std::uint64_t version, std::vector<Queue> queues)
+    : version_(version), queues_(std::move(queues)) {
   // Longest prefix first, so that the first match is the best one.
   std::ranges::stable_sort(queues_, std::ranges::greater(),
                            [](const Queue& q) { return q.path_prefix.size(); });
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -22,8 +22,7 @@
         version,
         std::vector<Queue>{
             {.name = "diary", .host = "h", .path_prefix = "/d/"},
-            {.name = "night", .host = "h", .path_prefix = "/d/night/"}},
-        std::vector<Service>{});
+            {.name = "night", .host = "h", .path_prefix = "/d/night/"}});
   }
 
   void Call(ClientVerb verb,
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -107,13 +107,11 @@
 
 void SliceWorld::Configure() {
   owner->SetConfig(std::make_shared<const QueueConfig>(
-                       1,
-                       std::vector<Queue>{{.name = "diary",
-                                           .host = "h",
-                                           .path_prefix = "/d/",
-                                           .service = "noise",
-                                           .max_attempts = 2}},
-                       std::vector<Service>{}),
+                       1, std::vector<Queue>{{.name = "diary",
+                                              .host = "h",
+                                              .path_prefix = "/d/",
+                                              .service = "noise",
+                                              .max_attempts = 2}}),
                    now_);
 }
 
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -1,9 +1,8 @@
 #include "jobs_process/process.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <iterator>
-#include <mutex>
+#include <thread>
 #include <utility>
 
 #include "chart_yaml/load.h"
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -1,11 +1,9 @@
 #ifndef JOBS_PROCESS_SRC_SCHEDULER_DUTY_P_H_
 #define JOBS_PROCESS_SRC_SCHEDULER_DUTY_P_H_
 
-#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
