--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -189,6 +189,39 @@
   CHECK(std::holds_alternative<CallDone>(world.Take()));
 }
 
+// Guards P4: every caller gets the answer to its own request.
+TEST_CASE("answers that come out of order go to their own callers",
+          "[intake]") {
+  FakeStore store;
+  store.Put(ProgressRow("a-0", "active"),
+            EncodeProgress({.phase = JobPhase::kActive}));
+  store.Put(ProgressRow("a-0", "failed"),
+            EncodeProgress({.phase = JobPhase::kFailed}));
+  CallIds ids;
+  Intake intake({.slices = {{.name = "a-0"}}, .log = [](const auto&) {}}, ids);
+  intake.SetConfig(IntakeWorld::Config(1));
+  const core::TimePoint now(1h);
+  const auto ask = [&](std::uint64_t request, const std::string& path) {
+    intake.Take({.request = core::RequestId(request),
+                 .host = "h",
+                 .path = path,
+                 .give_up = now + 1s},
+                now, 0);
+  };
+  ask(1, "/d/active");
+  ask(2, "/d/failed");
+  const std::vector<StoreCommand> commands = intake.TakeCommands();
+  REQUIRE(commands.size() == 2);
+  intake.Handle(*store.Run(commands[1]), now);
+  intake.Handle(*store.Run(commands[0]), now);
+  const std::vector<ClientAnswer> answers = intake.TakeAnswers();
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].request == core::RequestId(2));
+  CHECK(std::get<JobState>(answers[0].result).phase == JobPhase::kFailed);
+  CHECK(answers[1].request == core::RequestId(1));
+  CHECK(std::get<JobState>(answers[1].result).phase == JobPhase::kActive);
+}
+
 TEST_CASE("states are read from any slice", "[intake]") {
   IntakeWorld world;
   world.store.Put(ProgressRow("b-0", "job1"),
--- a/packages/jobs/tests/slice_capacity_test.cc
+++ b/packages/jobs/tests/slice_capacity_test.cc
@@ -88,6 +88,32 @@
   CHECK(world.workers.starts(SliceWorld::Task("v")) == 0);
 }
 
+// Guards P7: a leaving VM receives no new work.
+TEST_CASE("a worker that leaves gets no new tasks", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.Drain("w1");
+  world.Submit("j", "c");
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 0);
+}
+
+// Guards P3: evicted work resumes exactly once.
+TEST_CASE("work that is moved goes on from its checkpoint, once", "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.Drain("w1");
+  world.Advance(3s);
+  REQUIRE(world.workers.runs("w2").size() == 1);
+  CHECK(world.workers.runs("w2")[0].checkpoint == "at_stop");
+  CHECK(world.workers.runs("w1").empty());
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
+// Guards P1: no VM holds more work than it can.
 TEST_CASE("capacity is never given twice", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
