--- a/packages/jobs/include/jobs/rows.h
+++ b/packages/jobs/include/jobs/rows.h
@@ -2,6 +2,7 @@
 #define JOBS_ROWS_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -117,6 +118,9 @@
                                 StoreRefused,
                                 StoreUnanswered>;
 
+/// @returns the version of the row with this key, or 0 if it is not among them.
+RowVersion VersionIn(std::span<const Row> rows, const RowKey& key);
+
 inline CallId CallOf(const StoreEvent& event) {
   return std::visit([](const auto& e) { return e.call; }, event);
 }
--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -109,11 +109,16 @@
   bool owns_any() const;
 
  private:
+  struct Holding;
   struct Slice;
   struct Context;
 
   SliceBoard(Options options, const chart::Chart& chart, CallIds& ids);
   static chart::Bindings<Context> MakeBindings();
+  static std::string Encode(const Holding& holding);
+  static std::optional<Holding> DecodeHolding(const std::string& text);
+  static std::optional<Holding> HoldingIn(const RowsConflicted& conflict);
+  bool IsOwn(const Holding& holding) const;
   void Dispatch(Slice& slice, std::string_view event, core::TimePoint now);
   void TakeList(const RowsRead& read, core::TimePoint now);
   void Observe(Slice& slice, const Row* row, core::TimePoint now);
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -15,6 +15,7 @@
 #include "core/time.h"
 #include "jobs/job_table.h"
 #include "jobs/types.h"
+#include "jobs/worker_calls.h"
 
 namespace hickoryusher::jobs {
 
@@ -73,6 +74,9 @@
   core::Resources free() const { return entry.capacity - used; }
 };
 
+/// @returns where orders for the worker go.
+Destination DestinationOf(const Worker& worker);
+
 /// @returns what a task of the step reserves on a worker.
 core::Resources Reservation(const StepSpec& step);
 
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -33,19 +33,22 @@
 // Spreads the slices over the processes.
 constexpr core::Duration kDelayPerOwnedSlice = milliseconds(1000);
 
+}  // namespace
+
 /// What a slice's row says.
-struct Holding {
+struct SliceBoard::Holding {
   Epoch epoch = 0;
   std::string process;
   std::string incarnation;
 };
 
-std::string Encode(const Holding& holding) {
+std::string SliceBoard::Encode(const Holding& holding) {
   return std::to_string(holding.epoch) + ' ' + holding.process + ' ' +
          holding.incarnation;
 }
 
-std::optional<Holding> DecodeHolding(const std::string& text) {
+std::optional<SliceBoard::Holding> SliceBoard::DecodeHolding(
+    const std::string& text) {
   Holding holding;
   std::istringstream in(text);
   if (!(in >> holding.epoch >> holding.process >> holding.incarnation)) {
@@ -54,7 +57,17 @@
   return holding;
 }
 
-}  // namespace
+std::optional<SliceBoard::Holding> SliceBoard::HoldingIn(
+    const RowsConflicted& conflict) {
+  return conflict.present.empty()
+             ? std::nullopt
+             : DecodeHolding(conflict.present.front().value);
+}
+
+bool SliceBoard::IsOwn(const Holding& holding) const {
+  return holding.process == options_.process &&
+         holding.incarnation == options_.incarnation;
+}
 
 std::string SliceTableName() {
   return std::string(kSliceTable);
@@ -314,8 +327,7 @@
   // The fence row has the version of the claim, which a renewal would have
   // changed in this row.
   if (slice.claim_unanswered && slice.holding.epoch == slice.claim_epoch &&
-      slice.holding.process == options_.process &&
-      slice.holding.incarnation == options_.incarnation && !releasing_) {
+      IsOwn(slice.holding) && !releasing_) {
     slice.claim_version = version;
     Dispatch(slice, "found_own_claim", now);
   } else if (MayClaim(slice, now)) {
@@ -363,11 +375,8 @@
     slice.version = done->version;
     slice.release_due = !release;
   } else if (const auto* conflict = std::get_if<RowsConflicted>(&event)) {
-    const auto holding = conflict->present.empty()
-                             ? std::nullopt
-                             : DecodeHolding(conflict->present.front().value);
-    const bool own = holding && holding->process == options_.process &&
-                     holding->incarnation == options_.incarnation;
+    const auto holding = HoldingIn(*conflict);
+    const bool own = holding && IsOwn(*holding);
     slice.release_due = own;
     slice.version = own ? conflict->present.front().version : 0;
   } else {
@@ -382,13 +391,8 @@
     Dispatch(slice, "claim_lost", now);
     return;
   }
-  const auto holding = conflict.present.empty()
-                           ? std::nullopt
-                           : DecodeHolding(conflict.present.front().value);
-  const bool own = holding && holding->process == options_.process &&
-                   holding->incarnation == options_.incarnation &&
-                   holding->epoch == slice.holding.epoch;
-  if (own) {
+  const auto holding = HoldingIn(conflict);
+  if (holding && IsOwn(*holding) && holding->epoch == slice.holding.epoch) {
     // An unanswered renewal took effect.
     slice.version = conflict.present.front().version;
     slice.next_write = now;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -172,8 +172,7 @@
 void SliceScheduler::TakeConflict(const Commit& commit,
                                   const RowsConflicted& conflict) {
   const auto version_of = [&](const RowKey& key) {
-    const auto row = std::ranges::find(conflict.present, key, &Row::key);
-    return row == conflict.present.end() ? RowVersion{0} : row->version;
+    return VersionIn(conflict.present, key);
   };
   if (version_of(FenceRow(options_.slice.name)) != options_.fence_version) {
     deposed_ = true;
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -276,13 +276,12 @@
   task.pace_percent = percent;
   task.slowed_since = percent > kPaceStep ? core::TimePoint::max()
                                           : std::min(task.slowed_since, now_);
-  worker_commands_.push_back(jobs::SetPace{
-      .call = ids_.Next(),
-      .to = {.address = worker.entry.address, .worker = worker.entry.id},
-      .epoch = options_.epoch,
-      .task = task.job->AddressOf(task),
-      .run = task.run,
-      .percent = percent});
+  worker_commands_.push_back(jobs::SetPace{.call = ids_.Next(),
+                                           .to = DestinationOf(worker),
+                                           .epoch = options_.epoch,
+                                           .task = task.job->AddressOf(task),
+                                           .run = task.run,
+                                           .percent = percent});
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -161,15 +161,14 @@
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
   NoteLease(worker, until);
-  worker_commands_.push_back(StartRun{
-      .call = call,
-      .to = {.address = worker.entry.address, .worker = worker.entry.id},
-      .epoch = options_.epoch,
-      .task = job.AddressOf(task),
-      .run = task.run,
-      .payload = job.spec.payload,
-      .checkpoint = task.checkpoint,
-      .lease_until_ms = until});
+  worker_commands_.push_back(StartRun{.call = call,
+                                      .to = DestinationOf(worker),
+                                      .epoch = options_.epoch,
+                                      .task = job.AddressOf(task),
+                                      .run = task.run,
+                                      .payload = job.spec.payload,
+                                      .checkpoint = task.checkpoint,
+                                      .lease_until_ms = until});
   if (task.resends == 0) {
     options_.log(
         core::LogLine("task_placed")
@@ -188,12 +187,11 @@
   calls_[call] = TaskCall{
       .job = task.job->spec.id, .number = task.number, .run = task.run};
   task.settled = core::TimePoint::max();
-  worker_commands_.push_back(StopRun{
-      .call = call,
-      .to = {.address = worker.entry.address, .worker = worker.entry.id},
-      .epoch = options_.epoch,
-      .task = task.job->AddressOf(task),
-      .run = task.run});
+  worker_commands_.push_back(StopRun{.call = call,
+                                     .to = DestinationOf(worker),
+                                     .epoch = options_.epoch,
+                                     .task = task.job->AddressOf(task),
+                                     .run = task.run});
 }
 
 void SliceScheduler::TakeOrderAnswer(const TaskCall& call,
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -275,8 +275,7 @@
   bool moved = std::holds_alternative<RowsCommitted>(event);
   if (conflict != nullptr) {
     const auto version_of = [&](const RowKey& key) {
-      const auto row = std::ranges::find(conflict->present, key, &Row::key);
-      return row == conflict->present.end() ? RowVersion{0} : row->version;
+      return VersionIn(conflict->present, key);
     };
     const std::string& from = options_.slice.name;
     if (version_of(FenceRow(from)) != options_.fence_version) {
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -313,12 +313,11 @@
                    .Add("task", ToText(run.task))
                    .Add("run", run.run)
                    .Add("worker", worker.entry.id));
-  worker_commands_.push_back(StopRun{
-      .call = ids_.Next(),
-      .to = {.address = worker.entry.address, .worker = worker.entry.id},
-      .epoch = options_.epoch,
-      .task = run.task,
-      .run = run.run});
+  worker_commands_.push_back(StopRun{.call = ids_.Next(),
+                                     .to = DestinationOf(worker),
+                                     .epoch = options_.epoch,
+                                     .task = run.task,
+                                     .run = run.run});
 }
 
 // A run that was settled before the report was asked for and is in neither
@@ -382,11 +381,10 @@
 void SliceScheduler::RenewLease(Worker& worker) {
   const CallId call = ids_.Next();
   calls_[call] = RenewalCall{.worker = worker.id};
-  jobs::RenewLease order{
-      .call = call,
-      .to = {.address = worker.entry.address, .worker = worker.entry.id},
-      .epoch = options_.epoch,
-      .acknowledged = worker.acknowledged};
+  jobs::RenewLease order{.call = call,
+                         .to = DestinationOf(worker),
+                         .epoch = options_.epoch,
+                         .acknowledged = worker.acknowledged};
   const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // A renewal without an answer may still extend the lease, so a worker that
   // is silent is only asked: otherwise its tasks could never be taken as over.
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -5,6 +5,10 @@
 
 namespace hickoryusher::jobs {
 
+Destination DestinationOf(const Worker& worker) {
+  return {.address = worker.entry.address, .worker = worker.entry.id};
+}
+
 core::Resources Reservation(const StepSpec& step) {
   core::Resources need = step.need;
   if (step.uses_spare_cpu) {
