--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -38,6 +38,7 @@
   std::uint32_t percent = 0;
   double usage = 0;                  ///< As in ActiveRun.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
+  bool pace_unsure = false;  ///< The order may not have been carried out.
   core::TimePoint slowed_since = core::TimePoint::max();
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -131,7 +131,10 @@
   struct RenewalCall {
     core::WorkerId worker;
   };
-  using PendingCall = std::variant<TaskCall, RenewalCall>;
+  struct PaceCall {
+    TaskCall run;
+  };
+  using PendingCall = std::variant<TaskCall, RenewalCall, PaceCall>;
 
   /// Writes that wait for an answer.
   struct Commit {
@@ -170,6 +173,7 @@
   // Workers.
   void DispatchContact(Worker& worker, std::string_view event);
   void TakeOrderAnswer(const TaskCall& call, const OrderAnswered& answer);
+  void TakePaceAnswer(const TaskCall& run, const OrderAnswered& answer);
   void TakeStopAnswer(Task& task, const OrderAnswered& answer);
   void TakeRenewal(Worker& worker, const LeaseAnswered& answer);
   void TakeReport(Worker& worker, const WorkerReport& report);
@@ -183,6 +187,7 @@
   void NoteLease(Worker& worker, std::int64_t until_ms);
   std::int64_t LeaseUntil(const Worker& worker) const;
   void LearnInterference(const Worker& worker);
+  void NoteTargets(Worker& worker) const;
   void AdjustPace(Worker& worker);
   void SetPaceOf(Worker& worker, Task& task, std::uint32_t percent);
   int OtherServingImages(Worker& worker, ImageId image) const;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -54,6 +54,8 @@
     double room = 0;
   };
   std::vector<ServingRoom> rooms;
+  /// Since when a tail here has been over its target; max() if none is.
+  core::TimePoint over_target_since = core::TimePoint::max();
   double spare_millis = 0;
   bool rooms_valid = false;
 
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -13,8 +13,11 @@
 // it. The rest is for changes of load between two reports.
 constexpr double kAllowedTargetShare = 0.75;
 
-// Above this share of the target, all spare work next to the task rests.
+// Above this share of the target, spare work next to the task rests: at once
+// what disturbs it by a raise that counts, and after a while all of it. A
+// target may be missed for harm_ms, 4 s at present.
 constexpr double kAlarmTargetShare = 1.0;
+constexpr core::Duration kAlarmPatience = std::chrono::milliseconds(1200);
 
 // Paces change in steps, since every change is a call to a worker.
 constexpr std::uint32_t kPaceStep = 25;
@@ -203,15 +206,28 @@
                                     ImageId image,
                                     const StepSpec& step) const {
   RefreshRooms(worker);
-  return worker.spare_millis >=
+  return worker.over_target_since == core::TimePoint::max() &&
+         worker.spare_millis >=
              kLeastSpareShare * static_cast<double>(step.need.cpu_millis) &&
          RoomOn(worker, image, step) >= 0;
 }
 
+void SliceScheduler::NoteTargets(Worker& worker) const {
+  const bool over = std::ranges::any_of(worker.tasks, [](const Task* task) {
+    return IsServing(*task) &&
+           task->usage > kAlarmTargetShare *
+                             static_cast<double>(core::ToMillis(
+                                 task->job->StepOf(*task).latency_target));
+  });
+  worker.over_target_since =
+      over ? std::min(worker.over_target_since, now_) : core::TimePoint::max();
+}
+
 // The least disturbing spare work keeps its full speed until the tails' room
 // is used up.
 void SliceScheduler::AdjustPace(Worker& worker) {
   LearnInterference(worker);
+  NoteTargets(worker);
   worker.rooms_valid = false;
   std::vector<Task*> spare;
   std::ranges::copy_if(
@@ -221,12 +237,9 @@
   if (spare.empty()) {
     return;
   }
-  const bool alarm = std::ranges::any_of(worker.tasks, [](const Task* task) {
-    return IsServing(*task) &&
-           task->usage > kAlarmTargetShare *
-                             static_cast<double>(core::ToMillis(
-                                 task->job->StepOf(*task).latency_target));
-  });
+  const bool alarm = worker.over_target_since <= now_;
+  // What counts as negligible may be wrong, or too much of it may be there.
+  const bool all_rest = worker.over_target_since <= now_ - kAlarmPatience;
   const auto raise_by = [&](const Task& task) {
     const Neighbour full = {.image = ImageOf(task),
                             .share = ShareOf(NeedMillis(task), worker)};
@@ -249,7 +262,7 @@
   std::ranges::sort(spare, {}, [&](Task* task) { return raise_by(*task); });
   for (Task* task : spare) {
     const double full = raise_by(*task);
-    double fraction = 1;
+    double fraction = all_rest ? 0 : 1;
     if (full > kNegligibleRaise) {
       fraction = alarm ? 0 : std::clamp(room / full, 0.0, 1.0);
     }
@@ -264,7 +277,7 @@
 void SliceScheduler::SetPaceOf(Worker& worker,
                                Task& task,
                                std::uint32_t percent) {
-  if (task.pace_percent == percent) {
+  if (task.pace_percent == percent && !task.pace_unsure) {
     return;
   }
   options_.log(core::LogLine("pace_changed")
@@ -276,7 +289,12 @@
   task.pace_percent = percent;
   task.slowed_since = percent > kPaceStep ? core::TimePoint::max()
                                           : std::min(task.slowed_since, now_);
-  worker_commands_.push_back(jobs::SetPace{.call = ids_.Next(),
+  task.pace_unsure = false;
+  const CallId call = ids_.Next();
+  calls_[call] = PaceCall{.run = {.job = task.job->spec.id,
+                                  .number = task.number,
+                                  .run = task.run}};
+  worker_commands_.push_back(jobs::SetPace{.call = call,
                                            .to = DestinationOf(worker),
                                            .epoch = options_.epoch,
                                            .task = task.job->AddressOf(task),
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -54,6 +54,7 @@
                 c.task.resends = 0;
                 c.task.percent = 0;
                 c.task.pace_percent = 100;
+                c.task.pace_unsure = false;
                 c.task.slowed_since = core::TimePoint::max();
                 c.scheduler.SendStart(c.task);
               })
@@ -251,6 +252,20 @@
   }
 }
 
+// An order that was not carried out, or may come late, is given again with the
+// next report.
+void SliceScheduler::TakePaceAnswer(const TaskCall& run,
+                                    const OrderAnswered& answer) {
+  Job* job = jobs_.Find(run.job);
+  if (answer.outcome == OrderOutcome::kCarriedOut || job == nullptr) {
+    return;
+  }
+  Task& task = job->tasks[run.number];
+  if (task.run == run.run) {
+    task.pace_unsure = true;
+  }
+}
+
 void SliceScheduler::TakeStopAnswer(Task& task, const OrderAnswered& answer) {
   Worker& worker = workers_.Get(task.worker);
   if (answer.outcome == OrderOutcome::kCarriedOut ||
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -128,6 +128,9 @@
       core::Overloaded{[&](const TaskCall& c, const OrderAnswered& answer) {
                          TakeOrderAnswer(c, answer);
                        },
+                       [&](const PaceCall& c, const OrderAnswered& answer) {
+                         TakePaceAnswer(c.run, answer);
+                       },
                        [&](const RenewalCall& c, const LeaseAnswered& answer) {
                          TakeRenewal(workers_.Get(c.worker), answer);
                        },
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -29,6 +29,11 @@
           return OrderAnswered{.call = order.call,
                                .outcome = OrderOutcome::kOtherLife};
         }
+        if constexpr (std::is_same_v<Order, SetPace>) {
+          if (worker.fault == Fault::kLate) {
+            return OrderAnswered{.call = order.call};
+          }
+        }
         if constexpr (std::is_same_v<Order, StartRun>) {
           if (worker.fault == Fault::kLate) {
             worker.late.push_back(order);
@@ -87,10 +92,25 @@
   return OrderOutcome::kCarriedOut;
 }
 
-OrderOutcome FakeWorkers::Carry(Worker&, const SetPace&) {
+OrderOutcome FakeWorkers::Carry(Worker& worker, const SetPace& order) {
+  const auto found = std::ranges::find(worker.runs, order.task, &Run::task);
+  if (found == worker.runs.end()) {
+    return OrderOutcome::kRefused;
+  }
+  found->percent = order.percent;
   return OrderOutcome::kCarriedOut;
 }
 
+std::uint32_t FakeWorkers::PaceOf(const TaskAddress& task) const {
+  for (const auto& [name, worker] : workers_) {
+    const auto found = std::ranges::find(worker.runs, task, &Run::task);
+    if (found != worker.runs.end()) {
+      return found->percent;
+    }
+  }
+  return 0;
+}
+
 LeaseAnswered FakeWorkers::Report(Worker& worker,
                                   const RenewLease& order,
                                   core::TimePoint now) {
@@ -105,7 +125,8 @@
     report.running.push_back({.task = run.task,
                               .run = run.number,
                               .checkpoint = run.checkpoint,
-                              .percent = 50});
+                              .percent = 50,
+                              .usage = usage_[ToText(run.task)]});
   }
   return {.call = order.call,
           .outcome = OrderOutcome::kCarriedOut,
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -19,6 +19,7 @@
     TaskAddress task;
     RunNumber number = 0;
     std::string checkpoint;
+    std::uint32_t percent = 100;  ///< As paced.
   };
 
   /// What happens to orders for one worker.
@@ -38,6 +39,14 @@
   std::optional<WorkerEvent> Handle(const WorkerCommand& command,
                                     core::TimePoint now);
 
+  /// What reports say of a task's tail or processors.
+  void SetUsage(const TaskAddress& task, double usage) {
+    usage_[ToText(task)] = usage;
+  }
+
+  /// @returns the pace of a task that runs.
+  std::uint32_t PaceOf(const TaskAddress& task) const;
+
   /// Ends the run of a task, wherever it is.
   void End(const TaskAddress& task, EndKind kind, std::string checkpoint = {});
   void CarryOutLate(const std::string& worker);
@@ -83,6 +92,7 @@
 
   std::map<std::string, Worker> workers_;
   std::vector<TaskAddress> started_;
+  std::map<std::string, double> usage_;
 };
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -39,7 +39,12 @@
     StepSpec step{.need = {.cpu_millis = kind == 'c' ? 1'000 : 20'000},
                   .estimate = milliseconds(1000),
                   .saves_progress = true,
-                  .long_running = kind == 'w'};
+                  .long_running = kind == 'w' || kind == 's',
+                  .uses_spare_cpu = kind == 'f',
+                  .image = std::string(1, kind)};
+    if (kind == 's') {
+      step.latency_target = milliseconds(100);
+    }
     if (i > 0) {
       step.after = {i - 1};
     }
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -33,8 +33,9 @@
   void Configure();
 
   /// Stores a job as intake does. Its document names the steps: `c` for a
-  /// task of 1 core, `b` for 20 cores, `w` for a lasting task of 20 cores; one
-  /// letter for each step, each after the one before.
+  /// task of 1 core, `b` for 20 cores, `w` for a lasting task of 20 cores, `s`
+  /// for one that has a target of 100 ms, `f` for spare work; one letter for
+  /// each step, each after the one before.
   void Submit(const std::string& id, const std::string& steps);
   void Cancel(const std::string& id);
 
