Tell the story of a job from the logs: hickoryctl why

hickoryctl why ID [FILE...] reads the logs of several processes and prints what they say of a job, task, worker or request in order of time, with what happened to its workers and its slice meanwhile, and what it adds up to: first start, runs by end, stops by reason, work put off by pace, lateness. Text before the time of a line, as log collectors add it, is taken for the process.

They now say what was wanted, what each slice had and how old that knowledge was, and when the store last answered. Its test failed before.

--- a/packages/ctl/include/ctl/command.h
+++ b/packages/ctl/include/ctl/command.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/time.h"
 
@@ -39,11 +40,18 @@
   std::string value;
 };
 
+/// Tells what the logs of several processes say of an id.
+struct Why {
+  std::string id;
+  std::vector<std::string> files;  ///< Standard input if there are none.
+};
+
 using Command = std::variant<SettingsGet,
                              SettingsSet,
                              SettingsDiff,
                              SettingsHistory,
-                             SettingsValidate>;
+                             SettingsValidate,
+                             Why>;
 
 struct Invocation {
   Command command;
--- a/packages/ctl/src/command_line.cc
+++ b/packages/ctl/src/command_line.cc
@@ -87,6 +87,12 @@
 
 Command MakeCommand(const std::vector<std::string>& words,
                     const po::variables_map& values) {
+  if (!words.empty() && words[0] == "why") {
+    if (words.size() < 2) {
+      throw po::error("expected: why ID [FILE...]");
+    }
+    return Why{.id = words[1], .files = {words.begin() + 2, words.end()}};
+  }
   const std::string verb =
       words.size() > 1 && words[0] == "settings" ? words[1] : "";
   if (verb == "get") {
@@ -108,7 +114,8 @@
     ExpectWords(words, 4, "settings validate PATH VALUE");
     return SettingsValidate{.path = words[2], .value = words[3]};
   }
-  throw po::error("expected: settings get, set, diff, history or validate");
+  throw po::error(
+      "expected: settings get, set, diff, history or validate, or why");
 }
 
 Invocation MakeInvocation(const po::variables_map& values) {
@@ -163,7 +170,10 @@
   std::ostringstream text;
   text << "hickoryctl [options] settings get PATH | set PATH VALUE | "
           "set PATH --remove |\n  diff FILE | history PATH | validate PATH "
-          "VALUE\n\n"
+          "VALUE\n"
+          "hickoryctl why ID [FILE...]\n"
+          "  tells what the logs in FILE... or standard input say of a job, "
+          "task, worker or\n  request, in order of time\n\n"
        << Options()
        << "\nExit codes: 0 ok, 1 refused, 2 bad usage or settings, "
           "3 unreachable, 4 conflict.\n";
--- a/packages/ctl/src/run.cc
+++ b/packages/ctl/src/run.cc
@@ -3,12 +3,15 @@
 #include <json/json.h>
 
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <sstream>
 #include <utility>
 
 #include "core/overloaded.h"
+#include "ctl/log_reader.h"
+#include "ctl/story.h"
 
 namespace hickoryusher::ctl {
 namespace {
@@ -101,6 +104,26 @@
     return SendChange(body);
   }
 
+  ExitCode operator()(const Why& c) {
+    Story story(c.id);
+    if (c.files.empty()) {
+      ReadLog(std::cin, "-", story);
+    }
+    for (const std::string& name : c.files) {
+      std::ifstream file(name);
+      if (!file) {
+        err_ << name << ": cannot be read\n";
+        return kExitUsage;
+      }
+      ReadLog(file, name, story);
+    }
+    if (!story.Print(out_)) {
+      err_ << "no log line names " << c.id << '\n';
+      return kExitRefused;
+    }
+    return kExitOk;
+  }
+
   ExitCode operator()(const SettingsDiff& c) {
     std::ifstream file(c.file);
     std::ostringstream text;
@@ -119,6 +142,24 @@
  private:
   using OnOk = std::function<ExitCode(const Json::Value&)>;
 
+  void ReadLog(std::istream& in, const std::string& name, Story& story) {
+    std::size_t others = 0;
+    for (std::string line; std::getline(in, line);) {
+      std::optional<LogEntry> entry = ParseLogLine(line);
+      if (!entry) {
+        ++others;
+        continue;
+      }
+      if (entry->source.empty()) {
+        entry->source = name;
+      }
+      story.Take(*std::move(entry));
+    }
+    if (others > 0) {
+      err_ << name << ": " << others << " lines have no time and event\n";
+    }
+  }
+
   ExitCode Ask(const HttpRequest& request, const OnOk& on_ok) {
     return Interpret(exchange_(request), on_ok);
   }
--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -154,9 +154,10 @@
   void FinishCount(const Pending& pending, const RowsRead& read);
   void SendCancel(Pending pending, RowVersion version);
   void GiveUp(const Pending& pending);
-  bool HasLastingRoom(std::span<const std::size_t> candidates,
-                      const JobDemand& demand) const;
+  std::optional<std::string> WhyNoRoom(std::span<const std::size_t> candidates,
+                                       const JobDemand& demand) const;
   bool StoreIsDown(core::TimePoint now) const;
+  std::string StoreState() const;
 
   Options options_;
   CallIds& ids_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -136,13 +136,13 @@
     return;
   }
   if (StoreIsDown(now_) && now_ < last_probe_ + kProbeInterval) {
-    Refuse(call, Refusal::kStoreDown);
+    Refuse(call, Refusal::kStoreDown, StoreState());
     return;
   }
   last_probe_ = now_;
   const auto candidates = CandidateSlices(job, options_.slices.size());
-  if (!HasLastingRoom(candidates, call.demand)) {
-    Refuse(call, Refusal::kNoCapacity);
+  if (auto reason = WhyNoRoom(candidates, call.demand)) {
+    Refuse(call, Refusal::kNoCapacity, *std::move(reason));
     return;
   }
   const std::size_t slice = ChooseSlice(candidates, call.demand);
@@ -213,21 +213,33 @@
 
 // A lasting job that finds no room would hold up others for as long as it is
 // not cancelled, so it is refused before it is stored.
-bool Intake::HasLastingRoom(std::span<const std::size_t> candidates,
-                            const JobDemand& demand) const {
+// @returns what each candidate has; nothing if one of them has room, or may.
+std::optional<std::string> Intake::WhyNoRoom(
+    std::span<const std::size_t> candidates,
+    const JobDemand& demand) const {
   if (demand.lasting_millis == 0) {
-    return true;
+    return std::nullopt;
   }
-  return std::ranges::any_of(candidates, [&](std::size_t slice) {
+  std::string reason = "wants " + std::to_string(demand.lasting_millis) +
+                       " thousandths of a core";
+  for (const std::size_t slice : candidates) {
     if (slice >= loads_.size() || !loads_[slice]) {
-      return true;  // Nothing speaks against it.
+      return std::nullopt;  // Nothing speaks against it.
     }
-    const std::int64_t wanted = loads_[slice]->lasting_millis +
-                                demand.lasting_millis +
-                                kUnseenFactor * added_[slice].lasting_millis;
-    return static_cast<double>(wanted) <=
-           kLastingShare * static_cast<double>(loads_[slice]->capacity_millis);
-  });
+    const SliceLoad& load = *loads_[slice];
+    const std::int64_t lasting =
+        load.lasting_millis + kUnseenFactor * added_[slice].lasting_millis;
+    const auto limit = static_cast<std::int64_t>(
+        kLastingShare * static_cast<double>(load.capacity_millis));
+    if (lasting + demand.lasting_millis <= limit) {
+      return std::nullopt;
+    }
+    reason += "; " + options_.slices[slice].name + " has " +
+              std::to_string(lasting) + " of at most " + std::to_string(limit) +
+              " given to lasting tasks, " +
+              std::to_string(unix_ms_ - load.unix_ms) + " ms ago";
+  }
+  return reason;
 }
 
 void Intake::Remember(const std::string& job, std::size_t slice) {
@@ -291,6 +303,11 @@
   return last_failure_ > last_success_ && now > last_success_ + kDownAfter;
 }
 
+std::string Intake::StoreState() const {
+  return "the store last answered " +
+         std::to_string(core::ToMillis(now_ - last_success_)) + " ms ago";
+}
+
 void Intake::Handle(const StoreEvent& event, core::TimePoint now) {
   now_ = now;
   NoteStore(event, now);
@@ -408,7 +425,8 @@
 void Intake::GiveUp(const Pending& pending) {
   const bool maybe =
       pending.unanswered && pending.call.verb != ClientVerb::kQuery;
-  Refuse(pending.call, maybe ? Refusal::kUnknownOutcome : Refusal::kStoreDown);
+  Refuse(pending.call, maybe ? Refusal::kUnknownOutcome : Refusal::kStoreDown,
+         StoreState());
 }
 
 void Intake::Run(core::TimePoint now) {
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -148,7 +148,12 @@
   world.intake().SetLoads({full, full});
   world.lasting_millis = 1'000;
   world.Call(ClientVerb::kSubmit, "/d/job1");
-  CHECK(world.TakeRefusal() == Refusal::kNoCapacity);
+  const ClientResult refused = world.Take();
+  REQUIRE(std::holds_alternative<CallRefused>(refused));
+  CHECK(std::get<CallRefused>(refused).refusal == Refusal::kNoCapacity);
+  // Whoever explains the refusal later has only this.
+  CHECK_THAT(std::get<CallRefused>(refused).detail,
+             Catch::Matchers::Contains("has 9500 of at most 9000"));
   CHECK(world.SliceOf("job1").empty());
   world.lasting_millis = 0;
   world.Call(ClientVerb::kSubmit, "/d/job2");
