Let a blocked reader of the log hold up nothing but the log

Cause: the thread of the log wrote with fwrite, which blocks on a full pipe. Nothing said how many lines were lost.

--- a/packages/telemetry/include/telemetry/logger.h
+++ b/packages/telemetry/include/telemetry/logger.h
@@ -15,7 +15,8 @@
 /// Writes log lines to standard error on a thread of its own.
 ///
 /// @remarks A full ring drops the line and counts it, so that a slow terminal
-/// or collector never delays a request. One Logger exists per process.
+/// or collector never delays a request; `event=log_lines_dropped` says how many
+/// once it reads again. One Logger exists per process.
 class Logger {
  public:
   /// @param capacity lines that may wait.
@@ -36,9 +37,11 @@
 
  private:
   void Run();
+  void WritePending();
 
   runtime::Ring<std::string> ring_;
   std::atomic<std::uint64_t> dropped_ = 0;
+  std::atomic<bool> closing_ = false;
   runtime::DutyThread thread_;
 };
 
