Offer no room that tasks of doubtful workers will need

A job of another slice came at 31.99 s into the room that had been published before, and one of its tasks found no place for 10 s. Ruled out: two jobs at once (the announcement row lets one pass).

While a worker with lasting tasks is silent, unlisted or leaving, its slice now offers no room to others. The new test failed before.

--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -277,10 +277,19 @@
   const core::Duration age = now_ - job_rows_.last_answer();
   SliceLoad load{.unix_ms = unix_ms_ - core::ToMillis(age)};
   load.incoming = incoming_version_;
+  // Lasting tasks on a worker that may be gone, or leaves, soon need room.
+  const bool needs_room =
+      std::ranges::any_of(workers_.all(), [this](const auto& worker) {
+        const bool stays =
+            worker->listed && !worker->entry.draining &&
+            charts_.worker_contact.StateName(worker->contact) == "live";
+        return !stays && LastingOn(*worker).cpu_millis > 0;
+      });
+  const bool offers_room = !needs_room && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
     if (MayUse(*worker)) {
       load.capacity_millis += worker->entry.capacity.cpu_millis;
-      if (!claims_.contains(worker->id) && now_ >= incoming_until_) {
+      if (offers_room && !claims_.contains(worker->id)) {
         load.lasting_room_millis.push_back(
             (worker->entry.capacity - LastingOn(*worker)).cpu_millis);
       }
--- a/packages/jobs/tests/slice_capacity_test.cc
+++ b/packages/jobs/tests/slice_capacity_test.cc
@@ -209,6 +209,25 @@
   CHECK(world.store.Find(JobRow(kOtherSlice, "v")).has_value());
 }
 
+// A job came into room that the lasting tasks of a crashed worker took 0.7 s
+// earlier, when their lease had ended (bruitsen srv-crash 724521932413, LOST
+// 1).
+TEST_CASE("a slice offers no room that tasks of a silent worker will need",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("w", "w");
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  REQUIRE(world.owner->load()->lasting_room_millis.size() == 2);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(4s);
+  CHECK(world.owner->load()->lasting_room_millis.empty());
+  // The lease ends 6.3 s after the last renewal.
+  world.Advance(6s);
+  CHECK(world.workers.starts(SliceWorld::Task("w")) == 2);
+  CHECK(world.owner->load()->lasting_room_millis == std::vector{12'000L});
+}
+
 TEST_CASE("a slice offers no room while an announced job is on its way",
           "[slice]") {
   SliceWorld world;
