Give the room for lasting tasks a file of its own

Ruled out: a class of its own (it works on the same workers and tasks, and starts and stops them). Nothing is decided otherwise.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -222,10 +222,6 @@
   bool Suits(const Worker& worker, const Job& job, const Group& group) const;
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
-  bool KeepFree(const Task& task);
-  static core::Resources LastingOn(const Worker& worker);
-  void StopShortTasks(const core::Resources& need, const Worker& worker);
-  void DropClaims(const Task& task);
   bool TakesSpareWork(Worker& worker,
                       ImageId image,
                       const StepSpec& step) const;
@@ -233,19 +229,25 @@
   double Score(Worker& worker, ImageId image, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
-  // Moves.
-  void MoveTasks();
-  std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
-  bool MayStop(const Task& task) const;
+  // Room for lasting tasks.
+  bool KeepFree(const Task& task);
+  bool MakeRoom(const Task& task);
+  std::vector<Move> FindMoves(const Task& task, const Worker& worker);
   Worker* RoomElsewhere(const Task& task,
                         const Worker& from,
                         std::span<const Move> taken);
-  std::vector<Move> FindMoves(const Task& task, const Worker& worker);
-  bool MakeRoom(const Task& task);
+  void StopShortTasks(const core::Resources& need, const Worker& worker);
+  bool MayStop(const Task& task) const;
   void Claim(const Worker& worker, const Task& task);
+  void DropClaims(const Task& task);
   bool IsClaimed(const Worker& worker,
                  const Task& task,
                  const core::Resources& need) const;
+  static core::Resources LastingOn(const Worker& worker);
+
+  // Moves.
+  void MoveTasks();
+  std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
   void TransferJobs();
   bool MayTransfer(const Job& job) const;
   void TransferOtherFor(Job& job);
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <array>
 #include <tuple>
 #include <utility>
 
@@ -22,11 +21,6 @@
 
 constexpr double kFarDataPenaltyMillis = 16000;
 
-// How long a lasting task waits for short tasks on the worker that is kept for
-// it. Most end within 1 to 3 s; the lasting task has to run again 6 s after its
-// last run, and a stop takes 200 ms.
-constexpr core::Duration kShortTaskPatience = std::chrono::milliseconds(1000);
-
 struct Candidate {
   Job* job = nullptr;
   Group* group = nullptr;
@@ -191,97 +185,6 @@
   return same_step < std::int64_t{step.max_per_worker};
 }
 
-core::Resources SliceScheduler::LastingOn(const Worker& worker) {
-  core::Resources lasting;
-  for (const Task* task : worker.tasks) {
-    const StepSpec& step = task->job->StepOf(*task);
-    if (step.long_running) {
-      lasting += Reservation(step);
-    }
-  }
-  return lasting;
-}
-
-// Keeps the worker that will soonest have room for a task that must stay up
-// from everything else that reserves processors. Tasks that end by themselves
-// make room, if no others follow them.
-// @returns false if no worker will have.
-bool SliceScheduler::KeepFree(const Task& task) {
-  const Job& job = *task.job;
-  const Group& group = job.groups[task.group];
-  const core::Resources need = Reservation(job.StepOf(group));
-  const auto kept = std::ranges::find_if(claims_, [&](const auto& claim) {
-    return claim.second.task == &task && now_ < claim.second.until;
-  });
-  if (kept != claims_.end() && Suits(workers_.Get(kept->first), job, group)) {
-    kept->second.until = now_ + kClaimTime;
-    if (now_ >= kept->second.since + kShortTaskPatience) {
-      StopShortTasks(need, workers_.Get(kept->first));
-    }
-    return true;
-  }
-  Worker* best = nullptr;
-  for (const auto& worker : workers_.all()) {
-    const bool suits = Suits(*worker, job, group) &&
-                       !IsClaimed(*worker, task, need) &&
-                       Fits(need, worker->entry.capacity - LastingOn(*worker));
-    if (suits && (best == nullptr ||
-                  worker->free().cpu_millis > best->free().cpu_millis)) {
-      best = worker.get();
-    }
-  }
-  if (best != nullptr) {
-    Claim(*best, task);
-  }
-  return best != nullptr;
-}
-
-// Stops tasks that end by themselves until @p need will fit, those first that
-// lose the least work.
-void SliceScheduler::StopShortTasks(const core::Resources& need,
-                                    const Worker& worker) {
-  core::Resources free = worker.free();
-  std::vector<Task*> others;
-  for (Task* other : worker.tasks) {
-    const StepSpec& step = other->job->StepOf(*other);
-    if (IsState(*other, states_.stopping)) {
-      free += Reservation(step);
-    } else if (IsState(*other, states_.running) && !step.long_running &&
-               !step.gang) {
-      others.push_back(other);
-    }
-  }
-  std::ranges::sort(others, {}, [](const Task* other) {
-    return std::tuple(!other->job->StepOf(*other).saves_progress,
-                      -other->started.time_since_epoch());
-  });
-  for (Task* other : others) {
-    if (Fits(need, free)) {
-      return;
-    }
-    const core::Resources gained = Reservation(other->job->StepOf(*other));
-    const bool helps =
-        (free.cpu_millis < need.cpu_millis && gained.cpu_millis > 0) ||
-        (free.memory_bytes < need.memory_bytes && gained.memory_bytes > 0) ||
-        (free.accelerators < need.accelerators && gained.accelerators > 0);
-    if (!helps) {
-      continue;
-    }
-    free += gained;
-    options_.log(core::LogLine("short_task_stopped")
-                     .Add("task", ToText(other->job->AddressOf(*other)))
-                     .Add("worker", worker.entry.id)
-                     .Add("reason", "lasting_task_waits"));
-    Dispatch(*other, "halt");
-  }
-}
-
-void SliceScheduler::DropClaims(const Task& task) {
-  std::erase_if(claims_, [&task](const auto& claim) {
-    return claim.second.task == &task;
-  });
-}
-
 Worker* SliceScheduler::ChooseWorker(const Job& job,
                                      const Group& group,
                                      const Task& task) {
--- /dev/null
+++ b/packages/jobs/src/slice_room.cc
@@ -0,0 +1,253 @@
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "slice_scheduler_p.h"
+
+/// Keeps room for lasting tasks that find no place, and makes it: short tasks
+/// are stopped, smaller lasting ones move.
+namespace hickoryusher::jobs {
+namespace {
+
+// How long a lasting task waits for short tasks on the worker that is kept for
+// it. Most end within 1 to 3 s; the lasting task has to run again 6 s after its
+// last run, and a stop takes 200 ms.
+constexpr core::Duration kShortTaskPatience = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+core::Resources SliceScheduler::LastingOn(const Worker& worker) {
+  core::Resources lasting;
+  for (const Task* task : worker.tasks) {
+    const StepSpec& step = task->job->StepOf(*task);
+    if (step.long_running) {
+      lasting += Reservation(step);
+    }
+  }
+  return lasting;
+}
+
+// Keeps the worker that will soonest have room for a task that must stay up
+// from everything else that reserves processors. Tasks that end by themselves
+// make room, if no others follow them.
+// @returns false if no worker will have.
+bool SliceScheduler::KeepFree(const Task& task) {
+  const Job& job = *task.job;
+  const Group& group = job.groups[task.group];
+  const core::Resources need = Reservation(job.StepOf(group));
+  const auto kept = std::ranges::find_if(claims_, [&](const auto& claim) {
+    return claim.second.task == &task && now_ < claim.second.until;
+  });
+  if (kept != claims_.end() && Suits(workers_.Get(kept->first), job, group)) {
+    kept->second.until = now_ + kClaimTime;
+    if (now_ >= kept->second.since + kShortTaskPatience) {
+      StopShortTasks(need, workers_.Get(kept->first));
+    }
+    return true;
+  }
+  Worker* best = nullptr;
+  for (const auto& worker : workers_.all()) {
+    const bool suits = Suits(*worker, job, group) &&
+                       !IsClaimed(*worker, task, need) &&
+                       Fits(need, worker->entry.capacity - LastingOn(*worker));
+    if (suits && (best == nullptr ||
+                  worker->free().cpu_millis > best->free().cpu_millis)) {
+      best = worker.get();
+    }
+  }
+  if (best != nullptr) {
+    Claim(*best, task);
+  }
+  return best != nullptr;
+}
+
+// Stops tasks that end by themselves until @p need will fit, those first that
+// lose the least work.
+void SliceScheduler::StopShortTasks(const core::Resources& need,
+                                    const Worker& worker) {
+  core::Resources free = worker.free();
+  std::vector<Task*> others;
+  for (Task* other : worker.tasks) {
+    const StepSpec& step = other->job->StepOf(*other);
+    if (IsState(*other, states_.stopping)) {
+      free += Reservation(step);
+    } else if (IsState(*other, states_.running) && !step.long_running &&
+               !step.gang) {
+      others.push_back(other);
+    }
+  }
+  std::ranges::sort(others, {}, [](const Task* other) {
+    return std::tuple(!other->job->StepOf(*other).saves_progress,
+                      -other->started.time_since_epoch());
+  });
+  for (Task* other : others) {
+    if (Fits(need, free)) {
+      return;
+    }
+    const core::Resources gained = Reservation(other->job->StepOf(*other));
+    const bool helps =
+        (free.cpu_millis < need.cpu_millis && gained.cpu_millis > 0) ||
+        (free.memory_bytes < need.memory_bytes && gained.memory_bytes > 0) ||
+        (free.accelerators < need.accelerators && gained.accelerators > 0);
+    if (!helps) {
+      continue;
+    }
+    free += gained;
+    options_.log(core::LogLine("short_task_stopped")
+                     .Add("task", ToText(other->job->AddressOf(*other)))
+                     .Add("worker", worker.entry.id)
+                     .Add("reason", "lasting_task_waits"));
+    Dispatch(*other, "halt");
+  }
+}
+
+void SliceScheduler::DropClaims(const Task& task) {
+  std::erase_if(claims_, [&task](const auto& claim) {
+    return claim.second.task == &task;
+  });
+}
+
+bool SliceScheduler::MayStop(const Task& task) const {
+  const Job& job = *task.job;
+  const StepSpec& step = job.StepOf(task);
+  if (step.max_unavailable == 0) {
+    return true;
+  }
+  const Group& group = job.groups[task.group];
+  const auto tasks = std::span(job.tasks).subspan(group.first, group.count);
+  const auto away = std::ranges::count_if(tasks, [this](const Task& other) {
+    return !IsState(other, states_.running) || other.percent < 100;
+  });
+  return away < std::int64_t{step.max_unavailable};
+}
+
+// @returns the worker on which @p task leaves the least room for other lasting
+// tasks, if short tasks make way for it; never @p from or one of @p taken.
+Worker* SliceScheduler::RoomElsewhere(const Task& task,
+                                      const Worker& from,
+                                      std::span<const Move> taken) {
+  const Job& job = *task.job;
+  const Group& group = job.groups[task.group];
+  const core::Resources need = Reservation(job.StepOf(group));
+  Worker* best = nullptr;
+  std::int64_t least = 0;
+  for (const auto& worker : workers_.all()) {
+    const core::Resources room = worker->entry.capacity - LastingOn(*worker);
+    const bool excluded =
+        worker.get() == &from || claims_.contains(worker->id) ||
+        std::ranges::find(taken, worker.get(), &Move::to) != taken.end();
+    if (excluded || !Fits(need, room) || !Suits(*worker, job, group)) {
+      continue;
+    }
+    if (best == nullptr || room.cpu_millis < least) {
+      best = worker.get();
+      least = room.cpu_millis;
+    }
+  }
+  return best;
+}
+
+// @returns moves of one or two smaller lasting tasks off @p worker, after which
+// @p task fits there; none if there are no such moves.
+std::vector<SliceScheduler::Move> SliceScheduler::FindMoves(
+    const Task& task,
+    const Worker& worker) {
+  const core::Resources need = Reservation(task.job->StepOf(task));
+  const core::Resources room = worker.entry.capacity - LastingOn(worker);
+  const auto gained = [](const Task& other) {
+    return Reservation(other.job->StepOf(other));
+  };
+  std::vector<Move> moves;
+  for (Task* other : worker.tasks) {
+    if (other->job == task.job || !other->job->StepOf(*other).long_running ||
+        !IsState(*other, states_.running) || !MayStop(*other) ||
+        gained(*other).cpu_millis >= need.cpu_millis) {
+      continue;
+    }
+    if (Worker* to = RoomElsewhere(*other, worker, {})) {
+      moves.push_back({.task = other, .to = to});
+    }
+  }
+  const auto one = std::ranges::find_if(moves, [&](const Move& move) {
+    return Fits(need, room + gained(*move.task));
+  });
+  if (one != moves.end()) {
+    return {*one};
+  }
+  for (auto first = moves.begin(); first != moves.end(); ++first) {
+    for (auto second = std::next(first); second != moves.end(); ++second) {
+      // Two tasks of one job could break its promise about its others.
+      if (first->task->job == second->task->job ||
+          !Fits(need, room + gained(*first->task) + gained(*second->task))) {
+        continue;
+      }
+      if (Worker* to =
+              RoomElsewhere(*second->task, worker, std::span(&*first, 1))) {
+        return {*first, {.task = second->task, .to = to}};
+      }
+    }
+  }
+  return {};
+}
+
+// Moves smaller lasting tasks off a worker, so that the room there is in one
+// piece for @p task.
+// @returns false if there are none that can be moved.
+bool SliceScheduler::MakeRoom(const Task& task) {
+  const Job& job = *task.job;
+  std::vector<Move> moves;
+  Worker* chosen = nullptr;
+  for (const auto& worker : workers_.all()) {
+    if (claims_.contains(worker->id) ||
+        !Suits(*worker, job, job.groups[task.group])) {
+      continue;
+    }
+    std::vector<Move> found = FindMoves(task, *worker);
+    if (!found.empty() && (moves.empty() || found.size() < moves.size())) {
+      moves = std::move(found);
+      chosen = worker.get();
+    }
+  }
+  if (chosen == nullptr) {
+    return false;
+  }
+  Claim(*chosen, task);
+  for (const Move& move : moves) {
+    options_.log(
+        core::LogLine("room_made")
+            .Add("for", ToText(job.AddressOf(task)))
+            .Add("moved", ToText(move.task->job->AddressOf(*move.task)))
+            .Add("worker", chosen->entry.id)
+            .Add("to", move.to->entry.id));
+    // Without this, several tasks were moved into the same room.
+    Claim(*move.to, *move.task);
+    StopShortTasks(Reservation(move.task->job->StepOf(*move.task)), *move.to);
+    Dispatch(*move.task, "halt");
+  }
+  return true;
+}
+
+void SliceScheduler::Claim(const Worker& worker, const Task& task) {
+  claims_[worker.id] = {.task = &task,
+                        .need = Reservation(task.job->StepOf(task)),
+                        .since = now_,
+                        .until = now_ + kClaimTime};
+}
+
+// @returns true if the worker is kept for another task, and @p need would take
+// from what is kept. Spare work reserves no processors.
+bool SliceScheduler::IsClaimed(const Worker& worker,
+                               const Task& task,
+                               const core::Resources& need) const {
+  const auto claim = claims_.find(worker.id);
+  if (claim == claims_.end() || claim->second.task == &task ||
+      now_ >= claim->second.until) {
+    return false;
+  }
+  const core::Resources left = worker.free() - need;
+  return need.cpu_millis > 0 || need.accelerators > 0 ||
+         left.memory_bytes < claim->second.need.memory_bytes;
+}
+
+}  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -284,6 +284,12 @@
   }
 }
 
+void SliceWorld::OfferRoomElsewhere(RowVersion incoming) {
+  owner->SetLoads({SliceLoad{}, SliceLoad{.capacity_millis = 100'000,
+                                          .lasting_room_millis = {32'000},
+                                          .incoming = incoming}});
+}
+
 JobPhase SliceWorld::PhaseOf(const std::string& id) const {
   const auto row = store.Find(ProgressRow(kSlice, id));
   REQUIRE(row.has_value());
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -56,6 +56,10 @@
   /// Ends a worker that was leaving.
   void Remove(const std::string& id);
 
+  /// Tells the owner that the other slice has a whole worker free. @param
+  /// incoming version of the announcement that the other slice has seen.
+  void OfferRoomElsewhere(RowVersion incoming = 0);
+
   JobPhase PhaseOf(const std::string& id) const;
 
   static TaskAddress Task(const std::string& job, std::uint32_t step = 0) {
