Log why ready tasks wait, and rounds of decisions that take long

The logs did not tell the hypotheses of docs/incidents/lost-work.md apart: nothing said what keeps each worker from taking a ready task, nor how long a round of decisions takes. Three lines, each at most once a second and slice: task_waits (the group that has waited longest with nothing at work, workers by obstacle, the most room next to serving tasks), restored_jobs_wait (workers without a report after a takeover), scheduler_round_slow (300 ms or more). slice_load counts how often workers are considered for a task.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -58,6 +58,8 @@
   std::uint32_t count = 0;
   std::uint32_t open = 0;  ///< Tasks that are not done.
   bool unblocked = false;
+  /// Since when a task has been ready and none has been at a worker.
+  std::optional<core::TimePoint> idle_since;
   ImageId image;
 };
 
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -120,6 +120,10 @@
   /// nothing before its jobs have been read.
   std::optional<SliceLoad> load();
 
+  /// @returns how often a worker was considered for a task, which is what
+  /// placement spends its time on.
+  std::uint64_t considerations() const { return considerations_; }
+
   /// @returns true once a worker has refused this epoch.
   bool deposed() const { return deposed_; }
   core::SliceId slice() const { return options_.id; }
@@ -140,6 +144,20 @@
   };
   using PendingCall = std::variant<TaskCall, RenewalCall, PaceCall>;
 
+  /// Why a worker does not get a task.
+  enum class Obstacle {
+    kNone,
+    kNotUsable,  ///< Silent, unlisted, leaving or quarantined.
+    kOtherService,
+    kNoLabel,
+    kSpread,  ///< It has as many tasks of the step as it may have.
+    kNoRoom,
+    kKeptForOther,  ///< Kept for a lasting task.
+    kNoSpareCpu,
+    kOverTarget,  ///< A task that serves there misses its target.
+    kDisturbs,    ///< A task that serves there would come near its target.
+  };
+
   /// A lasting task that goes to another worker.
   struct Move {
     Task* task = nullptr;
@@ -219,16 +237,28 @@
   // Placement.
   void Place();
   bool PlaceGroup(Job& job, Group& group);
+  void NoteIdle(Job& job, Group& group) const;
+  Obstacle FindMismatch(const Worker& worker,
+                        const Job& job,
+                        const Group& group) const;
   bool Suits(const Worker& worker, const Job& job, const Group& group) const;
+  Obstacle FindObstacle(Worker& worker,
+                        const Job& job,
+                        const Group& group,
+                        const Task& task) const;
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
-  bool TakesSpareWork(Worker& worker,
-                      ImageId image,
-                      const StepSpec& step) const;
+  Obstacle FindSpareWorkObstacle(Worker& worker,
+                                 ImageId image,
+                                 const StepSpec& step) const;
   static bool Serves(const Worker& worker);
   double Score(Worker& worker, ImageId image, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
+  // Waits.
+  void LogWait(Job& job, const Group& group);
+  void LogUnconfirmed();
+
   // Room for lasting tasks.
   bool KeepFree(const Task& task);
   bool MakeRoom(const Task& task);
@@ -353,6 +383,9 @@
   RowVersion incoming_version_ = 0;
   core::TimePoint incoming_until_;
 
+  mutable std::uint64_t considerations_ = 0;
+  core::TimePoint next_wait_log_;
+  core::TimePoint next_unconfirmed_log_;
   core::TimePoint next_load_log_;
   core::TimePoint next_commit_log_;
 
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -265,7 +265,8 @@
                    .Add("used_millis", used.cpu_millis)
                    .Add("lasting_millis", lasting)
                    .Add("spare_demand_millis", spare_demand)
-                   .Add("kept_free", claims_.size()));
+                   .Add("kept_free", claims_.size())
+                   .Add("considerations", considerations_));
 }
 
 std::optional<SliceLoad> SliceScheduler::load() {
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -207,14 +207,20 @@
   return static_cast<int>(images.size());
 }
 
-bool SliceScheduler::TakesSpareWork(Worker& worker,
-                                    ImageId image,
-                                    const StepSpec& step) const {
+SliceScheduler::Obstacle SliceScheduler::FindSpareWorkObstacle(
+    Worker& worker,
+    ImageId image,
+    const StepSpec& step) const {
   RefreshRooms(worker);
-  return worker.over_target_since == core::TimePoint::max() &&
-         worker.spare_millis >=
-             kLeastSpareShare * static_cast<double>(step.need.cpu_millis) &&
-         RoomOn(worker, image, step) >= 0;
+  if (worker.over_target_since != core::TimePoint::max()) {
+    return Obstacle::kOverTarget;
+  }
+  if (worker.spare_millis <
+      kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
+    return Obstacle::kNoSpareCpu;
+  }
+  return RoomOn(worker, image, step) >= 0 ? Obstacle::kNone
+                                          : Obstacle::kDisturbs;
 }
 
 void SliceScheduler::NoteTargets(Worker& worker) const {
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -56,11 +56,27 @@
   return IsState(task, states_.ready) && now_ >= task.not_before;
 }
 
+// A gang of tasks that is at work in part counts as at work.
+void SliceScheduler::NoteIdle(Job& job, Group& group) const {
+  const auto tasks = job.TasksOf(group);
+  const bool idle =
+      std::ranges::any_of(
+          tasks,
+          [this](const Task& task) { return IsState(task, states_.ready); }) &&
+      std::ranges::none_of(
+          tasks, [](const Task& task) { return task.worker.valid(); });
+  group.idle_since =
+      idle ? std::optional(group.idle_since.value_or(now_)) : std::nullopt;
+}
+
 void SliceScheduler::Place() {
   if (config_ == nullptr || !restored_) {
     return;
   }
   const bool confirmed = AllConfirmed();
+  if (!confirmed) {
+    LogUnconfirmed();
+  }
   std::vector<Candidate> candidates;
   jobs_.ForEach([&](Job& job) {
     if (job.halted || (job.restored && !confirmed)) {
@@ -72,6 +88,7 @@
           std::ranges::any_of(job.TasksOf(group), [this](const Task& task) {
             return IsState(task, states_.ready);
           });
+      NoteIdle(job, group);
       if (ready) {
         candidates.push_back(
             {.job = &job,
@@ -102,6 +119,13 @@
       }
     }
   }
+  const auto longest = std::ranges::min_element(
+      candidates, {}, [this](const Candidate& candidate) {
+        return candidate.group->idle_since.value_or(now_);
+      });
+  if (longest != candidates.end()) {
+    LogWait(*longest->job, *longest->group);
+  }
 }
 
 // @returns false if there is no room for one of the tasks.
@@ -167,35 +191,66 @@
 }
 
 // Everything but the free capacity.
-bool SliceScheduler::Suits(const Worker& worker,
-                           const Job& job,
-                           const Group& group) const {
+SliceScheduler::Obstacle SliceScheduler::FindMismatch(
+    const Worker& worker,
+    const Job& job,
+    const Group& group) const {
+  ++considerations_;
   const StepSpec& step = job.StepOf(group);
-  if (!MayUse(worker) || worker.entry.service != job.queue.service ||
-      (!step.required_label.empty() && !worker.HasLabel(step.required_label))) {
-    return false;
+  if (!MayUse(worker)) {
+    return Obstacle::kNotUsable;
+  }
+  if (worker.entry.service != job.queue.service) {
+    return Obstacle::kOtherService;
+  }
+  if (!step.required_label.empty() && !worker.HasLabel(step.required_label)) {
+    return Obstacle::kNoLabel;
   }
   if (step.max_per_worker == 0) {
-    return true;
+    return Obstacle::kNone;
   }
   const auto same_step =
       std::ranges::count_if(worker.tasks, [&](const Task* other) {
         return other->job == &job && &job.groups[other->group] == &group;
       });
-  return same_step < std::int64_t{step.max_per_worker};
+  return same_step < std::int64_t{step.max_per_worker} ? Obstacle::kNone
+                                                       : Obstacle::kSpread;
+}
+
+bool SliceScheduler::Suits(const Worker& worker,
+                           const Job& job,
+                           const Group& group) const {
+  return FindMismatch(worker, job, group) == Obstacle::kNone;
+}
+
+SliceScheduler::Obstacle SliceScheduler::FindObstacle(Worker& worker,
+                                                      const Job& job,
+                                                      const Group& group,
+                                                      const Task& task) const {
+  const StepSpec& step = job.StepOf(group);
+  const core::Resources need = Reservation(step);
+  if (!Fits(need, worker.free())) {
+    return Obstacle::kNoRoom;
+  }
+  const Obstacle mismatch = FindMismatch(worker, job, group);
+  if (mismatch != Obstacle::kNone) {
+    return mismatch;
+  }
+  if (IsClaimed(worker, task, need)) {
+    return Obstacle::kKeptForOther;
+  }
+  return step.uses_spare_cpu ? FindSpareWorkObstacle(worker, group.image, step)
+                             : Obstacle::kNone;
 }
 
 Worker* SliceScheduler::ChooseWorker(const Job& job,
                                      const Group& group,
                                      const Task& task) {
   const StepSpec& step = job.StepOf(group);
-  const core::Resources need = Reservation(step);
   Worker* best = nullptr;
   double best_score = 0;
   for (const auto& worker : workers_.all()) {
-    if (!Fits(need, worker->free()) || !Suits(*worker, job, group) ||
-        IsClaimed(*worker, task, need) ||
-        (step.uses_spare_cpu && !TakesSpareWork(*worker, group.image, step))) {
+    if (FindObstacle(*worker, job, group, task) != Obstacle::kNone) {
       continue;
     }
     double score = Score(*worker, group.image, step);
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -135,7 +135,10 @@
        .limits = {.longest_lease = milliseconds(6000),
                   .keep_final_jobs = milliseconds(120'000)},
        .read_document = ReadSteps,
-       .log = [](const core::LogLine&) {}},
+       .log =
+           [this](const core::LogLine& line) {
+             log.emplace_back(line.text());
+           }},
       {.task_run = TaskChart(), .worker_contact = ContactChart()}, ids_, now_,
       problems);
   REQUIRE(problems.empty());
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -74,6 +74,9 @@
   std::string slow_table;
   std::size_t commits = 0;
 
+  /// What the owners have logged.
+  std::vector<std::string> log;
+
   /// Rows that readings of the job table show although they are removed.
   std::vector<Row> late_rows;
 
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -17,6 +17,10 @@
 // Workers that leave must get no task after 2 s.
 constexpr core::Duration kRegistryFollowWait = milliseconds(1000);
 
+// A slice that is not renewed for 2.8 s is claimed by another process.
+constexpr core::Duration kSlowRound = milliseconds(300);
+constexpr core::Duration kSlowRoundLogInterval = milliseconds(1000);
+
 }  // namespace
 
 SchedulerDuty::SchedulerDuty(const Ports& ports,
@@ -90,10 +94,28 @@
     }
     TakeNotices(now);
     CarryOut(now);
+    LogSlowRound(now);
     inputs_.WaitDrain(inputs, NextTimer());
   }
 }
 
+// Says when a round of decisions has held up renewals and answers.
+void SchedulerDuty::LogSlowRound(core::TimePoint begun) {
+  const core::TimePoint end = Now();
+  if (end < begun + kSlowRound || end < next_slow_round_log_) {
+    return;
+  }
+  next_slow_round_log_ = end + kSlowRoundLogInterval;
+  std::uint64_t considerations = 0;
+  for (const auto& [id, scheduler] : schedulers_) {
+    considerations += scheduler->considerations();
+  }
+  options_.log(core::LogLine("scheduler_round_slow")
+                   .Add("ms", core::ToMillis(end - begun))
+                   .Add("slices", schedulers_.size())
+                   .Add("considerations", considerations));
+}
+
 void SchedulerDuty::Take(SchedulerInput&& input, core::TimePoint now) {
   std::visit(
       core::Overloaded{
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -79,6 +79,7 @@
   void ShareLoads();
   void Gain(const jobs::SliceGained& gained, core::TimePoint now);
   void CarryOut(core::TimePoint now);
+  void LogSlowRound(core::TimePoint begun);
   template <typename Command>
   void Send(const Command& command, core::TimePoint now);
   core::TimePoint NextTimer() const;
@@ -94,6 +95,7 @@
   std::map<std::string, jobs::WorkerEntry> registry_;
   jobs::QueueConfigPtr config_;
   runtime::Ring<SchedulerInput> inputs_;
+  core::TimePoint next_slow_round_log_;
   http::Upstream* upstream_ = nullptr;
   runtime::DutyThread thread_;
 };
