Start spare work that no service has room for, slowed, after 1.5 s

Cause: spare work only started on a worker whose serving tasks have room for it at full pace. An image that disturbs all images that serve in its slice found none, without a limit of time. Class: admission by a condition that can stay false for ever, without ageing.

Now a group of spare tasks with nothing at work for 1.5 s may take a worker that is short of room; the pace is lowered as soon as the start is accepted, and rises with the room that the services leave.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -40,6 +40,7 @@
   std::uint32_t pace_percent = 100;  ///< As last ordered.
   bool pace_unsure = false;  ///< The order may not have been carried out.
   core::TimePoint slowed_since = core::TimePoint::max();
+  bool squeezed = false;  ///< Started where tasks that serve leave no room.
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
   bool stop_unanswered = false;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -217,6 +217,7 @@
   void LearnInterference(const Worker& worker);
   void NoteTargets(Worker& worker) const;
   void AdjustPace(Worker& worker);
+  void PaceSpareWork(Worker& worker);
   void SetPaceOf(Worker& worker, Task& task, std::uint32_t percent);
   int OtherServingImages(Worker& worker, ImageId image) const;
   void RefreshRooms(Worker& worker) const;
@@ -249,10 +250,14 @@
   void PlaceGang(Job& job, Group& group);
   Worker* ChooseWorker(const Job& job, const Group& group, const Task& task);
   Obstacle FindSpareWorkObstacle(Worker& worker,
-                                 ImageId image,
+                                 const Group& group,
                                  const StepSpec& step) const;
+  bool IsOverdue(const Group& group) const;
+  bool IsSqueezed(Worker& worker,
+                  const Group& group,
+                  const StepSpec& step) const;
   static bool Serves(const Worker& worker);
-  double Score(Worker& worker, ImageId image, const StepSpec& step) const;
+  double Score(Worker& worker, const Group& group, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
 
   // Waits.
@@ -345,6 +350,7 @@
   std::map<std::string, double, std::less<>> idle_tails_;
   /// By job: utilisation without spare work next to it.
   std::map<std::string, double, std::less<>> calm_utilisations_;
+  std::size_t squeezed_ = 0;  ///< Tasks that are Task::squeezed.
   bool placement_due_ = false;
   core::TimePoint next_placement_;
 
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -35,6 +35,15 @@
 constexpr double kLeastUtilisation = 0.05;
 constexpr double kFirstUtilisation = 0.5;  ///< Of a job without a report.
 
+// A group of spare tasks of which none is at work takes a worker without room
+// for it after this long. Callers miss work that is not at work for 3 s, and a
+// start takes up to 0.9 s if its first answer is lost.
+constexpr core::Duration kIdlePatience = std::chrono::milliseconds(1500);
+
+// One of this many workers may hold such a task: they work slowly, and keep
+// their memory from others.
+constexpr std::size_t kWorkersPerSqueezed = 8;
+
 // Room of a worker on which nothing serves.
 constexpr double kMostRoom = 10;
 
@@ -209,7 +218,7 @@
 
 SliceScheduler::Obstacle SliceScheduler::FindSpareWorkObstacle(
     Worker& worker,
-    ImageId image,
+    const Group& group,
     const StepSpec& step) const {
   RefreshRooms(worker);
   if (worker.over_target_since != core::TimePoint::max()) {
@@ -219,8 +228,21 @@
       kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
     return Obstacle::kNoSpareCpu;
   }
-  return RoomOn(worker, image, step) >= 0 ? Obstacle::kNone
-                                          : Obstacle::kDisturbs;
+  // What starts without room is slowed at once.
+  return IsSqueezed(worker, group, step) && !IsOverdue(group)
+             ? Obstacle::kDisturbs
+             : Obstacle::kNone;
+}
+
+bool SliceScheduler::IsSqueezed(Worker& worker,
+                                const Group& group,
+                                const StepSpec& step) const {
+  return step.uses_spare_cpu && RoomOn(worker, group.image, step) < 0;
+}
+
+bool SliceScheduler::IsOverdue(const Group& group) const {
+  return group.idle_since && now_ >= *group.idle_since + kIdlePatience &&
+         squeezed_ * kWorkersPerSqueezed < workers_.all().size();
 }
 
 void SliceScheduler::NoteTargets(Worker& worker) const {
@@ -234,11 +256,15 @@
       over ? std::min(worker.over_target_since, now_) : core::TimePoint::max();
 }
 
-// The least disturbing spare work keeps its full speed until the tails' room
-// is used up.
 void SliceScheduler::AdjustPace(Worker& worker) {
   LearnInterference(worker);
   NoteTargets(worker);
+  PaceSpareWork(worker);
+}
+
+// The least disturbing spare work keeps its full speed until the tails' room
+// is used up.
+void SliceScheduler::PaceSpareWork(Worker& worker) {
   worker.rooms_valid = false;
   std::vector<Task*> spare;
   std::ranges::copy_if(
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -27,6 +27,7 @@
   bool long_running = false;
   bool worthless = false;
   bool late = false;
+  bool overdue = false;
 
   // Tasks that must stay up first, then jobs that can still be of use, by
   // priority, those that can still meet their objective, and objective. In an
@@ -41,8 +42,8 @@
   bool NeedsNoLessThan(const Candidate& other) const {
     const StepSpec& step = job->StepOf(*group);
     const StepSpec& smaller = other.job->StepOf(*other.group);
-    return !step.long_running && smaller.max_per_worker == 0 &&
-           smaller.required_label.empty() &&
+    return !step.long_running && (other.overdue || !overdue) &&
+           smaller.max_per_worker == 0 && smaller.required_label.empty() &&
            step.uses_spare_cpu == smaller.uses_spare_cpu &&
            group->image == other.group->image &&
            job->queue.service == other.job->queue.service &&
@@ -95,7 +96,8 @@
              .group = &group,
              .long_running = job.StepOf(group).long_running,
              .worthless = now_ > job.worthless,
-             .late = now_ + RemainingChain(job) > job.objective});
+             .late = now_ + RemainingChain(job) > job.objective,
+             .overdue = IsOverdue(group)});
       }
     }
   });
@@ -130,6 +132,7 @@
 
 // @returns false if there is no room for one of the tasks.
 bool SliceScheduler::PlaceGroup(Job& job, Group& group) {
+  const StepSpec& step = job.StepOf(group);
   for (Task& task : job.TasksOf(group)) {
     if (!IsState(task, states_.ready)) {
       continue;
@@ -140,7 +143,7 @@
     }
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
-      if (job.StepOf(group).long_running) {
+      if (step.long_running) {
         if (!KeepFree(task) && !MakeRoom(task)) {
           job.unplaced_since = job.unplaced_since.value_or(now_);
         }
@@ -149,6 +152,9 @@
       return false;
     }
     task.worker = worker->id;
+    task.squeezed = IsSqueezed(*worker, group, step);
+    squeezed_ += task.squeezed ? 1 : 0;
+    group.idle_since.reset();
     Dispatch(task, "place");
     DropClaims(task);
   }
@@ -238,7 +244,7 @@
   if (IsClaimed(worker, task, need)) {
     return Obstacle::kKeptForOther;
   }
-  return step.uses_spare_cpu ? FindSpareWorkObstacle(worker, group.image, step)
+  return step.uses_spare_cpu ? FindSpareWorkObstacle(worker, group, step)
                              : Obstacle::kNone;
 }
 
@@ -253,7 +259,7 @@
     if (FindObstacle(*worker, job, group, task) != Obstacle::kNone) {
       continue;
     }
-    double score = Score(*worker, group.image, step);
+    double score = Score(*worker, group, step);
     if (worker->id == task.last_failed_on) {
       score -= kFarDataPenaltyMillis;
     }
@@ -266,18 +272,18 @@
 }
 
 double SliceScheduler::Score(Worker& worker,
-                             ImageId image,
+                             const Group& group,
                              const StepSpec& step) const {
   const double far = !step.data_rack.empty() && !worker.HasLabel(step.data_rack)
                          ? kFarDataPenaltyMillis
                          : 0;
   if (step.uses_spare_cpu) {
     return worker.spare_millis - far +
-           kRoomMillis * std::min(RoomOn(worker, image, step), 1.0);
+           kRoomMillis * std::min(RoomOn(worker, group.image, step), 1.0);
   }
   const double apart =
       step.latency_target > core::Duration()
-          ? kOtherImagePenaltyMillis * OtherServingImages(worker, image)
+          ? kOtherImagePenaltyMillis * OtherServingImages(worker, group.image)
           : 0;
   return static_cast<double>(worker.free().cpu_millis -
                              worker.spare_cpu_demand) -
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -145,6 +145,7 @@
   Worker& worker = workers_.Get(task.worker);
   worker.Release(task.job->StepOf(task));
   std::erase(worker.tasks, &task);
+  squeezed_ -= std::exchange(task.squeezed, false) ? 1 : 0;
   task.worker = core::WorkerId();
   task.settled = core::TimePoint::max();
   placement_due_ = true;
@@ -221,6 +222,10 @@
   switch (answer.outcome) {
     case OrderOutcome::kCarriedOut:
       Dispatch(task, "accepted");
+      if (task.squeezed) {
+        // It has started at full pace.
+        PaceSpareWork(worker);
+      }
       break;
     case OrderOutcome::kSuperseded:
       // An unanswered order of the same run came first: the next report says
--- a/packages/jobs/tests/slice_interference_test.cc
+++ b/packages/jobs/tests/slice_interference_test.cc
@@ -101,12 +101,21 @@
 TEST_CASE("spare work that disturbs every service starts slowed after a while",
           "[interference]") {
   BusyService world;
+  // Near the share of the target that may be used up.
+  world.workers.SetUsage(SliceWorld::Task("serving"), 65);
+  world.Advance(30s);
   world.Submit("spare", "f");
   world.Advance(1s);
   REQUIRE(world.workers.starts(SliceWorld::Task("spare")) == 0);
   // Accepted work must be at work again within 3 s.
-  world.Advance(2s);
-  CHECK(world.workers.WorkerOf(SliceWorld::Task("spare")) == "w1");
+  for (auto waited = 1000ms; waited < 3000ms; waited += 10ms) {
+    if (world.workers.starts(SliceWorld::Task("spare")) == 1) {
+      break;
+    }
+    world.Advance(10ms);
+  }
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("spare")) == "w1");
+  world.Advance(20ms);
   CHECK(world.workers.PaceOf(SliceWorld::Task("spare")) < 50);
 }
 
