Bound what a placement pass spends on lasting tasks without room

Cause: for each lasting task without a place, a pass looked at each lasting task of each worker and, for each of these, at each worker. With 143 waiting tasks on 87 workers a pass took 2.4 s of an owner with half a core. Meanwhile it renewed neither its slice nor leases and read no cancellation; a process with 0.069 cores took the slice over and fared worse. Class: work for a waiting item that grows with the square of the fleet, without a limit, on the thread that also keeps leases.

Ruled out: the store (other slices renewed at the same time), links (200 Mbit/s, idle).

Now a group that finds no room stands for all lasting groups that need as much; searches for tasks that could move are at most three in 100 ms, one a job in 500 ms, and look for a target in a list sorted by room; searches for a job that could go instead are at most one in 100 ms. What lasting tasks reserve is summed as they come and go. Groups that are passed over no longer count towards the 100 that a pass tries, so that lasting tasks without room do not hold up others.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -80,6 +80,9 @@
   bool transferring = false;  ///< To another slice.
   /// Since when a lasting task has had no place.
   std::optional<core::TimePoint> unplaced_since;
+  /// When to look again for tasks that could make room for one of this job.
+  core::TimePoint next_search;
+  core::TimePoint next_swap;  ///< The same for jobs that could go instead.
   core::TimePoint taken;      ///< When this owner learned of it.
   core::TimePoint objective;  ///< When the job should be completed.
   core::TimePoint worthless;  ///< Completed later, it is of no use.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -164,6 +164,10 @@
     Worker* to = nullptr;
   };
 
+  /// Workers that lasting tasks may move to, by the processors that are not
+  /// reserved by lasting tasks.
+  using RoomIndex = std::vector<Worker*>;
+
   /// Writes that wait for an answer.
   struct Commit {
     CommitRows rows;
@@ -238,6 +242,7 @@
   // Placement.
   void Place();
   bool PlaceGroup(Job& job, Group& group);
+  bool HasKeptWorker(const Task& task) const;
   void NoteIdle(Job& job, Group& group) const;
   Obstacle FindMismatch(const Worker& worker,
                         const Job& job,
@@ -267,10 +272,15 @@
   // Room for lasting tasks.
   bool KeepFree(const Task& task);
   bool MakeRoom(const Task& task);
-  std::vector<Move> FindMoves(const Task& task, const Worker& worker);
+  std::vector<Move> FindMoves(const Task& task,
+                              const Worker& worker,
+                              const RoomIndex& rooms);
+  RoomIndex IndexRooms();
   Worker* RoomElsewhere(const Task& task,
                         const Worker& from,
+                        const RoomIndex& rooms,
                         std::span<const Move> taken);
+  bool MaySearch(Job& job);
   void StopShortTasks(const core::Resources& need, const Worker& worker);
   bool MayStop(const Task& task) const;
   void Claim(const Worker& worker, const Task& task);
@@ -278,7 +288,6 @@
   bool IsClaimed(const Worker& worker,
                  const Task& task,
                  const core::Resources& need) const;
-  static core::Resources LastingOn(const Worker& worker);
 
   // Moves.
   void MoveTasks();
@@ -346,6 +355,7 @@
   core::NameTable<ImageId> images_;
   InterferenceModel interference_;
   core::TimePoint next_move_;
+  core::TimePoint next_transfer_;
   /// By image that serves: the smallest tail seen, in milliseconds.
   std::map<std::string, double, std::less<>> idle_tails_;
   /// By job: utilisation without spare work next to it.
@@ -383,6 +393,10 @@
     core::TimePoint until;
   };
   std::map<core::WorkerId, KeptFor> claims_;
+  /// Tasks of claims_ at the start of a placement pass.
+  std::set<const Task*> kept_for_;
+  core::TimePoint search_tick_;
+  std::size_t searches_ = 0;  ///< Since search_tick_.
   std::vector<std::optional<SliceLoad>> loads_;
   /// Of the last job that was announced by another slice, and until when room
   /// is kept for it.
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -36,7 +36,8 @@
   /// Nothing runs there later than this unless the lease is renewed.
   core::TimePoint lease_end;
 
-  core::Resources used;  ///< Reserved by tasks.
+  core::Resources used;     ///< Reserved by tasks.
+  core::Resources lasting;  ///< The part of tasks that do not end.
   std::int64_t spare_cpu_demand = 0;
   std::vector<Task*> tasks;
 
@@ -74,6 +75,9 @@
   void Release(const StepSpec& step);
 
   core::Resources free() const { return entry.capacity - used; }
+
+  /// @returns what lasting tasks can have if all others make way.
+  core::Resources lasting_room() const { return entry.capacity - lasting; }
 };
 
 /// @returns where orders for the worker go.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -252,7 +252,7 @@
     capacity += worker->entry.capacity;
     used += worker->used;
     spare_demand += worker->spare_cpu_demand;
-    lasting += LastingOn(*worker).cpu_millis;
+    lasting += worker->lasting.cpu_millis;
   }
   options_.log(core::LogLine("slice_load")
                    .Add("slice", options_.slice.name)
@@ -284,15 +284,14 @@
         const bool stays =
             worker->listed && !worker->entry.draining &&
             charts_.worker_contact.StateName(worker->contact) == "live";
-        return !stays && LastingOn(*worker).cpu_millis > 0;
+        return !stays && worker->lasting.cpu_millis > 0;
       });
   const bool offers_room = !needs_room && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
     if (MayUse(*worker)) {
       load.capacity_millis += worker->entry.capacity.cpu_millis;
       if (offers_room && !claims_.contains(worker->id)) {
-        load.lasting_room_millis.push_back(
-            (worker->entry.capacity - LastingOn(*worker)).cpu_millis);
+        load.lasting_room_millis.push_back(worker->lasting_room().cpu_millis);
       }
     }
   }
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -42,10 +42,11 @@
   bool NeedsNoLessThan(const Candidate& other) const {
     const StepSpec& step = job->StepOf(*group);
     const StepSpec& smaller = other.job->StepOf(*other.group);
-    return !step.long_running && (other.overdue || !overdue) &&
-           smaller.max_per_worker == 0 && smaller.required_label.empty() &&
+    return step.long_running == smaller.long_running &&
+           (other.overdue || !overdue) && smaller.max_per_worker == 0 &&
+           smaller.required_label.empty() &&
            step.uses_spare_cpu == smaller.uses_spare_cpu &&
-           group->image == other.group->image &&
+           (group->image == other.group->image || !step.uses_spare_cpu) &&
            job->queue.service == other.job->queue.service &&
            Fits(smaller.need, step.need);
   }
@@ -102,23 +103,34 @@
     }
   });
   std::ranges::sort(candidates, {}, &Candidate::Key);
-  if (candidates.size() > kGroupsPerPass) {
-    candidates.resize(kGroupsPerPass);
+  kept_for_.clear();
+  for (const auto& [id, claim] : claims_) {
+    kept_for_.insert(claim.task);
   }
+  std::size_t tries = 0;
   std::vector<const Candidate*> unplaced;
   for (const Candidate& candidate : candidates) {
+    Job& job = *candidate.job;
+    Group& group = *candidate.group;
+    const bool kept = std::ranges::any_of(
+        job.TasksOf(group),
+        [this](const Task& task) { return HasKeptWorker(task); });
     const auto needs_no_less = [&](const Candidate* other) {
       return candidate.NeedsNoLessThan(*other);
     };
-    if (std::ranges::any_of(unplaced, needs_no_less)) {
+    if (!kept && std::ranges::any_of(unplaced, needs_no_less)) {
+      if (candidate.long_running) {
+        job.unplaced_since = job.unplaced_since.value_or(now_);
+      }
       continue;
     }
-    if (candidate.job->StepOf(*candidate.group).gang) {
-      PlaceGang(*candidate.job, *candidate.group);
-    } else {
-      if (!PlaceGroup(*candidate.job, *candidate.group)) {
-        unplaced.push_back(&candidate);
-      }
+    if (++tries > kGroupsPerPass) {
+      break;
+    }
+    if (job.StepOf(group).gang) {
+      PlaceGang(job, group);
+    } else if (!PlaceGroup(job, group)) {
+      unplaced.push_back(&candidate);
     }
   }
   const auto longest = std::ranges::min_element(
@@ -130,9 +142,14 @@
   }
 }
 
+bool SliceScheduler::HasKeptWorker(const Task& task) const {
+  return kept_for_.contains(&task);
+}
+
 // @returns false if there is no room for one of the tasks.
 bool SliceScheduler::PlaceGroup(Job& job, Group& group) {
   const StepSpec& step = job.StepOf(group);
+  bool room = true;
   for (Task& task : job.TasksOf(group)) {
     if (!IsState(task, states_.ready)) {
       continue;
@@ -141,15 +158,19 @@
       placement_due_ = true;
       continue;
     }
+    if (!room && !HasKeptWorker(task)) {
+      continue;
+    }
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
-      if (step.long_running) {
-        if (!KeepFree(task) && !MakeRoom(task)) {
-          job.unplaced_since = job.unplaced_since.value_or(now_);
-        }
-        continue;
+      if (!step.long_running) {
+        return false;
       }
-      return false;
+      if (!KeepFree(task) && !(MaySearch(job) && MakeRoom(task))) {
+        job.unplaced_since = job.unplaced_since.value_or(now_);
+        room = false;
+      }
+      continue;
     }
     task.worker = worker->id;
     task.squeezed = IsSqueezed(*worker, group, step);
@@ -158,7 +179,7 @@
     Dispatch(task, "place");
     DropClaims(task);
   }
-  return true;
+  return room;
 }
 
 // A gang waits, and holds capacity, until all of its members are present.
--- a/packages/jobs/src/slice_room.cc
+++ b/packages/jobs/src/slice_room.cc
@@ -15,17 +15,30 @@
 // last run, and a stop takes 200 ms.
 constexpr core::Duration kShortTaskPatience = std::chrono::milliseconds(1000);
 
+// Searches for tasks that could move, each of which looks at all lasting tasks
+// of the slice. A waiting task finds no more room by a search before other
+// tasks have ended or moved.
+constexpr std::size_t kSearchesPerTick = 3;
+constexpr core::Duration kSearchPause = std::chrono::milliseconds(500);
+
+std::int64_t CpuRoomOf(const Worker* worker) {
+  return worker->lasting_room().cpu_millis;
+}
+
 }  // namespace
 
-core::Resources SliceScheduler::LastingOn(const Worker& worker) {
-  core::Resources lasting;
-  for (const Task* task : worker.tasks) {
-    const StepSpec& step = task->job->StepOf(*task);
-    if (step.long_running) {
-      lasting += Reservation(step);
-    }
+// @returns false if the job has been searched for lately, or too many others.
+bool SliceScheduler::MaySearch(Job& job) {
+  if (now_ >= search_tick_ + kTick) {
+    search_tick_ = now_;
+    searches_ = 0;
   }
-  return lasting;
+  if (searches_ >= kSearchesPerTick || now_ < job.next_search) {
+    return false;
+  }
+  ++searches_;
+  job.next_search = now_ + kSearchPause;
+  return true;
 }
 
 // Keeps the worker that will soonest have room for a task that must stay up
@@ -51,7 +64,7 @@
   for (const auto& worker : workers_.all()) {
     const bool suits = Suits(*worker, job, group) &&
                        !IsClaimed(*worker, task, need) &&
-                       Fits(need, worker->entry.capacity - LastingOn(*worker));
+                       Fits(need, worker->lasting_room());
     if (suits && (best == nullptr ||
                   worker->free().cpu_millis > best->free().cpu_millis)) {
       best = worker.get();
@@ -123,51 +136,58 @@
   return away < std::int64_t{step.max_unavailable};
 }
 
+SliceScheduler::RoomIndex SliceScheduler::IndexRooms() {
+  considerations_ += workers_.all().size();
+  RoomIndex rooms;
+  for (const auto& worker : workers_.all()) {
+    if (!claims_.contains(worker->id) && MayUse(*worker)) {
+      rooms.push_back(worker.get());
+    }
+  }
+  std::ranges::sort(rooms, {}, &CpuRoomOf);
+  return rooms;
+}
+
 // @returns the worker on which @p task leaves the least room for other lasting
 // tasks, if short tasks make way for it; never @p from or one of @p taken.
 Worker* SliceScheduler::RoomElsewhere(const Task& task,
                                       const Worker& from,
+                                      const RoomIndex& rooms,
                                       std::span<const Move> taken) {
   const Job& job = *task.job;
   const Group& group = job.groups[task.group];
   const core::Resources need = Reservation(job.StepOf(group));
-  Worker* best = nullptr;
-  std::int64_t least = 0;
-  considerations_ += workers_.all().size();
-  for (const auto& worker : workers_.all()) {
-    const core::Resources room = worker->entry.capacity - LastingOn(*worker);
-    const bool excluded =
-        worker.get() == &from || claims_.contains(worker->id) ||
-        std::ranges::find(taken, worker.get(), &Move::to) != taken.end();
-    if (excluded || !Fits(need, room) || !Suits(*worker, job, group)) {
-      continue;
-    }
-    if (best == nullptr || room.cpu_millis < least) {
-      best = worker.get();
-      least = room.cpu_millis;
-    }
-  }
-  return best;
+  const auto first =
+      std::ranges::lower_bound(rooms, need.cpu_millis, {}, &CpuRoomOf);
+  const auto found = std::find_if(first, rooms.end(), [&](Worker* worker) {
+    ++considerations_;
+    return worker != &from && Fits(need, worker->lasting_room()) &&
+           std::ranges::find(taken, worker, &Move::to) == taken.end() &&
+           Suits(*worker, job, group);
+  });
+  return found == rooms.end() ? nullptr : *found;
 }
 
 // @returns moves of one or two smaller lasting tasks off @p worker, after which
 // @p task fits there; none if there are no such moves.
 std::vector<SliceScheduler::Move> SliceScheduler::FindMoves(
     const Task& task,
-    const Worker& worker) {
+    const Worker& worker,
+    const RoomIndex& rooms) {
   const core::Resources need = Reservation(task.job->StepOf(task));
-  const core::Resources room = worker.entry.capacity - LastingOn(worker);
+  const core::Resources room = worker.lasting_room();
   const auto gained = [](const Task& other) {
     return Reservation(other.job->StepOf(other));
   };
   std::vector<Move> moves;
   for (Task* other : worker.tasks) {
     if (other->job == task.job || !other->job->StepOf(*other).long_running ||
-        !IsState(*other, states_.running) || !MayStop(*other) ||
+        !IsState(*other, states_.running) ||
         gained(*other).cpu_millis >= need.cpu_millis) {
       continue;
     }
-    if (Worker* to = RoomElsewhere(*other, worker, {})) {
+    Worker* to = RoomElsewhere(*other, worker, rooms, {});
+    if (to != nullptr && MayStop(*other)) {
       moves.push_back({.task = other, .to = to});
     }
   }
@@ -184,8 +204,8 @@
           !Fits(need, room + gained(*first->task) + gained(*second->task))) {
         continue;
       }
-      if (Worker* to =
-              RoomElsewhere(*second->task, worker, std::span(&*first, 1))) {
+      if (Worker* to = RoomElsewhere(*second->task, worker, rooms,
+                                     std::span(&*first, 1))) {
         return {*first, {.task = second->task, .to = to}};
       }
     }
@@ -198,18 +218,20 @@
 // @returns false if there are none that can be moved.
 bool SliceScheduler::MakeRoom(const Task& task) {
   const Job& job = *task.job;
+  const RoomIndex rooms = IndexRooms();
   std::vector<Move> moves;
   Worker* chosen = nullptr;
-  considerations_ += workers_.all().size();
-  for (const auto& worker : workers_.all()) {
-    if (claims_.contains(worker->id) ||
-        !Suits(*worker, job, job.groups[task.group])) {
+  for (Worker* worker : rooms) {
+    if (!Suits(*worker, job, job.groups[task.group])) {
       continue;
     }
-    std::vector<Move> found = FindMoves(task, *worker);
+    std::vector<Move> found = FindMoves(task, *worker, rooms);
     if (!found.empty() && (moves.empty() || found.size() < moves.size())) {
       moves = std::move(found);
-      chosen = worker.get();
+      chosen = worker;
+    }
+    if (moves.size() == 1) {
+      break;
     }
   }
   if (chosen == nullptr) {
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -27,6 +27,10 @@
 // without room.
 constexpr core::Duration kLeastStay = milliseconds(4000);
 
+// Pause between searches for another job that could go for a waiting one, each
+// of which looks at all tasks of the slice.
+constexpr core::Duration kSwapPause = milliseconds(500);
+
 bool IsLasting(const Job& job) {
   return std::ranges::all_of(job.spec.steps, &StepSpec::long_running);
 }
@@ -95,7 +99,8 @@
       if (other == nullptr || other == worker.get()) {
         if (leaving && step.long_running) {
           // Finds room while the worker is still there.
-          static_cast<void>(KeepFree(*task) || MakeRoom(*task));
+          static_cast<void>(KeepFree(*task) ||
+                            (MaySearch(*task->job) && MakeRoom(*task)));
         }
         continue;
       }
@@ -138,10 +143,12 @@
   std::erase_if(claims_, [this](const auto& claim) {
     return now_ >= claim.second.until;
   });
-  if (transfer_) {
+  if (transfer_ || now_ < next_transfer_) {
     return;
   }
-  jobs_.ForEach([this](Job& job) {
+  next_transfer_ = now_ + kTick;
+  bool searched = false;
+  jobs_.ForEach([&](Job& job) {
     if (transfer_ || !job.unplaced_since) {
       return;
     }
@@ -160,7 +167,10 @@
     const auto target = goes_itself ? ChooseSliceFor(job) : std::nullopt;
     if (target) {
       BeginTransfer(job, *target);
-    } else if (goes_itself || !MayStopAll(job)) {
+    } else if ((goes_itself || !MayStopAll(job)) && !searched &&
+               now_ >= job.next_swap) {
+      searched = true;
+      job.next_swap = now_ + kSwapPause;
       TransferOtherFor(job);
     }
   });
@@ -193,8 +203,8 @@
     }
     std::map<Job*, core::Resources> rooms;
     for (const Task* task : worker->tasks) {
-      rooms.try_emplace(task->job, worker->entry.capacity - LastingOn(*worker))
-          .first->second += Reservation(task->job->StepOf(*task));
+      rooms.try_emplace(task->job, worker->lasting_room()).first->second +=
+          Reservation(task->job->StepOf(*task));
     }
     for (const auto& [other, room] : rooms) {
       const bool smaller =
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -28,12 +28,18 @@
 void Worker::Reserve(const StepSpec& step) {
   rooms_valid = false;
   used += Reservation(step);
+  if (step.long_running) {
+    lasting += Reservation(step);
+  }
   spare_cpu_demand += step.uses_spare_cpu ? step.need.cpu_millis : 0;
 }
 
 void Worker::Release(const StepSpec& step) {
   rooms_valid = false;
   used -= Reservation(step);
+  if (step.long_running) {
+    lasting -= Reservation(step);
+  }
   spare_cpu_demand -= step.uses_spare_cpu ? step.need.cpu_millis : 0;
 }
 
