Let jobs avoid slices without a recent load

Cause: a slice without a published load, as each has between two owners, counted as empty, and an old load as a present one. Class: no news taken for good news; the part that fails draws the work.

Now a load that is missing, or over 4 s old, ranks behind slices with room, and for lasting jobs before full ones. Ruled out: the hash of the ids (the same ids spread evenly over the candidates while no load is known).

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -99,7 +99,9 @@
   };
 
   Intake(Options options, CallIds& ids)
-      : options_(std::move(options)), ids_(ids) {}
+      : options_(std::move(options)),
+        ids_(ids),
+        added_(options_.slices.size()) {}
 
   void SetConfig(QueueConfigPtr config) { config_ = std::move(config); }
 
@@ -142,6 +144,8 @@
               const Queue& queue,
               std::string job,
               std::int64_t unix_ms);
+  const SliceLoad* RecentLoad(std::size_t slice) const;
+  std::int64_t LastingMillis(std::size_t slice, const SliceLoad& load) const;
   std::size_t ChooseSlice(std::span<const std::size_t> candidates,
                           const JobDemand& demand);
   void ReadState(ClientCall call, const Queue& queue, std::string job);
@@ -170,7 +174,7 @@
   std::unordered_map<CallId, Pending> pending_;
   /// Load of each slice as published, and what this process has added since.
   std::vector<std::optional<SliceLoad>> loads_;
-  std::vector<JobDemand> added_;
+  std::vector<JobDemand> added_;  ///< By slice, since the loads were set.
   /// Slices of jobs that callers of this process have asked for.
   std::unordered_map<std::string, std::size_t> known_slices_;
   std::deque<std::string> known_order_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -53,6 +53,11 @@
          });
 }
 
+std::int64_t LastingLimit(const SliceLoad& load) {
+  return static_cast<std::int64_t>(kLastingShare *
+                                   static_cast<double>(load.capacity_millis));
+}
+
 }  // namespace
 
 std::string_view ToString(Refusal refusal) {
@@ -169,7 +174,7 @@
 
 void Intake::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
   loads_ = std::move(loads);
-  added_.assign(loads_.size(), JobDemand());
+  added_.assign(options_.slices.size(), JobDemand());
 }
 
 JobDemand DemandOf(const JobSpec& spec) {
@@ -188,23 +193,48 @@
   return widest;
 }
 
+// @returns nothing while the slice is between two owners, or its owner does not
+// keep up.
+const SliceLoad* Intake::RecentLoad(std::size_t slice) const {
+  const bool recent = slice < loads_.size() && loads_[slice] &&
+                      unix_ms_ <= loads_[slice]->unix_ms + kOldestLoadMs;
+  return recent ? &*loads_[slice] : nullptr;
+}
+
+std::int64_t Intake::LastingMillis(std::size_t slice,
+                                   const SliceLoad& load) const {
+  return load.lasting_millis + kUnseenFactor * added_[slice].lasting_millis;
+}
+
 // The slice whose wishes are the smallest share of its capacity; for a job that
-// reserves processors, the one with the smallest share reserved.
+// reserves processors, the one with the smallest share reserved. Slices without
+// a recent load come after those with room.
 std::size_t Intake::ChooseSlice(std::span<const std::size_t> candidates,
                                 const JobDemand& demand) {
-  loads_.resize(options_.slices.size());
-  added_.resize(options_.slices.size());
-  const auto share = [&](std::size_t slice) {
-    const auto load = loads_[slice].value_or(SliceLoad());
+  enum class Rank { kRoom, kUnknown, kFull };
+  const auto rank = [&](std::size_t slice, const SliceLoad* load) {
+    if (load == nullptr) {
+      return Rank::kUnknown;
+    }
+    const bool full = demand.lasting_millis > 0 &&
+                      LastingMillis(slice, *load) + demand.lasting_millis >
+                          LastingLimit(*load);
+    return full ? Rank::kFull : Rank::kRoom;
+  };
+  const auto preference = [&](std::size_t slice) {
+    const SliceLoad* recent = RecentLoad(slice);
+    const SliceLoad load = recent == nullptr ? SliceLoad() : *recent;
     const JobDemand& added = added_[slice];
     const std::int64_t wishes =
         demand.reserved_millis > 0
             ? load.reserved_millis + kUnseenFactor * added.reserved_millis
             : load.demand_millis + kUnseenFactor * added.millis;
-    return static_cast<double>(wishes) /
-           static_cast<double>(std::max<std::int64_t>(load.capacity_millis, 1));
+    const auto capacity = std::max<std::int64_t>(load.capacity_millis, 1);
+    return std::pair(rank(slice, recent), static_cast<double>(wishes) /
+                                              static_cast<double>(capacity));
   };
-  const std::size_t chosen = *std::ranges::min_element(candidates, {}, share);
+  const std::size_t chosen =
+      *std::ranges::min_element(candidates, {}, preference);
   added_[chosen].millis += demand.millis;
   added_[chosen].reserved_millis += demand.reserved_millis;
   added_[chosen].lasting_millis += demand.lasting_millis;
@@ -223,21 +253,19 @@
   std::string reason = "wants " + std::to_string(demand.lasting_millis) +
                        " thousandths of a core";
   for (const std::size_t slice : candidates) {
-    if (slice >= loads_.size() || !loads_[slice]) {
+    const SliceLoad* load = RecentLoad(slice);
+    if (load == nullptr) {
       return std::nullopt;  // Nothing speaks against it.
     }
-    const SliceLoad& load = *loads_[slice];
-    const std::int64_t lasting =
-        load.lasting_millis + kUnseenFactor * added_[slice].lasting_millis;
-    const auto limit = static_cast<std::int64_t>(
-        kLastingShare * static_cast<double>(load.capacity_millis));
+    const std::int64_t lasting = LastingMillis(slice, *load);
+    const std::int64_t limit = LastingLimit(*load);
     if (lasting + demand.lasting_millis <= limit) {
       return std::nullopt;
     }
     reason += "; " + options_.slices[slice].name + " has " +
               std::to_string(lasting) + " of at most " + std::to_string(limit) +
               " given to lasting tasks, " +
-              std::to_string(unix_ms_ - load.unix_ms) + " ms ago";
+              std::to_string(unix_ms_ - load->unix_ms) + " ms ago";
   }
   return reason;
 }
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -158,6 +158,22 @@
   }
 }
 
+// A lasting job in a full slice waits for others to leave; a slice between two
+// owners soon has one (bruitsen-grown trouble-3, LOST 11).
+TEST_CASE("a lasting job rather goes to an unknown slice than to a full one",
+          "[intake]") {
+  IntakeWorld world;
+  const SliceLoad full = {
+      .unix_ms = 77, .lasting_millis = 9'500, .capacity_millis = 10'000};
+  const bool full_first = GENERATE(true, false);
+  world.intake().SetLoads({full_first ? std::optional(full) : std::nullopt,
+                           full_first ? std::nullopt : std::optional(full)});
+  world.lasting_millis = 1'000;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  CHECK(world.SliceOf("job1") == (full_first ? "b-0" : "a-0"));
+}
+
 // Lasting jobs beyond the fleet's capacity kept each other's tasks from their
 // places (hunts on ysf-crowd, LOST).
 TEST_CASE("a lasting job is refused when no slice has room", "[intake]") {
