Keep a closed job until runs that are found late have stopped

Cause: a new owner finds a cancelled job whose rows are still there and, knowing of no run, removes them. If a worker reports a run of the job while that write is in flight, the run is adopted; the answer then removed the job, and the worker kept pointers to its tasks, which the next round followed. Class: a decision taken when a write is sent is applied when it is answered, without a look at what has changed meanwhile.

Evidence: 'a cancelled job stays until a run that is found late has stopped' ends by SIGSEGV on the code before (valgrind: invalid reads in RenewLeases and MoveTasks of the freed task) and passes now. Ruled out: the front and the upstream (valgrind finds nothing in http_tests and platform_tests).

The job now stays until none of its tasks is on a worker; the end of the last run marks it for another write.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -109,6 +109,9 @@
   Progress ToProgress(chart::StateId done_state) const;
 };
 
+/// @returns true if a run of one of the job's tasks may be on a worker.
+bool HasRuns(const Job& job);
+
 /// @returns the run time of the job's longest chain of steps, as declared.
 core::Duration LongestChain(const JobSpec& spec);
 
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -48,6 +48,11 @@
   return progress;
 }
 
+bool HasRuns(const Job& job) {
+  return std::ranges::any_of(
+      job.tasks, [](const Task& task) { return task.worker.valid(); });
+}
+
 core::Duration LongestChain(const JobSpec& spec) {
   std::vector<core::Duration> ends(spec.steps.size());
   core::Duration longest{};
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -77,11 +77,7 @@
         {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
         {.key = key, .value = EncodeProgress(job->ToProgress(states_.done))});
-    const bool over = IsFinal(job->phase) &&
-                      std::ranges::none_of(job->tasks, [](const Task& task) {
-                        return task.worker.valid();
-                      });
-    if (over) {
+    if (IsFinal(job->phase) && !HasRuns(*job)) {
       commit.rows.removals.push_back(JobRow(options_.slice.name, id));
       commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
     }
@@ -207,7 +203,10 @@
   }
   for (const RowKey& removed : commit.rows.removals) {
     const Job* job = jobs_.Find(removed.key);
-    if (job == nullptr || removed.table != JobTableName(options_.slice.name)) {
+    // A worker may have reported a run since the write was sent; the job is
+    // closed once that has stopped.
+    if (job == nullptr || removed.table != JobTableName(options_.slice.name) ||
+        HasRuns(*job)) {
       continue;
     }
     options_.log(core::LogLine("job_closed")
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -302,7 +302,6 @@
 
 // A job is stored as final once nothing of it can run any more.
 void SliceScheduler::SettlePhase(Job& job) {
-  const auto on_worker = [](const Task& task) { return task.worker.valid(); };
   if (job.halted) {
     // Shown at once; the job's rows stay until its tasks have stopped.
     MarkDirty(job, /*urgent=*/true);
@@ -310,7 +309,7 @@
   }
   if (std::ranges::all_of(job.groups,
                           [](const Group& g) { return g.open == 0; }) &&
-      std::ranges::none_of(job.tasks, on_worker)) {
+      !HasRuns(job)) {
     job.phase = JobPhase::kCompleted;
     job.halted = true;
     MarkDirty(job, /*urgent=*/true);
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -272,9 +272,7 @@
     transfer_.reset();
     return;
   }
-  const bool runs = std::ranges::any_of(
-      job->tasks, [](const Task& task) { return task.worker.valid(); });
-  if (runs || commit_) {
+  if (HasRuns(*job) || commit_) {
     return;
   }
   const std::string& from = options_.slice.name;
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -84,6 +84,9 @@
 }
 
 OrderOutcome FakeWorkers::Carry(Worker& worker, const StopRun& order) {
+  if (worker.fault == Fault::kSlowStop) {
+    return OrderOutcome::kCarriedOut;
+  }
   const auto found = std::ranges::find_if(worker.runs, [&](const Run& run) {
     return run.task == order.task && run.number == order.run;
   });
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -29,6 +29,7 @@
     kGone,        ///< Takes no connection.
     kLoseAnswer,  ///< Done, but not answered.
     kLate,        ///< Not answered; starts are done with CarryOutLate.
+    kSlowStop,    ///< Runs that are told to stop go on until End.
   };
 
   void Add(const std::string& worker) { workers_[worker]; }
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 
@@ -105,6 +106,36 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
 }
 
+// A new owner removed a cancelled job while a worker reported a run of it,
+// which was then used although it was freed (ysf-crowd-grown trouble-2, exit
+// code 139 after a takeover).
+TEST_CASE("a cancelled job stays until a run that is found late has stopped",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  // The earlier owner stored the cancellation and was gone before the stop.
+  world.store.Put(ProgressRow(kSlice, "j"),
+                  EncodeProgress({.phase = JobPhase::kCancelled}));
+  world.commit_delay = 1500ms;
+  // The worker reports 1.2 s later, while the write is in flight.
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver();
+  world.Advance(100ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSlowStop);
+  world.Advance(2s);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kStopped);
+  world.Advance(3s);
+  const auto ended = std::ranges::find_if(world.log, [](const auto& line) {
+    return line.starts_with("event=run_ended task=j.0.0.0");
+  });
+  REQUIRE(ended != world.log.end());
+  CHECK(ended->ends_with("known=true"));
+  CHECK_FALSE(world.store.Find(JobRow(kSlice, "j")).has_value());
+  CHECK(world.PhaseOf("j") == JobPhase::kCancelled);
+}
+
 // Failures that a new owner learns from its predecessor's rows count, too.
 TEST_CASE("failures are counted across owners", "[slice]") {
   SliceWorld world;
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -232,8 +232,11 @@
 void SliceWorld::CarryOut() {
   for (const StoreCommand& command : owner->TakeStoreCommands()) {
     const auto* read = std::get_if<ReadRows>(&command);
-    commits += std::holds_alternative<CommitRows>(command) ? 1 : 0;
-    if (read != nullptr && read->table == slow_table) {
+    const bool commit = std::holds_alternative<CommitRows>(command);
+    commits += commit ? 1 : 0;
+    if (commit && commit_delay > milliseconds(0)) {
+      slow_.emplace_back(now_ + commit_delay, command);
+    } else if (read != nullptr && read->table == slow_table) {
       slow_.emplace_back(now_ + kSlowAnswer, command);
     } else {
       Deliver(command);
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -72,6 +72,7 @@
 
   /// Rows of this table are answered later than those of others.
   std::string slow_table;
+  std::chrono::milliseconds commit_delay{0};  ///< Until writes are answered.
   std::size_t commits = 0;
 
   /// What the owners have logged.
