Store only workers that have answered in a slice's roster

Each new owner then waited for its report until the longest lease would have been over, 10 to 22 s, before it started jobs of earlier owners.

Cause: the roster named all listed workers; only those that have answered may have been given tasks. Now a worker is enrolled once it answers; it gets tasks after that write, as before.

--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -84,12 +84,15 @@
   }
 }
 
-// The workers on which tasks of this slice may run.
+// The workers on which tasks of this slice may run. One that has never answered
+// has none, and would hold up the next owner.
 void SliceScheduler::CollectRoster(Commit& commit) {
   roster_due_ = false;
   std::string text;
   for (const auto& worker : workers_.all()) {
-    if (!IsGone(*worker)) {
+    const bool answers =
+        charts_.worker_contact.StateName(worker->contact) == "live";
+    if (!IsGone(*worker) && (worker->enrolled || answers)) {
       text += worker->entry.id + ' ' + worker->entry.address + '\n';
       commit.roster.push_back(worker->id);
     }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -89,7 +89,6 @@
                         std::chrono::duration_cast<core::Duration>(
                             options_.limits.longest_lease * kSlowClockFactor) +
                         kClockMargin;
-    RenewRoster();
   } else {
     worker->entry = entry;
     worker->listed = true;
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -79,6 +79,23 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w2");
 }
 
+// An entry of another writer that no worker answers for was stored as one that
+// may run tasks, and each new owner waited up to 22 s for it (report of other
+// operators, LOST).
+TEST_CASE("a new owner does not wait for a worker that has never answered",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("odd");
+  world.workers.SetFault("odd", FakeWorkers::Fault::kSilent);
+  world.Submit("other", "c");
+  world.Advance(1s);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 // A job that came after the claim was started by the earlier owner, which had
 // not noticed yet, and by the new one (deploy/days/platform-lost, TWICE 11).
 TEST_CASE("a new owner asks all workers before it starts new jobs", "[slice]") {
