Name tasks that start without room oversubscribed

A word of the field for what was called squeezed; two comments say more plainly what they mean. No change of behaviour; jobs_tests: 101 cases pass.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -40,7 +40,8 @@
   std::uint32_t pace_percent = 100;  ///< As last ordered.
   bool pace_unsure = false;  ///< The order may not have been carried out.
   core::TimePoint slowed_since = core::TimePoint::max();
-  bool squeezed = false;  ///< Started where tasks that serve leave no room.
+  bool oversubscribed =
+      false;  ///< Started where tasks that serve leave no room.
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order before this.
   bool stop_unanswered = false;
@@ -82,7 +83,8 @@
   std::optional<core::TimePoint> unplaced_since;
   /// When to look again for tasks that could make room for one of this job.
   core::TimePoint next_search;
-  core::TimePoint next_swap;  ///< The same for jobs that could go instead.
+  /// When to look again for another job that could go to another slice instead.
+  core::TimePoint next_swap;
   core::TimePoint taken;      ///< When this owner learned of it.
   core::TimePoint objective;  ///< When the job should be completed.
   core::TimePoint worthless;  ///< Completed later, it is of no use.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -258,9 +258,9 @@
                                  const Group& group,
                                  const StepSpec& step) const;
   bool IsOverdue(const Group& group) const;
-  bool IsSqueezed(Worker& worker,
-                  const Group& group,
-                  const StepSpec& step) const;
+  bool Oversubscribes(Worker& worker,
+                      const Group& group,
+                      const StepSpec& step) const;
   static bool Serves(const Worker& worker);
   double Score(Worker& worker, const Group& group, const StepSpec& step) const;
   bool IsReady(const Task& task) const;
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -235,7 +235,7 @@
       kLeastSpareShare * static_cast<double>(step.need.cpu_millis)) {
     return Obstacle::kNoSpareCpu;
   }
-  if (!IsSqueezed(worker, group, step)) {
+  if (!Oversubscribes(worker, group, step)) {
     return Obstacle::kNone;
   }
   // What starts without room is slowed at once.
@@ -244,9 +244,9 @@
   return starts ? Obstacle::kNone : Obstacle::kDisturbs;
 }
 
-bool SliceScheduler::IsSqueezed(Worker& worker,
-                                const Group& group,
-                                const StepSpec& step) const {
+bool SliceScheduler::Oversubscribes(Worker& worker,
+                                    const Group& group,
+                                    const StepSpec& step) const {
   return step.uses_spare_cpu && RoomOn(worker, group.image, step) < 0;
 }
 
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -58,7 +58,7 @@
   return IsState(task, states_.ready) && now_ >= task.not_before;
 }
 
-// A gang of tasks that is at work in part counts as at work.
+// A group of which one task is on a worker is not idle.
 void SliceScheduler::NoteIdle(Job& job, Group& group) const {
   const auto tasks = job.TasksOf(group);
   const bool idle =
@@ -175,7 +175,7 @@
       continue;
     }
     task.worker = worker->id;
-    task.squeezed = IsSqueezed(*worker, group, step);
+    task.oversubscribed = Oversubscribes(*worker, group, step);
     group.idle_since.reset();
     Dispatch(task, "place");
     DropClaims(task);
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -145,7 +145,7 @@
   Worker& worker = workers_.Get(task.worker);
   worker.Release(task.job->StepOf(task));
   std::erase(worker.tasks, &task);
-  task.squeezed = false;
+  task.oversubscribed = false;
   task.worker = core::WorkerId();
   task.settled = core::TimePoint::max();
   placement_due_ = true;
@@ -222,7 +222,7 @@
   switch (answer.outcome) {
     case OrderOutcome::kCarriedOut:
       Dispatch(task, "accepted");
-      if (task.squeezed) {
+      if (task.oversubscribed) {
         // It has started at full pace.
         PaceSpareWork(worker);
       }
