Wait while a row of progress or the roster cannot be read

From the review: since unreadable rows no longer stop their readers, an unreadable roster would have counted as empty, and unreadable progress as none; a new owner would have started tasks that may run or are done. The rows are now marked, and a new owner asks for that page again, with a line in the log, as it did before for any unanswered page.

--- a/packages/jobs/include/jobs/rows.h
+++ b/packages/jobs/include/jobs/rows.h
@@ -29,6 +29,7 @@
   RowKey key;
   std::string value;
   RowVersion version = 0;
+  bool unreadable = false;  ///< The value, which is empty then, or the key.
   bool removed = false;
 };
 
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -185,6 +185,7 @@
   void TakeJobRow(const Row& row);
   void AddJob(const Row& row, JobSpec spec, const StoredJob& stored);
   void ApplyProgress(Job& job, const Progress& progress);
+  bool IsReadable(const RowsRead& page) const;
   void TakeProgressPage(const RowsRead& page);
   void FinishRestore();
   void RefreshQueue(Job& job);
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -88,7 +88,8 @@
   const CallId call = CallOf(event);
   if (progress_read_ == call) {
     progress_read_.reset();
-    if (const auto* page = std::get_if<RowsRead>(&event)) {
+    const auto* page = std::get_if<RowsRead>(&event);
+    if (page != nullptr && IsReadable(*page)) {
       TakeProgressPage(*page);
     } else {
       progress_retry_ = now + kReadRetryPause;
@@ -124,6 +125,19 @@
                    .Add("jobs", jobs_.size()));
 }
 
+// Without the roster, or a job's progress, tasks would start that may run or
+// are done already.
+bool SliceScheduler::IsReadable(const RowsRead& page) const {
+  const auto row = std::ranges::find_if(page.rows, &Row::unreadable);
+  if (row == page.rows.end()) {
+    return true;
+  }
+  options_.log(core::LogLine("progress_row_unreadable")
+                   .Add("slice", options_.slice.name)
+                   .Add("job", row->key.key));
+  return false;
+}
+
 void SliceScheduler::TakeProgressPage(const RowsRead& page) {
   for (const Row& row : page.rows) {
     if (row.key.key == RosterRow({}).key) {
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -96,6 +96,26 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
+// A roster that cannot be read counted as empty, so that tasks of a silent
+// worker would have started a second time (review of the incident LOST).
+TEST_CASE("nothing restarts while the roster cannot be read", "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  SliceWorld successor;
+  successor.store = world.store;
+  successor.workers = world.workers;
+  successor.unreadable_table = ProgressRow(kSlice, {}).table;
+  successor.TakeOver(/*predecessor_ended=*/false);
+  successor.TakeOver(/*predecessor_ended=*/false);
+  successor.AddWorker("w2");
+  successor.Advance(5s);
+  CHECK(successor.workers.starts(SliceWorld::Task("j")) == 1);
+  successor.unreadable_table.clear();
+  successor.Advance(20s);
+  CHECK(successor.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 // Guards P2: a silent worker that is missing in the roster would be taken as
 // one without tasks by the next owner.
 TEST_CASE("a silent worker stays in the roster while its lease may go on",
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -217,6 +217,13 @@
         std::get<ReadRows>(command).table == JobTableName(kSlice)) {
       std::ranges::copy(late_rows, std::back_inserter(read->rows));
     }
+    if (read != nullptr &&
+        std::get<ReadRows>(command).table == unreadable_table) {
+      for (Row& row : read->rows) {
+        row.value.clear();
+        row.unreadable = true;
+      }
+    }
     owner->Handle(*answer, now_);
   } else {
     const auto& follow = std::get<FollowRows>(command);
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -75,6 +75,7 @@
 
   /// Rows of this table are answered later than those of others.
   std::string slow_table;
+  std::string unreadable_table;  ///< Values of its rows cannot be read.
   std::chrono::milliseconds commit_delay{0};  ///< Until writes are answered.
   std::size_t commits = 0;
 
