Estimate interference from unsmoothed tails, and plan paces by serving task

The model ascribed the tail of a peak to whatever ran when the report came. The first report of an image counted as its idle tail (8 instead of 4 ms) and left no room.

Change: TailEstimate takes the smoothing out of two reports; the best-effort load of a report window is smoothed alike; only best-effort neighbours are learned; a job's baseline follows in 0.2 s, with its slope and recent peak; placement plans for the peak. PlanPaces (a module of its own) slows the tasks that take most of a headroom and leaves the light ones; a lasting alarm still pauses all. The delay before a slowed task moves doubles with each move. The lines pace_changed carry headroom, raise and time over target.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -17,6 +17,7 @@
 #include "jobs/interference_model.h"
 #include "jobs/progress.h"
 #include "jobs/queues.h"
+#include "jobs/tail_estimate.h"
 #include "jobs/types.h"
 
 namespace hickoryusher::jobs {
@@ -37,10 +38,12 @@
   std::string checkpoint;
   std::uint32_t percent = 0;
   double usage = 0;                  ///< As in ActiveRun.
+  TailEstimate tail;                 ///< Of a serving task's current run.
   std::uint32_t pace_percent = 100;  ///< As last ordered.
   bool pace_unconfirmed = false;  ///< The order may not have been carried out.
   core::TimePoint slowed_since = core::TimePoint::max();
-  bool oversubscribed = false;  ///< Started where serving tasks leave no room.
+  std::uint32_t slow_moves = 0;  ///< Moves because it was slowed.
+  bool oversubscribed = false;   ///< Started where serving tasks leave no room.
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order is sent before this.
   bool stop_unanswered = false;
@@ -124,6 +127,10 @@
 /// are not done, over all its occurrences.
 core::Duration RemainingChain(const Job& job);
 
+/// @returns the declared work of the tasks of @p job that are not done, in core
+/// seconds.
+double RemainingWork(const Job& job);
+
 /// The open jobs of one slice.
 class JobTable {
  public:
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -21,6 +21,7 @@
 #include "core/name_table.h"
 #include "jobs/interference_model.h"
 #include "jobs/job_table.h"
+#include "jobs/pace_plan.h"
 #include "jobs/queues.h"
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
@@ -164,6 +165,12 @@
     Worker* to = nullptr;
   };
 
+  /// What decided a pace, for the log.
+  struct PaceInputs {
+    double headroom = 0;  ///< Smallest headroom of a serving task there.
+    double raise = 0;     ///< Largest raise by the task at full pace.
+  };
+
   /// Workers that long-running tasks may move to, ordered by the CPU that is
   /// not reserved by long-running tasks.
   using RoomIndex = std::vector<Worker*>;
@@ -219,24 +226,36 @@
   void RenewLease(Worker& worker);
   void RecordLease(Worker& worker, std::int64_t until_ms);
   std::int64_t LeaseUntil(const Worker& worker) const;
-  void LearnInterference(const Worker& worker);
+  void AccrueLoad(Worker& worker) const;
+  void LearnInterference(Worker& worker);
+  void LearnFrom(Task& serving, std::span<const Neighbour> neighbours);
+  bool IsOverTarget(const Task& serving) const;
   void UpdateOverTarget(Worker& worker) const;
   void AdjustPace(Worker& worker);
   void PaceBestEffort(Worker& worker);
-  void SetPaceOf(Worker& worker, Task& task, std::uint32_t percent);
+  PaceAlarm AlarmOn(const Worker& worker) const;
+  void SetPaceOf(Worker& worker,
+                 Task& task,
+                 std::uint32_t percent,
+                 const PaceInputs& inputs);
+  static bool ServesImage(const Worker& worker, ImageId image);
   int OtherServingImages(Worker& worker, ImageId image) const;
   void RefreshHeadrooms(Worker& worker) const;
-  std::vector<Neighbour> NeighboursOf(const Task& task,
-                                      const Worker& worker,
-                                      bool with_best_effort) const;
+  static std::vector<Neighbour> BestEffortLoad(const Worker& worker);
   double BaselineUtilisation(const Job& job) const;
+  double PlannedUtilisation(const Job& job) const;
   double IdleTail(const StepSpec& step) const;
   double AllowedUtilisation(const StepSpec& step) const;
   double HeadroomFor(const Task& serving,
+                     double utilisation,
                      std::span<const Neighbour> neighbours) const;
+  double HeadroomBeside(const Task& serving, const Worker& worker) const;
   double MinHeadroomOn(Worker& worker,
                        ImageId image,
                        const StepSpec& added) const;
+  double HeadroomShareOn(Worker& worker,
+                         ImageId image,
+                         const StepSpec& added) const;
   bool AllConfirmed() const;
   bool IsUsable(const Worker& worker) const;
   bool IsGone(const Worker& worker) const;
@@ -268,6 +287,7 @@
                       const StepSpec& step) const;
   static bool Serves(const Worker& worker);
   double Score(Worker& worker, const Group& group, const StepSpec& step) const;
+  double ServingScore(Worker& worker, ImageId image) const;
   bool IsReady(const Task& task) const;
 
   // Waits.
@@ -363,8 +383,14 @@
   core::TimePoint next_transfer_;
   /// By serving image: the smallest tail latency seen, in milliseconds.
   std::map<std::string, double, std::less<>> idle_tails_;
-  /// By job: utilisation without best-effort work on the same worker.
-  std::map<std::string, double, std::less<>> baseline_utilisations_;
+  /// Utilisation of a job's tasks without best-effort work beside them.
+  struct Baseline {
+    double value = 0;
+    double slope = 0;  ///< In 1/s.
+    double peak = 0;   ///< Recent maximum of `value`.
+    core::TimePoint updated;
+  };
+  std::map<std::string, Baseline, std::less<>> baseline_utilisations_;
   bool placement_due_ = false;
   core::TimePoint next_placement_;
 
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -63,6 +63,12 @@
   double unused_millis = 0;
   bool headrooms_valid = false;
 
+  /// Best-effort load in the report window, smoothed as the reported tails are:
+  /// by image, up to load_until.
+  std::vector<Neighbour> window_load;
+  core::TimePoint window_start;
+  core::TimePoint load_until;
+
   /// Jobs of which runs failed here since the last run that ended well, each
   /// once: repeated failures of one job may be caused by the job itself.
   std::vector<std::string> failing_jobs;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -1,6 +1,7 @@
 #include "jobs/job_table.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace hickoryusher::jobs {
@@ -82,6 +83,17 @@
   return longest;
 }
 
+double RemainingWork(const Job& job) {
+  using Seconds = std::chrono::duration<double>;
+  return std::accumulate(
+      job.groups.begin(), job.groups.end(), 0.0,
+      [&job](double sum, const Group& group) {
+        const StepSpec& step = job.StepOf(group);
+        return sum + group.open * Seconds(step.estimate).count() *
+                         static_cast<double>(step.need.cpu_millis) / 1000;
+      });
+}
+
 Job& JobTable::Add(JobSpec spec) {
   auto job = std::make_unique<Job>();
   job->spec = std::move(spec);
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -10,34 +10,16 @@
 namespace hickoryusher::jobs {
 namespace {
 
-// Share of the latency target that the tail latency may reach when best-effort
-// tasks are placed or their pace is set. The remainder absorbs load changes
-// between two reports.
-constexpr double kAllowedTargetShare = 0.75;
-
-// If a serving task's tail latency exceeds this share of its target,
-// best-effort tasks on its worker are paused: immediately those with more than
-// a negligible raise, and all others after kAlarmDelay. A target may be missed
-// for harm_ms, 4 s at present.
+// A serving task whose tail exceeds this share of its target is over it. While
+// one is, best-effort tasks on its worker are paused: after kAlarmDelay those
+// with more than a negligible raise, and after kFullAlarmDelay all. A target
+// may be missed for harm_ms, 4 s at present.
 constexpr double kAlarmTargetShare = 1.0;
 constexpr core::Duration kAlarmDelay = std::chrono::milliseconds(1200);
+constexpr core::Duration kFullAlarmDelay = std::chrono::milliseconds(2000);
 
-// Paces change in steps to limit the number of calls to workers.
-constexpr std::uint32_t kPaceStep = 25;
-constexpr std::uint32_t kFullPace = 100;
-
-// Share of its CPU reservation that a serving task uses itself.
-constexpr double kServingUse = 0.6;
-
-// Smoothing factor of a job's baseline utilisation, its utilisation without
-// neighbours, per report. Some tasks report every second; loads fluctuate with
-// periods of 10 to 20 s.
-constexpr double kBaselineSmoothing = 0.2;
-
-// Standard deviation of a reported utilisation.
-constexpr double kUtilisationNoise = 0.05;
-constexpr double kMinUtilisation = 0.05;
-constexpr double kInitialUtilisation = 0.5;  ///< Of a job without a report.
+// A task at most at this pace counts as slowed.
+constexpr std::uint32_t kSlowedPace = 30;
 
 // A best-effort group with no running task is placed on a worker without
 // headroom after this time. Callers notice work that has not run for 3 s, and a
@@ -57,9 +39,9 @@
 // that hardly interfere would be paused for no benefit.
 constexpr double kMinHeadroom = 0.06;
 
-// A raise by a single best-effort task up to this value does not justify
-// slowing it.
-constexpr double kNegligibleRaise = 0.01;
+// A task that takes at most this share of a headroom may start beside a serving
+// task that is over its target: others cause that.
+constexpr double kNegligibleShare = 0.2;
 
 bool LeavesMemory(const Worker& worker, const StepSpec& step) {
   const core::Resources left = worker.free() - Reservation(step);
@@ -68,27 +50,6 @@
              static_cast<double>(worker.entry.capacity.memory_bytes);
 }
 
-bool IsServing(const Task& task) {
-  return task.job->StepOf(task).latency_target > core::Duration();
-}
-
-bool IsBestEffort(const Task& task) {
-  return task.job->StepOf(task).best_effort;
-}
-
-double ShareOf(double cpu_millis, const Worker& worker) {
-  return cpu_millis / static_cast<double>(std::max<std::int64_t>(
-                          worker.entry.capacity.cpu_millis, 1));
-}
-
-ImageId ImageOf(const Task& task) {
-  return task.job->groups[task.group].image;
-}
-
-double CpuDemandMillis(const Task& task) {
-  return static_cast<double>(task.job->StepOf(task).need.cpu_millis);
-}
-
 }  // namespace
 
 bool SliceScheduler::Serves(const Worker& worker) {
@@ -96,29 +57,16 @@
                              [](const Task* task) { return IsServing(*task); });
 }
 
-// Returns the load of the other tasks on the worker. Serving tasks count too,
-// since they interfere with each other.
-std::vector<Neighbour> SliceScheduler::NeighboursOf(
-    const Task& task,
-    const Worker& worker,
-    bool with_best_effort) const {
-  std::vector<Neighbour> neighbours;
-  for (const Task* other : worker.tasks) {
-    double cores = 0;
-    if (other == &task) {
-      continue;
-    }
-    if (IsServing(*other)) {
-      cores = CpuDemandMillis(*other) * BaselineUtilisation(*other->job);
-    } else if (IsBestEffort(*other) && with_best_effort) {
-      cores = CpuDemandMillis(*other) * other->pace_percent / kFullPace;
-    }
-    if (cores > 0) {
-      neighbours.push_back(
-          {.image = ImageOf(*other), .share = ShareOf(cores, worker)});
+// Returns the load of the best-effort tasks on the worker.
+std::vector<Neighbour> SliceScheduler::BestEffortLoad(const Worker& worker) {
+  std::vector<Neighbour> load;
+  for (const Task* task : worker.tasks) {
+    if (IsBestEffort(*task) && task->pace_percent > 0) {
+      load.push_back(
+          {.image = ImageOf(*task), .share = PacedShare(*task, worker)});
     }
   }
-  return neighbours;
+  return load;
 }
 
 void SliceScheduler::RefreshHeadrooms(Worker& worker) const {
@@ -128,79 +76,30 @@
   worker.headrooms_valid = true;
   worker.rooms.clear();
   worker.unused_millis = static_cast<double>(worker.free().cpu_millis);
+  const std::vector<Neighbour> load = BestEffortLoad(worker);
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      worker.unused_millis += (1 - kServingUse) * CpuDemandMillis(*task);
+      worker.unused_millis +=
+          std::max(0.0, 1 - BaselineUtilisation(*task->job)) *
+          CpuDemandMillis(*task);
       worker.rooms.push_back(
           {.image = ImageOf(*task),
-           .room =
-               HeadroomFor(*task, NeighboursOf(*task, worker,
-                                               /*with_best_effort=*/true))});
+           .room = HeadroomFor(*task, PlannedUtilisation(*task->job), load)});
     } else if (IsBestEffort(*task)) {
       worker.unused_millis -=
-          CpuDemandMillis(*task) * task->pace_percent / kFullPace;
+          CpuDemandMillis(*task) * task->pace_percent / kFullPacePercent;
     }
   }
 }
 
-double SliceScheduler::BaselineUtilisation(const Job& job) const {
-  const auto found = baseline_utilisations_.find(job.spec.id);
-  return found == baseline_utilisations_.end() ? kInitialUtilisation
-                                               : found->second;
-}
-
-double SliceScheduler::IdleTail(const StepSpec& step) const {
-  const auto found = idle_tails_.find(step.image);
-  return found == idle_tails_.end()
-             ? static_cast<double>(core::ToMillis(step.latency_target))
-             : found->second;
-}
-
-// The utilisation at which the tail reaches the allowed share of its target.
-double SliceScheduler::AllowedUtilisation(const StepSpec& step) const {
-  const double allowed =
-      kAllowedTargetShare *
-      static_cast<double>(core::ToMillis(step.latency_target));
-  return 1 - IdleTail(step) / allowed;
-}
-
-// Updates the interference model from the reported tail latencies, and the
-// baseline utilisations of the jobs.
-void SliceScheduler::LearnInterference(const Worker& worker) {
-  for (Task* task : worker.tasks) {
-    if (!IsServing(*task) || !IsState(*task, states_.running) ||
-        task->usage <= 0) {
-      continue;
-    }
-    const StepSpec& step = task->job->StepOf(*task);
-    const std::vector<Neighbour> neighbours =
-        NeighboursOf(*task, worker, /*with_best_effort=*/true);
-    double& idle =
-        idle_tails_.try_emplace(step.image, task->usage).first->second;
-    idle = std::min(idle, task->usage);
-    const double observed = std::max(kMinUtilisation, 1 - idle / task->usage);
-    double& baseline =
-        baseline_utilisations_.try_emplace(task->job->spec.id, observed)
-            .first->second;
-    if (!neighbours.empty()) {
-      interference_.Learn(ImageOf(*task), neighbours, observed / baseline - 1,
-                          kUtilisationNoise / baseline);
-    }
-    const double adjusted =
-        observed / (1 + interference_.Raise(ImageOf(*task), neighbours));
-    baseline += kBaselineSmoothing * (adjusted - baseline);
-  }
-}
-
 // Returns by how much the neighbours may still raise the utilisation of a
 // serving task, as a share of its baseline utilisation.
 double SliceScheduler::HeadroomFor(
     const Task& serving,
+    double utilisation,
     std::span<const Neighbour> neighbours) const {
   const StepSpec& step = serving.job->StepOf(serving);
-  const double baseline =
-      std::max(kMinUtilisation, BaselineUtilisation(*serving.job));
-  return AllowedUtilisation(step) / baseline - 1 -
+  return AllowedUtilisation(step) / utilisation - 1 -
          interference_.Raise(ImageOf(serving), neighbours);
 }
 
@@ -222,6 +121,24 @@
   return headroom;
 }
 
+// Returns the largest share of a serving task's headroom that one more
+// best-effort task would take.
+double SliceScheduler::HeadroomShareOn(Worker& worker,
+                                       ImageId image,
+                                       const StepSpec& added) const {
+  RefreshHeadrooms(worker);
+  const Neighbour more = {
+      .image = image,
+      .share = ShareOf(static_cast<double>(added.need.cpu_millis), worker)};
+  double largest = 0;
+  for (const Worker::ServingHeadroom& serving : worker.rooms) {
+    largest = std::max(largest, interference_.CautiousRaise(
+                                    serving.image, std::span(&more, 1)) /
+                                    std::max(serving.room, kMinHeadroom));
+  }
+  return std::min(largest, 10.0);
+}
+
 // Counts the other serving images on the worker. Interference has to be
 // tolerable for each of them.
 int SliceScheduler::OtherServingImages(Worker& worker, ImageId image) const {
@@ -236,12 +153,19 @@
   return static_cast<int>(images.size());
 }
 
+bool SliceScheduler::ServesImage(const Worker& worker, ImageId image) {
+  return std::ranges::any_of(worker.tasks, [image](const Task* task) {
+    return IsServing(*task) && ImageOf(*task) == image;
+  });
+}
+
 SliceScheduler::Obstacle SliceScheduler::FindBestEffortObstacle(
     Worker& worker,
     const Group& group,
     const StepSpec& step) const {
   RefreshHeadrooms(worker);
-  if (worker.over_target_since != core::TimePoint::max()) {
+  if (worker.over_target_since != core::TimePoint::max() &&
+      HeadroomShareOn(worker, group.image, step) > kNegligibleShare) {
     return Obstacle::kOverTarget;
   }
   if (worker.unused_millis <
@@ -267,12 +191,16 @@
   return group.idle_since && now_ >= *group.idle_since + kMaxIdleTime;
 }
 
+bool SliceScheduler::IsOverTarget(const Task& serving) const {
+  const double target = static_cast<double>(
+      core::ToMillis(serving.job->StepOf(serving).latency_target));
+  return serving.tail.recent_ms().value_or(serving.usage) >
+         kAlarmTargetShare * target;
+}
+
 void SliceScheduler::UpdateOverTarget(Worker& worker) const {
-  const bool over = std::ranges::any_of(worker.tasks, [](const Task* task) {
-    return IsServing(*task) &&
-           task->usage > kAlarmTargetShare *
-                             static_cast<double>(core::ToMillis(
-                                 task->job->StepOf(*task).latency_target));
+  const bool over = std::ranges::any_of(worker.tasks, [this](const Task* task) {
+    return IsServing(*task) && IsOverTarget(*task);
   });
   worker.over_target_since =
       over ? std::min(worker.over_target_since, now_) : core::TimePoint::max();
@@ -284,64 +212,75 @@
   PaceBestEffort(worker);
 }
 
-// Assigns paces in ascending order of interference: tasks that interfere least
-// run at full pace until the headroom is used up.
+// Returns the raise that best-effort tasks beside a serving task may cause. A
+// task that is over its target has more load, or heavier neighbours, than its
+// job's baseline and the model tell.
+double SliceScheduler::HeadroomBeside(const Task& serving,
+                                      const Worker& worker) const {
+  double headroom = HeadroomFor(serving, BaselineUtilisation(*serving.job), {});
+  if (IsOverTarget(serving) && serving.tail.recent_ms()) {
+    const StepSpec& step = serving.job->StepOf(serving);
+    const double observed = 1 - IdleTail(step) / *serving.tail.recent_ms();
+    const double raised =
+        1 + interference_.Raise(ImageOf(serving), BestEffortLoad(worker));
+    headroom =
+        std::min(headroom, AllowedUtilisation(step) / observed * raised - 1);
+  }
+  return std::max(headroom, kMinHeadroom);
+}
+
 void SliceScheduler::PaceBestEffort(Worker& worker) {
   worker.headrooms_valid = false;
-  std::vector<Task*> best_effort_tasks;
-  std::ranges::copy_if(worker.tasks, std::back_inserter(best_effort_tasks),
-                       [this](const Task* task) {
-                         return IsBestEffort(*task) &&
-                                IsState(*task, states_.running);
-                       });
-  if (best_effort_tasks.empty()) {
-    return;
-  }
-  const bool alarm = worker.over_target_since <= now_;
-  // A raise taken as negligible may be underestimated, or many such raises may
-  // add up.
-  const bool pause_all = worker.over_target_since <= now_ - kAlarmDelay;
-  const auto raise_by = [&](const Task& task) {
-    const Neighbour full = {.image = ImageOf(task),
-                            .share = ShareOf(CpuDemandMillis(task), worker)};
-    double worst = 0;
-    for (const Task* serving : worker.tasks) {
-      if (IsServing(*serving)) {
-        worst = std::max(
-            worst, interference_.Raise(ImageOf(*serving), std::span(&full, 1)));
-      }
-    }
-    return worst;
-  };
-  double headroom = kMaxHeadroom;
+  std::vector<ImageId> images;
+  std::vector<double> headrooms;
   for (const Task* task : worker.tasks) {
     if (IsServing(*task)) {
-      headroom = std::min(
-          headroom,
-          HeadroomFor(*task, NeighboursOf(*task, worker,
-                                          /*with_best_effort=*/false)));
+      images.push_back(ImageOf(*task));
+      headrooms.push_back(HeadroomBeside(*task, worker));
     }
   }
-  headroom = std::max(headroom, kMinHeadroom);
-  std::ranges::sort(best_effort_tasks, {},
-                    [&](Task* task) { return raise_by(*task); });
-  for (Task* task : best_effort_tasks) {
-    const double full = raise_by(*task);
-    double fraction = pause_all ? 0 : 1;
-    if (full > kNegligibleRaise) {
-      fraction = alarm ? 0 : std::clamp(headroom / full, 0.0, 1.0);
-    }
-    const auto percent =
-        static_cast<std::uint32_t>(fraction * kFullPace / kPaceStep) *
-        kPaceStep;
-    headroom -= full * percent / kFullPace;
-    SetPaceOf(worker, *task, percent);
+  std::vector<Task*> paced;
+  std::ranges::copy_if(
+      worker.tasks, std::back_inserter(paced), [this](const Task* task) {
+        return IsBestEffort(*task) && IsState(*task, states_.running);
+      });
+  std::vector<std::vector<double>> raises;
+  std::ranges::transform(
+      paced, std::back_inserter(raises), [&](const Task* task) {
+        const Neighbour full = {
+            .image = ImageOf(*task),
+            .share = ShareOf(CpuDemandMillis(*task), worker)};
+        std::vector<double> row;
+        std::ranges::transform(
+            images, std::back_inserter(row), [&](ImageId image) {
+              return interference_.Raise(image, std::span(&full, 1));
+            });
+        return row;
+      });
+  const std::vector<std::uint32_t> paces =
+      PlanPaces(headrooms, raises, AlarmOn(worker));
+  const double headroom =
+      headrooms.empty() ? kMaxHeadroom : std::ranges::min(headrooms);
+  for (std::size_t i = 0; i < paced.size(); ++i) {
+    const double raise = raises[i].empty() ? 0 : std::ranges::max(raises[i]);
+    SetPaceOf(worker, *paced[i], paces[i],
+              {.headroom = headroom, .raise = raise});
+  }
+}
+
+PaceAlarm SliceScheduler::AlarmOn(const Worker& worker) const {
+  if (worker.over_target_since <= now_ - kFullAlarmDelay) {
+    return PaceAlarm::kPauseAll;
   }
+  return worker.over_target_since <= now_ - kAlarmDelay
+             ? PaceAlarm::kPauseDisturbing
+             : PaceAlarm::kNone;
 }
 
 void SliceScheduler::SetPaceOf(Worker& worker,
                                Task& task,
-                               std::uint32_t percent) {
+                               std::uint32_t percent,
+                               const PaceInputs& inputs) {
   if (task.pace_percent == percent && !task.pace_unconfirmed) {
     return;
   }
@@ -349,11 +288,18 @@
                    .Add("task", ToText(task.job->AddressOf(task)))
                    .Add("worker", worker.entry.id)
                    .Add("from", task.pace_percent)
-                   .Add("percent", percent));
+                   .Add("percent", percent)
+                   .Add("headroom", inputs.headroom)
+                   .Add("raise", inputs.raise)
+                   .Add("over_target_ms",
+                        worker.over_target_since <= now_
+                            ? core::ToMillis(now_ - worker.over_target_since)
+                            : 0));
   worker.headrooms_valid = false;
+  AccrueLoad(worker);
   task.pace_percent = percent;
-  task.slowed_since = percent > kPaceStep ? core::TimePoint::max()
-                                          : std::min(task.slowed_since, now_);
+  task.slowed_since = percent > kSlowedPace ? core::TimePoint::max()
+                                            : std::min(task.slowed_since, now_);
   task.pace_unconfirmed = false;
   const CallId call = ids_.Next();
   calls_[call] = PaceCall{.run = {.job = task.job->spec.id,
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -1,6 +1,8 @@
 #ifndef JOBS_SRC_SLICE_SCHEDULER_P_H_
 #define JOBS_SRC_SLICE_SCHEDULER_P_H_
 
+#include <algorithm>
+
 #include "jobs/slice_scheduler.h"
 
 namespace hickoryusher::jobs {
@@ -18,6 +20,33 @@
 inline constexpr core::Duration kNominationTime =
     std::chrono::milliseconds(2000);
 
+inline bool IsServing(const Task& task) {
+  return task.job->StepOf(task).latency_target > core::Duration();
+}
+
+inline bool IsBestEffort(const Task& task) {
+  return task.job->StepOf(task).best_effort;
+}
+
+inline double ShareOf(double cpu_millis, const Worker& worker) {
+  return cpu_millis / static_cast<double>(std::max<std::int64_t>(
+                          worker.entry.capacity.cpu_millis, 1));
+}
+
+inline ImageId ImageOf(const Task& task) {
+  return task.job->groups[task.group].image;
+}
+
+inline double CpuDemandMillis(const Task& task) {
+  return static_cast<double>(task.job->StepOf(task).need.cpu_millis);
+}
+
+// Returns the share of the worker that a best-effort task uses at its pace.
+inline double PacedShare(const Task& task, const Worker& worker) {
+  return ShareOf(CpuDemandMillis(task) * task.pace_percent / kFullPacePercent,
+                 worker);
+}
+
 /// Context of the actions of the chart `task_run`.
 struct SliceScheduler::TaskContext {
   SliceScheduler& scheduler;
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -58,6 +58,7 @@
                 c.task.pace_percent = 100;
                 c.task.pace_unconfirmed = false;
                 c.task.slowed_since = core::TimePoint::max();
+                c.task.tail.Reset();
                 c.scheduler.SendStart(c.task);
               })
       .Action("resend_start",
@@ -130,6 +131,7 @@
 }
 
 void SliceScheduler::MarkRunning(Task& task) {
+  AccrueLoad(workers_.Get(task.worker));
   task.started = now_;
   task.advanced = now_;
   task.settled = now_;
@@ -145,6 +147,7 @@
 
 void SliceScheduler::DetachFromWorker(Task& task) {
   Worker& worker = workers_.Get(task.worker);
+  AccrueLoad(worker);
   worker.Release(task.job->StepOf(task));
   std::erase(worker.tasks, &task);
   task.oversubscribed = false;
@@ -224,7 +227,7 @@
   switch (answer.outcome) {
     case OrderOutcome::kCarriedOut:
       Dispatch(task, "accepted");
-      if (task.oversubscribed) {
+      if (job->StepOf(task).best_effort) {
         // The task has started at full pace.
         PaceBestEffort(worker);
       }
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -89,7 +89,10 @@
     const std::vector<Task*> tasks = worker->tasks;
     for (Task* task : tasks) {
       const StepSpec& step = task->job->StepOf(*task);
-      const bool slowed = task->slowed_since <= now_ - kSlowedMoveDelay;
+      // The delay doubles with each move, so that no task goes back and forth.
+      const bool slowed =
+          task->slowed_since <=
+          now_ - kSlowedMoveDelay * (1U << std::min(task->slow_moves, 8U));
       const bool leaving = worker->entry.draining;
       const bool movable =
           step.saves_progress || (leaving && step.long_running);
@@ -113,6 +116,7 @@
                        .Add("reason", leaving ? "worker_leaves" : "slowed")
                        .Add("pace", task->pace_percent));
       task->slowed_since = core::TimePoint::max();
+      task->slow_moves += leaving ? 0 : 1;
       Dispatch(*task, "halt");
       // The headroom has changed; the next task must not rely on the old value.
       worker->headrooms_valid = false;
