--- a/packages/jobs/tests/slice_interference_test.cc
+++ b/packages/jobs/tests/slice_interference_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <vector>
 
 #include "slice_world.h"
 
@@ -155,6 +156,52 @@
   CHECK(world.workers.starts(SliceWorld::Task("spare")) == 0);
 }
 
+// Guards against a task that goes back and forth between two busy workers: one
+// was moved 17 times, each time at the price of a stop and a start.
+TEST_CASE("a slowed task waits longer before each further move",
+          "[interference]") {
+  BusyService world;
+  world.workers.SetUsage(SliceWorld::Task("serving"), 300);
+  world.Advance(30s);
+  world.AddWorker("w2");
+  world.Submit("other", "s");
+  world.Advance(1s);
+  world.workers.SetUsage(SliceWorld::Task("other"), 20);
+  world.Advance(30s);
+  world.Submit("spare", "f");
+  world.Advance(3s);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("spare")) == "w2");
+  // Keeps both services at a low load, then raises that beside the task.
+  auto raise_load = [&world, on_second = true]() mutable {
+    world.workers.SetUsage(SliceWorld::Task("serving"), 20);
+    world.workers.SetUsage(SliceWorld::Task("other"), 20);
+    world.Advance(120s);
+    world.workers.SetUsage(SliceWorld::Task(on_second ? "other" : "serving"),
+                           300);
+    on_second = !on_second;
+  };
+  const auto time_to_move = [&] {
+    const std::size_t starts = world.workers.starts(SliceWorld::Task("spare"));
+    auto waited = 0ms;
+    while (waited < 10s &&
+           world.workers.starts(SliceWorld::Task("spare")) == starts) {
+      world.Advance(100ms);
+      waited += 100ms;
+    }
+    return waited;
+  };
+  std::vector<std::chrono::milliseconds> times;
+  for (int i = 0; i < 3; ++i) {
+    raise_load();
+    times.push_back(time_to_move());
+    world.Advance(1s);
+  }
+  CAPTURE(times[0].count(), times[1].count(), times[2].count());
+  CHECK(times[1] > times[0]);
+  CHECK(times[2] > times[1] + 500ms);
+  CHECK(times[2] < 10s);
+}
+
 // Guards against a gang that starts slowed: its members cannot be slowed
 // individually.
 TEST_CASE("a best-effort gang does not start without headroom",
