Review: ports from blocks, notes of ends, an end by signal in the stand-ins

Cause: plays that ran beside each other chose the same random ports, and two of them could not run. Change: each play takes its ports from a block of its own; executors keep which ends were noted; a play that is ended by a signal ends its processes.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -9,7 +9,6 @@
 import base64
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -246,6 +245,7 @@
         self.store, self.record = store, record
         self.id, self.zone, self.cpu, self.service = name, zone, cpu, service
         self.runs = []  # All runs of all lives.
+        self.noted = set()  # Runs whose ends `acked_upto` has reached.
         self.server = Server(self.handle)
         self.up = False
         self.reachable = True
@@ -419,6 +419,7 @@
         acked = body.get("acked_upto", 0)
         for end in self.ended:
             if end[0] <= acked:
+                self.noted.add((end[1], end[2]))
                 self.record("end_noted", task=end[1], run=end[2], on=self.id)
         self.ended = [e for e in self.ended if e[0] > acked]
         until = ms() + min(body.get("wait_ms", 0), 2000)
@@ -464,10 +465,13 @@
             writer.transport.abort()
 
 
+# Below the ports that the system gives to other sockets; plays that run at the
+# same time take theirs from blocks of their own.
+PORTS = iter(range(15000 + os.getpid() % 400 * 40, 32000))
+
+
 def free_port():
-    """@returns a free port below those that the system gives to other sockets."""
-    for _ in range(1000):
-        port = random.randrange(15000, 32000)
+    for port in PORTS:
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
@@ -514,8 +518,8 @@
 class Entry:
     """One process under test, with its own entrance to the store."""
 
-    def __init__(self, world, name, zone):
-        self.world, self.name, self.zone = world, name, zone
+    def __init__(self, world, name, zone, cpu=0.25):
+        self.world, self.name, self.zone, self.cpu = world, name, zone, cpu
         self.front, self.ready, self.control = free_port(), free_port(), free_port()
         self.entrance = Server(self.pass_on)
         self.fault = None  # async (request) -> answer; None passes the call on.
@@ -535,7 +539,7 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
                 node=self.name, zone=self.zone, front=self.front, ready=self.ready,
-                control=self.control, store=self.entrance.port, cpu=0.25,
+                control=self.control, store=self.entrance.port, cpu=self.cpu,
                 zones="\n".join(f'  {z}: "dakar"' for z in ZONES)))
         with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -660,6 +664,9 @@
     """Runs `case(world)`, which returns what broke the rule, or nothing."""
 
     async def play():
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         world = World(folder, **getattr(case, "world", {}))
         try:
             await world.start()
@@ -682,6 +689,6 @@
         sys.exit(2)
     try:
         sys.exit(asyncio.run(asyncio.wait_for(play(), 115)))
-    except (asyncio.TimeoutError, OSError) as error:
+    except (asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         print("cannot run:", repr(error))
         sys.exit(2)
