--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The machine that schedules a zone is cut from the store while tasks fail."""
+"""One executor is lost for good; a lasting task of a job that is partly up has no place left."""
 
 import asyncio
 import os
@@ -6,58 +6,48 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
-from standin import CannotRun, main, ms  # noqa: E402
+from standin import HEARTBEAT_MS, CannotRun, main, ms, until  # noqa: E402
 
-CUT_S = 5.5  # `core_cut` of the site file: count = 1, for_s = 5.5.
-WARM_STEPS = [{"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500, "requires": "a"}]
-# The second step can never be done: its task fails 30 ms after each start.
-SPEC = {"cpu": 1000, "steps": {"0": {"ms": 1500}, "1": {"ms": 30, "fails": True}}}
-STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 1500, "requires": "a"},
-         {"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500, "requires": "b",
-          "after": [0]}]
+LASTS_MS = 10**8
+SPEC = {"ms": LASTS_MS, "cpu": 4000}
+STEPS = [{"count": 3, "cpu": 4000, "mem_mb": 1024, "estimate_ms": 500, "long_running": True,
+          "anti_affinity": 1, "may_miss": 1}]
+WAIT_S = 20
 
 
 async def case(world):
-    warm = [f"{n:016x}" for n in range(1, 10)]
-    for n, job in enumerate(warm):
-        if await world.submit(world.entries[n % 6], job, {"ms": 300, "cpu": 1000},
-                              WARM_STEPS) != 200:
-            raise CannotRun("a job before the disruption was not accepted")
-    if not await world.completed(world.entries[1], warm, 20):
-        raise CannotRun("the jobs before the disruption are not completed")
-    await asyncio.sleep(2)
-    jobs = [f"{n:016x}" for n in range(101, 105)]
+    jobs = [f"{n:016x}" for n in range(101, 107)]
     for n, job in enumerate(jobs):
-        await world.submit(world.entries[n], job, SPEC, STEPS)
-    await asyncio.sleep(0.5)
-    if not world.runs_of(jobs[0]):
-        raise CannotRun("the first job doesn't run")
-    zone = world.where(world.runs_of(jobs[0])[0]).zone
-    # The store's table shows which machine schedules the zone.
-    row = world.store.text("slices", "", zone + "-0") or ""
-    owner = next((e for e in world.entries if f" {e.name}/" in row), None)
-    if owner is None:
-        raise CannotRun("no machine schedules the zone")
+        if await world.submit(world.entries[n % 3], job, SPEC, STEPS) != 200:
+            raise CannotRun("a job before the disruption was not accepted")
+
+    def running():
+        return {r.task for e in world.executors for r in e.running.values()}
+
+    async def all_run():
+        return len(running()) == 3 * len(jobs)
+
+    if not await until(all_run, 15):
+        raise CannotRun("the lasting tasks don't run")
+    await asyncio.sleep(5)
+    lost = max(world.executors, key=lambda e: len(e.running))
     if world.trouble:
-        world.record("cut_from_store", machine=owner.name)
-        await owner.entrance.stop()
-        await asyncio.sleep(CUT_S)
-        await owner.entrance.start()
-        world.record("healed", machine=owner.name)
-    await asyncio.sleep(10)
-    broken = []
-    for job in jobs:
-        runs = [r for r in world.runs_of(job) if r.task.endswith(".0.1.0")]
-        failed = sorted(r.ended for r in runs if r.how == "failed"
-                        and (r.task, r.number) in world.where(r).noted)
-        late = [r for r in runs if len(failed) >= 3 and r.begun > failed[2]]
-        if late:
-            broken.append(f"BUDGET: {runs[0].task} run {late[0].number} was started on "
-                          f"{world.where(late[0]).id} after 3 runs had failed")
-    return broken
-
-
-case.world = {"labels": ("b", "a", "a", "a"), "cpus": (32000,) * 4, "per_zone": 2}
+        await lost.crash()
+        await asyncio.sleep(3 * HEARTBEAT_MS / 1000)
+        world.store.remove("servers", lost.id)
+        world.record("entry_expired", id=lost.id)
+    await asyncio.sleep(WAIT_S)
+    missing = [f"{job}.0.0.{n}" for job in jobs for n in range(3)
+               if f"{job}.0.0.{n}" not in running()]
+    idle = [e.id for e in world.executors if e.up and not e.running]
+    unused = {e.id: e.cpu - sum(r.cpu for r in e.running.values())
+              for e in world.executors if e.up}
+    world.record("unused_cpu", millis=unused, idle=idle)
+    return [f"LOST: {task} is to last and hasn't run for "
+            f"{ms() - max(r.ended for r in world.runs_of(task.split('.')[0]) if r.task == task):.0f}"
+            f" ms; {sum(unused.values())} of {sum(e.cpu for e in world.executors if e.up)} are unused"
+            for task in missing]
+
 
 if __name__ == "__main__":
     main(case, FOLDER)
