Log why a run counts as lost

The owner of a slice gives up a run when its worker's lease is over, when the worker has begun another life, when its address belongs to another worker, or when a report does not list it. The log showed only the worker's change of contact, so three hypotheses about a task that runs twice (a restart under the same id, a lease that counts as over too early, an end that was acknowledged without being read) could not be told apart.

Each such run now has one line, event=run_lost, with the cause, the life of the worker and the numbers of its ends. worker_contact names the life, too.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -220,6 +220,7 @@
   void HandleEnd(Worker& worker, const EndedRun& end);
   void HandleActive(Worker& worker, const ActiveRun& run);
   void DropMissing(Worker& worker, const WorkerReport& report);
+  void LoseRun(const Worker& worker, Task& task, std::string_view cause);
   void StopUnknown(Worker& worker, const ActiveRun& run);
   void UpdateQuarantine(Worker& worker, EndKind kind, std::string_view job);
   void RenewLeases();
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -60,6 +60,7 @@
 struct SliceScheduler::ContactContext {
   SliceScheduler& scheduler;
   Worker& worker;
+  std::string_view event;
 };
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -46,8 +46,9 @@
   bindings.Action("lose_tasks", [](ContactContext& c) {
     Worker& worker = c.worker;
     const std::vector<Task*> tasks = worker.tasks;
-    std::ranges::for_each(
-        tasks, [&](Task* task) { c.scheduler.Dispatch(*task, "lost"); });
+    std::ranges::for_each(tasks, [&](Task* task) {
+      c.scheduler.LoseRun(worker, *task, c.event);
+    });
     worker.last_end = 0;
     worker.acknowledged = 0;
   });
@@ -55,7 +56,7 @@
 }
 
 void SliceScheduler::DispatchContact(Worker& worker, std::string_view event) {
-  ContactContext context{*this, worker};
+  ContactContext context{*this, worker, event};
   const chart::StateId before = worker.contact;
   worker.contact =
       contact_chart_
@@ -71,6 +72,7 @@
     options_.log(
         core::LogLine("worker_contact")
             .Add("worker", worker.entry.id)
+            .Add("born", worker.born_unix_ms)
             .Add("cause", event)
             .Add("state", charts_.worker_contact.StateName(worker.contact))
             .Add("tasks", worker.tasks.size()));
@@ -347,11 +349,25 @@
         });
     if (!runs && task->worker == worker.id &&
         task->settled < worker.renewal_sent) {
-      Dispatch(*task, "lost");
+      LoseRun(worker, *task, "not_reported");
     }
   }
 }
 
+void SliceScheduler::LoseRun(const Worker& worker,
+                             Task& task,
+                             std::string_view cause) {
+  options_.log(core::LogLine("run_lost")
+                   .Add("task", ToText(task.job->AddressOf(task)))
+                   .Add("run", task.run)
+                   .Add("worker", worker.entry.id)
+                   .Add("born", worker.born_unix_ms)
+                   .Add("cause", cause)
+                   .Add("ends", worker.last_end)
+                   .Add("acknowledged", worker.acknowledged));
+  Dispatch(task, "lost");
+}
+
 std::int64_t SliceScheduler::LeaseUntil(const Worker& worker) const {
   return worker.ClockAt(now_) + core::ToMillis(options_.limits.longest_lease);
 }
