Leave it to a restarted worker's report which runs are lost

Cause: the owner gave up all tasks of a worker when it learned of a new life, including those that the new life had started meanwhile. An idle worker is not called, so its restart stays unnoticed until its registry entry is read. Evidence: worker_contact cause=other_life tasks=0 at 40.498, unknown_run_stopped for each of the tasks at 41.316. Ruled out: a lease that counts as over too early (no lease_over in the log).

The worker is unconfirmed until its next report, which is requested at once; runs that it does not list are given up by DropMissing, as ever.

Test: "tasks that a restarted worker has started stay on it".

--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -43,15 +43,18 @@
 chart::Bindings<SliceScheduler::ContactContext>
 SliceScheduler::MakeContactBindings() {
   chart::Bindings<ContactContext> bindings;
-  bindings.Action("lose_tasks", [](ContactContext& c) {
-    Worker& worker = c.worker;
-    const std::vector<Task*> tasks = worker.tasks;
-    std::ranges::for_each(tasks, [&](Task* task) {
-      c.scheduler.LoseRun(worker, *task, c.event);
-    });
-    worker.last_end = 0;
-    worker.acknowledged = 0;
-  });
+  bindings
+      .Action("lose_tasks",
+              [](ContactContext& c) {
+                const std::vector<Task*> tasks = c.worker.tasks;
+                std::ranges::for_each(tasks, [&](Task* task) {
+                  c.scheduler.LoseRun(c.worker, *task, c.event);
+                });
+              })
+      .Action("reset_ends", [](ContactContext& c) {
+        c.worker.last_end = 0;
+        c.worker.acknowledged = 0;
+      });
   return bindings;
 }
 
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -62,6 +62,27 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
+// Guards against a task that runs twice: an idle worker restarted, started
+// tasks, and the owner gave them up as lost with the life before when it
+// learned of the restart, from the registry or from a report.
+TEST_CASE("tasks that a restarted worker has started stay on it", "[slice]") {
+  const bool from_registry = GENERATE(true, false);
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Restart("w1", 2);
+  world.Submit("j", "c");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.AddWorker("w2");
+  if (from_registry) {
+    world.Register("w1", 2);
+  }
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 // Guards against a loss of workers: those that had crashed were never used
 // again, which left 36 of 48 workers.
 TEST_CASE("a worker whose lease has ended is used when it returns", "[slice]") {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -39,6 +39,14 @@
 constexpr core::Resources kCapacity = {.cpu_millis = 32'000,
                                        .memory_bytes = 125 * kGigabyte};
 
+WorkerEntry EntryOf(const std::string& id) {
+  return {.id = id,
+          .service = "noise",
+          .address = id + ":1",
+          .failure_domain = "yoff",
+          .capacity = kCapacity};
+}
+
 // Maps each letter of a document to its step; see SliceWorld::Submit.
 const std::map<char, StepSpec>& Steps() {
   static const std::map<char, StepSpec> kSteps = {
@@ -105,22 +113,19 @@
 void SliceWorld::AddWorker(const std::string& id) {
   workers.Add(id);
   registry_.push_back(id);
-  owner->UpdateWorker({.id = id,
-                       .service = "noise",
-                       .address = id + ":1",
-                       .failure_domain = "yoff",
-                       .capacity = kCapacity},
-                      now_);
+  owner->UpdateWorker(EntryOf(id), now_);
+}
+
+void SliceWorld::Register(const std::string& id, std::int64_t born) {
+  WorkerEntry entry = EntryOf(id);
+  entry.born_unix_ms = born;
+  owner->UpdateWorker(entry, now_);
 }
 
 void SliceWorld::Drain(const std::string& id) {
-  owner->UpdateWorker({.id = id,
-                       .service = "noise",
-                       .address = id + ":1",
-                       .failure_domain = "yoff",
-                       .draining = true,
-                       .capacity = kCapacity},
-                      now_);
+  WorkerEntry entry = EntryOf(id);
+  entry.draining = true;
+  owner->UpdateWorker(entry, now_);
 }
 
 void SliceWorld::Remove(const std::string& id) {
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -54,6 +54,9 @@
   /// Advances the clock in small steps and executes all commands.
   void Advance(std::chrono::milliseconds duration);
 
+  /// Lists a worker in the registry with the start of its present life.
+  void Register(const std::string& id, std::int64_t born);
+
   /// Marks a worker as draining in the registry.
   void Drain(const std::string& id);
 
