Acknowledge ends only to the life of a worker that reported them

A task that was done could run again after its worker had restarted under its id.

Cause: the numbers of ends start again with each life, but the owner sent the number of the old life with each renewal, and took the smaller of both numbers for stored when a write of the old life's ends was answered late. The new life forgot ends that no owner had read or stored.

Change: Worker::life counts lives; a write acknowledges ends of the life it was made for. An acknowledgement is sent until an answer of that life confirms it, and not again. The last end of a worker that becomes idle is acknowledged at once and no longer with its next task; that costs one call each time.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -139,6 +139,8 @@
   };
   struct RenewalCall {
     core::WorkerId worker;
+    std::uint32_t life = 0;
+    std::uint64_t acknowledged = 0;
   };
   struct PaceCall {
     TaskCall run;
@@ -175,11 +177,18 @@
   /// not reserved by long-running tasks.
   using RoomIndex = std::vector<Worker*>;
 
+  /// The ends of a worker's life up to a number.
+  struct EndsOfWorker {
+    core::WorkerId worker;
+    std::uint32_t life = 0;
+    std::uint64_t last = 0;
+  };
+
   /// A transaction that waits for the store's answer.
   struct Commit {
     CommitRows rows;
     std::vector<std::string> jobs;
-    std::vector<std::pair<core::WorkerId, std::uint64_t>> ends;
+    std::vector<EndsOfWorker> ends;
     std::vector<core::WorkerId> roster;  ///< If the roster is written too.
   };
 
@@ -215,8 +224,8 @@
   void HandleOrderAnswer(const TaskCall& call, const OrderAnswered& answer);
   void HandlePaceAnswer(const TaskCall& run, const OrderAnswered& answer);
   void HandleStopAnswer(Task& task, const OrderAnswered& answer);
-  void HandleRenewal(Worker& worker, const LeaseAnswered& answer);
-  void HandleReport(Worker& worker, const WorkerReport& report);
+  void HandleRenewal(const RenewalCall& call, const LeaseAnswered& answer);
+  void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
   void HandleActive(Worker& worker, const ActiveRun& run);
   void DropMissing(Worker& worker, const WorkerReport& report);
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -42,8 +42,12 @@
   std::int64_t best_effort_demand = 0;
   std::vector<Task*> tasks;
 
+  /// Counts the lives and leases that have ended. The numbers of ends below
+  /// belong to the present one.
+  std::uint32_t life = 0;
   std::uint64_t last_end = 0;  ///< Highest number of an end that was handled.
   std::uint64_t acknowledged = 0;  ///< Ends up to this one are durable.
+  std::uint64_t forgotten = 0;     ///< The worker lists no ends up to this one.
 
   std::optional<CallId> renewal;
   core::TimePoint renewal_sent;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -47,7 +47,9 @@
   if (dirty_.empty()) {
     for (const auto& worker : workers_.all()) {
       if (worker->last_end > worker->acknowledged) {
-        commit.ends.emplace_back(worker->id, worker->last_end);
+        commit.ends.push_back({.worker = worker->id,
+                               .life = worker->life,
+                               .last = worker->last_end});
       }
     }
   }
@@ -188,11 +190,12 @@
 }
 
 void SliceScheduler::MarkStored(const Commit& commit, RowVersion version) {
-  for (const auto& [id, number] : commit.ends) {
-    Worker& worker = workers_.Get(id);
-    // The worker may have started a new incarnation since the write was sent.
-    worker.acknowledged = std::min(number, worker.last_end);
-    worker.next_renewal = now_;
+  for (const EndsOfWorker& ends : commit.ends) {
+    Worker& worker = workers_.Get(ends.worker);
+    if (worker.life == ends.life) {
+      worker.acknowledged = ends.last;
+      worker.next_renewal = now_;
+    }
   }
   if (!commit.roster.empty()) {
     roster_version_ = version;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -52,8 +52,10 @@
                 });
               })
       .Action("reset_ends", [](ContactContext& c) {
+        ++c.worker.life;
         c.worker.last_end = 0;
         c.worker.acknowledged = 0;
+        c.worker.forgotten = 0;
       });
   return bindings;
 }
@@ -143,14 +145,15 @@
                          HandlePaceAnswer(c.run, answer);
                        },
                        [&](const RenewalCall& c, const LeaseAnswered& answer) {
-                         HandleRenewal(workers_.Get(c.worker), answer);
+                         HandleRenewal(c, answer);
                        },
                        [](const auto&, const auto&) {}},
       pending, event);
 }
 
-void SliceScheduler::HandleRenewal(Worker& worker,
+void SliceScheduler::HandleRenewal(const RenewalCall& call,
                                    const LeaseAnswered& answer) {
+  Worker& worker = workers_.Get(call.worker);
   worker.renewal.reset();
   if (answer.outcome == OrderOutcome::kFenced) {
     fenced_ = true;
@@ -158,7 +161,7 @@
     DispatchContact(worker, "life_over");
     worker.next_renewal = now_ + kLapsedRetryPause;
   } else if (answer.report) {
-    HandleReport(worker, *answer.report);
+    HandleReport(call, *answer.report);
   } else {
     worker.next_renewal = now_ + kSilentRetryPause;
     DispatchContact(worker, "no_answer");
@@ -171,7 +174,9 @@
   }
 }
 
-void SliceScheduler::HandleReport(Worker& worker, const WorkerReport& report) {
+void SliceScheduler::HandleReport(const RenewalCall& call,
+                                  const WorkerReport& report) {
+  Worker& worker = workers_.Get(call.worker);
   if (report.born_unix_ms != 0 && worker.born_unix_ms != 0 &&
       report.born_unix_ms != worker.born_unix_ms) {
     DispatchContact(worker, "other_life");
@@ -179,6 +184,9 @@
   if (report.born_unix_ms != 0) {
     worker.born_unix_ms = report.born_unix_ms;
   }
+  if (worker.life == call.life) {
+    worker.forgotten = std::max(worker.forgotten, call.acknowledged);
+  }
   worker.clock_ms = report.clock_ms;
   worker.clock_at = now_;
   if (!restored_ || config_ == nullptr) {
@@ -420,7 +428,7 @@
         contact != "live" &&
         (worker->listed || (worker->in_roster && contact != "lapsed"));
     const bool needs_renewal = !worker->tasks.empty() ||
-                               worker->last_end > worker->acknowledged ||
+                               worker->last_end > worker->forgotten ||
                                needs_contact;
     if (needs_renewal && !worker->renewal && now_ >= worker->next_renewal) {
       RenewLease(*worker);
@@ -430,11 +438,16 @@
 
 void SliceScheduler::RenewLease(Worker& worker) {
   const CallId call = ids_.Next();
-  calls_[call] = RenewalCall{.worker = worker.id};
-  jobs::RenewLease order{.call = call,
-                         .to = DestinationOf(worker),
-                         .epoch = options_.epoch,
-                         .acknowledged = worker.acknowledged};
+  jobs::RenewLease order{
+      .call = call, .to = DestinationOf(worker), .epoch = options_.epoch};
+  // Sent until it is confirmed, and not again: the worker may restart at any
+  // time, and would forget the ends of its new life.
+  if (worker.acknowledged > worker.forgotten) {
+    order.acknowledged = worker.acknowledged;
+  }
+  calls_[call] = RenewalCall{.worker = worker.id,
+                             .life = worker.life,
+                             .acknowledged = order.acknowledged};
   const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -83,6 +83,49 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
 }
 
+// Guards against a task that runs again after it was done: numbers of ends
+// start again with each life, and the number that acknowledged the ends of a
+// worker's first life made its second life forget an end that was not read.
+TEST_CASE("an end is acknowledged only to the life that reported it",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "first");
+  world.workers.End(SliceWorld::Task("first"), EndKind::kDone);
+  world.Advance(1s);
+  CHECK(world.workers.acknowledged("w1") == 1);
+  world.workers.Restart("w1", 2);
+  world.Submit("j", "c");
+  world.Advance(20ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
+// Guards against a task that runs again after it was done: a write that stored
+// an end of a worker's first life acknowledged an end of its second life,
+// which no write had stored.
+TEST_CASE("a write acknowledges no end of a later life", "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "first");
+  world.Submit("j", "c");
+  world.Submit("other", "c");
+  world.Advance(500ms);
+  world.commit_delay = 1500ms;
+  world.workers.End(SliceWorld::Task("first"), EndKind::kDone);
+  world.Advance(100ms);
+  world.workers.Restart("w1", 2);
+  world.Advance(700ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(1200ms);
+  CHECK(world.workers.acknowledged("w1") == 0);
+  world.Advance(2s);
+  CHECK(world.workers.acknowledged("w1") == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
 // Guards against a loss of workers: those that had crashed were never used
 // again, which left 36 of 48 workers.
 TEST_CASE("a worker whose lease has ended is used when it returns", "[slice]") {
