Wait for the lease of a draining worker that is cut off

Cause: for a worker that drains, has no registry entry and accepts no connection, the owner took the lease for over. A cut looks exactly so. The lease end that it had recorded was not asked. Evidence: the record of the case (entry_expired, then run_started elsewhere, lapsed later) and the only place that dispatches lease_over before lease_end.

Change: the rule is gone; such a worker is silent, and its tasks are lost when its lease is over.

--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -165,12 +165,6 @@
   } else {
     worker.next_renewal = now_ + kSilentRetryPause;
     DispatchContact(worker, "no_answer");
-    if (answer.outcome == OrderOutcome::kUnreachable && worker.entry.draining &&
-        !worker.listed) {
-      // The worker was draining, has left the registry and accepts no
-      // connections: its lease is over.
-      DispatchContact(worker, "lease_over");
-    }
   }
 }
 
@@ -393,7 +387,8 @@
 }
 
 // Returns whether an unlisted worker without tasks can be removed. A worker
-// that signed off is known to have ended before its lease expires.
+// whose address belongs to another one is known to have ended before its lease
+// expires.
 bool SliceScheduler::IsGone(const Worker& worker) const {
   return !worker.listed && worker.tasks.empty() &&
          (now_ >= worker.lease_end ||
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -51,6 +51,25 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
+// Guards against a task that runs twice: a draining worker that was cut off
+// counted as gone when its registry entry expired, although its lease ran on.
+TEST_CASE("a draining worker that is cut off keeps its tasks for its lease",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.Drain("w1");
+  world.Advance(1s);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kGone);
+  world.Advance(3500ms);
+  world.Remove("w1");
+  world.AddWorker("w2");
+  // The lease lasts 6 s and was renewed within the last 1.5 s.
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 TEST_CASE("a task restarts at once when its worker has a new incarnation",
           "[slice]") {
   SliceWorld world;
