Send writes and orders once, whatever becomes of the connection

Cause: writes and orders were marked idempotent, so that libcurl repeated them by itself when a reused connection broke before an answer. The answer to the second copy, 503 or 429, was taken for the answer to the request. Evidence: the record of the case shows two copies of the write, and intake sent one. Ruled out: intake's own repetition, which remembers that an earlier write was not answered.

Change: StartExchange::reuses_connections lets a request that is not idempotent use an open connection; the callback before each request ends the exchange if libcurl is about to send such a request again.

--- a/packages/http/include/http/upstream.h
+++ b/packages/http/include/http/upstream.h
@@ -24,9 +24,14 @@
   /// Hop-by-hop headers are left out.
   std::vector<Header> headers;
   std::string body;
-  /// A request that is not idempotent gets a connection of its own, because
-  /// libcurl resends a request when a reused connection turns out to be dead.
+  /// libcurl sends an idempotent request again when a reused connection turns
+  /// out to be dead. The answer is then to the last copy, and says nothing
+  /// about earlier ones.
   bool idempotent = false;
+  /// Lets a request that is not idempotent use an open connection. If that
+  /// turns out to be dead, the exchange fails. Otherwise it gets a connection
+  /// of its own.
+  bool reuses_connections = false;
   std::chrono::milliseconds connect_timeout{1'000};
   /// From the start of the exchange; 0 for no limit of its own.
   std::chrono::milliseconds first_byte_timeout{0};
--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -83,8 +83,7 @@
             static_cast<long>(command_.connect_timeout.count()));
   ok &= set(CURLOPT_TIMEOUT_MS,
             static_cast<long>(command_.total_timeout.count()));
-  if (!command_.idempotent) {
-    // A dead reused connection makes libcurl send the request a second time.
+  if (!command_.idempotent && !command_.reuses_connections) {
     ok &= set(CURLOPT_FRESH_CONNECT, 1L);
     ok &= set(CURLOPT_FORBID_REUSE, 1L);
   }
@@ -152,6 +151,11 @@
     exchange->own_reason_ = "deadline_passed";
     return CURL_PREREQFUNC_ABORT;
   }
+  if (exchange->may_have_written_ && !exchange->command_.idempotent) {
+    // libcurl repeats a request when a reused connection turns out to be dead.
+    exchange->own_reason_ = "connection_broken";
+    return CURL_PREREQFUNC_ABORT;
+  }
   exchange->may_have_written_ = true;
   return CURL_PREREQFUNC_OK;
 }
