Refuse no attempt at a job that an earlier attempt may have stored

The first attempt was answered 504 after 2.6 s, the second, with the same id at the same process, 503 at once.

Cause: that a write was without an answer was kept with the call, and gone when its caller was answered. Evidence: the log has unknown_outcome and 50 ms later store_down for the same path, run_ended for its tasks before.

Change: open writes are kept by job, whoever sent them; while one is open no attempt is refused as not accepted, neither because the store is down nor for want of room. The flag at each call is gone.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -137,8 +138,6 @@
     /// Candidate slices in which the job has not been looked up yet.
     std::vector<std::size_t> unread_slices;
     StoreCommand command;
-    /// At least one attempt was not answered, so it may have taken effect.
-    bool unanswered = false;
     bool in_flight = true;
     core::TimePoint send_at;
   };
@@ -159,6 +158,9 @@
   void Remember(const std::string& job, std::size_t slice);
   void CountPending(ClientCall call, const Queue& queue);
   void Send(Pending pending);
+  void CountOpenWrite(const Pending& pending);
+  void SettleWrite(const Pending& pending, const StoreEvent& event);
+  bool MayBeCarriedOut(const Pending& pending) const;
   void Finish(Pending pending, const StoreEvent& event);
   void FinishRead(Pending pending, const RowsRead& read);
   void FinishCount(const Pending& pending, const RowsRead& read);
@@ -179,6 +181,10 @@
   core::TimePoint last_failure_;
   core::TimePoint last_probe_;
   std::unordered_map<CallId, Pending> pending_;
+  /// By the row that marks a job as submitted or cancelled: the copies of its
+  /// write that may have been carried out, or may still be, also of callers
+  /// that no longer wait.
+  std::map<std::string, std::uint32_t, std::less<>> open_writes_;
   /// By slice, as published.
   std::vector<std::optional<SliceLoad>> loads_;
   std::vector<JobDemand> added_;  ///< By slice, since SetLoads.
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -220,6 +220,32 @@
   CHECK(world.TakeRefusal() == Refusal::kUnknownOutcome);
 }
 
+// Guards against a refusal that is not true: the store carried out a write
+// without an answer and failed then, and the caller's second attempt was
+// refused at once as not accepted.
+TEST_CASE("a later attempt at a job that may be stored is not refused",
+          "[intake]") {
+  IntakeWorld world;
+  world.store.SetFault(FakeStore::Fault::kLoseAnswer);
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.Advance(2s);
+  REQUIRE(world.TakeRefusal() == Refusal::kUnknownOutcome);
+  const SliceLoad full = {.long_running_millis = 9'000,
+                          .capacity_millis = 10'000};
+  world.intake().SetLoads({full, full});
+  world.long_running_millis = GENERATE(0, 1'000);
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    world.Call(ClientVerb::kSubmit, "/d/job1");
+    world.Advance(2s);
+    CHECK(world.TakeRefusal() == Refusal::kUnknownOutcome);
+  }
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.Advance(200ms);
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+}
+
 TEST_CASE("a job is refused when the store is down", "[intake]") {
   IntakeWorld world;
   world.store.SetFault(FakeStore::Fault::kRefuse);
