Let no lease outlive the term of the owner that grants it

Cause: a new owner starts no stored job while a worker of the roster may still run something under an earlier owner, and took the sum of two bounds for that: 12 s from its own start, and a whole lease granted at their end. Ruled out: want of room, and the store (owners renewed all the while).

Change: an owner grants no lease beyond its term, which ends 12 s after it sent its last renewal that was answered; its successor waits for that end, counted from when it first saw the row that it claimed. The term begins when the claim is sent, not when it is answered.

Price: an owner that cannot renew for 12 s loses its tasks then, and not up to 6 s later.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -35,6 +35,8 @@
   /// The earlier owner has ended or released the slice, so it no longer renews
   /// leases.
   bool predecessor_ended = false;
+  /// The earlier owner grants no lease that lasts longer than this.
+  core::TimePoint predecessor_term_end;
 };
 
 struct SliceLost {
@@ -59,7 +61,7 @@
 /// @remarks An owner that cannot renew remains the owner for kOwnerGrace,
 /// because the store may be down for all processes. Workers refuse its orders
 /// as soon as a successor has sent them an order. For workers that it cannot
-/// reach, a successor waits kOwnerGrace.
+/// reach, a successor waits until the term of the owner before has ended.
 class SliceBoard {
  public:
   /// How long a process remains the owner without a renewal. The store's usual
@@ -115,6 +117,10 @@
   core::TimePoint next_timer() const;
   bool owns_any() const;
 
+  /// @returns when this process's ownership of the slice ends if it is not
+  /// renewed until then.
+  core::TimePoint TermEnd(core::SliceId slice) const;
+
  private:
   struct OwnerRecord;
   struct Slice;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -80,6 +80,7 @@
     Epoch epoch = 0;
     RowVersion fence_version = 0;
     bool predecessor_ended = false;  ///< As in SliceGained.
+    core::TimePoint predecessor_term_end;
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
@@ -100,6 +101,10 @@
 
   void SetConfig(QueueConfigPtr config, core::TimePoint now);
 
+  /// @param end when the ownership ends if it is not renewed; no lease is
+  /// granted beyond it.
+  void SetTermEnd(core::TimePoint end) { term_end_ = end; }
+
   /// Apply changes in the registry to workers of the slice's failure domain.
   void UpdateWorker(const WorkerEntry& entry, core::TimePoint now);
   void RemoveWorker(std::string_view id, core::TimePoint now);
@@ -236,6 +241,7 @@
   void RenewLease(Worker& worker);
   void RecordLease(Worker& worker, std::int64_t until_ms);
   std::int64_t LeaseUntil(const Worker& worker) const;
+  core::TimePoint PredecessorLeaseEnd() const;
   void AccrueLoad(Worker& worker) const;
   void LearnInterference(Worker& worker);
   void LearnFrom(Task& serving, std::span<const Neighbour> neighbours);
@@ -358,6 +364,7 @@
   core::TimePoint next_timer_;
   bool fenced_ = false;
   core::TimePoint gained_;
+  core::TimePoint term_end_ = core::TimePoint::max();
 
   /// States of the chart `task_run` that decisions depend on.
   struct TaskStates {
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -143,16 +143,18 @@
               })
       .Action("note_renewal",
               [](Context& c) { c.slice.renewed = c.slice.write_sent; })
-      .Action("announce_gain",
-              [](Context& c) {
-                c.slice.renewed = c.now;
-                c.slice.next_write = c.now + kRenewInterval;
-                c.board.notices_.push_back(
-                    SliceGained{.slice = c.slice.id,
-                                .epoch = c.slice.owner.epoch,
-                                .fence_version = c.slice.claim_version,
-                                .predecessor_ended = c.slice.vacant});
-              })
+      .Action(
+          "announce_gain",
+          [](Context& c) {
+            c.slice.renewed = c.slice.write_sent;
+            c.slice.next_write = c.now + kRenewInterval;
+            c.board.notices_.push_back(SliceGained{
+                .slice = c.slice.id,
+                .epoch = c.slice.owner.epoch,
+                .fence_version = c.slice.claim_version,
+                .predecessor_ended = c.slice.vacant,
+                .predecessor_term_end = c.slice.unchanged_since + kOwnerGrace});
+          })
       .Action("announce_loss", [](Context& c) {
         c.slice.unchanged_since = c.now;
         c.board.notices_.push_back(SliceLost{.slice = c.slice.id});
@@ -205,6 +207,10 @@
   });
 }
 
+core::TimePoint SliceBoard::TermEnd(core::SliceId slice) const {
+  return slices_.at(slice.value()).renewed + kOwnerGrace;
+}
+
 bool SliceBoard::IsVacant(const Slice& slice) const {
   return slice.version == 0 || slice.owner.process == kReleased ||
          slice.owner.process == options_.process;
@@ -265,7 +271,7 @@
     if (chart_.StateName(slice.state) != "owning") {
       continue;
     }
-    if (now >= slice.renewed + kOwnerGrace) {
+    if (now >= TermEnd(slice.id)) {
       Dispatch(slice, "expired", now);
     } else if (!slice.write && now >= slice.next_write) {
       SendWrite(slice, false, false, now);
@@ -479,8 +485,7 @@
       next = std::min(next, slice.next_write);
     }
     if (chart_.StateName(slice.state) == "owning") {
-      next = std::min(
-          next, slice.write ? slice.renewed + kOwnerGrace : slice.next_write);
+      next = std::min(next, slice.write ? TermEnd(slice.id) : slice.next_write);
     }
   }
   return next;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -94,14 +94,7 @@
   if (worker == nullptr) {
     worker = &workers_.Add(entry, charts_.worker_contact.initial());
     worker->born_unix_ms = entry.born_unix_ms;
-    // An earlier owner may have granted leases until its own grace period
-    // ended.
-    worker->lease_end = gained_ +
-                        (options_.predecessor_ended ? core::Duration()
-                                                    : SliceBoard::kOwnerGrace) +
-                        std::chrono::duration_cast<core::Duration>(
-                            options_.limits.longest_lease * kSlowClockFactor) +
-                        kClockMargin;
+    worker->lease_end = PredecessorLeaseEnd();
   } else {
     worker->entry = entry;
     worker->listed = true;
@@ -373,8 +366,27 @@
   Dispatch(task, "lost");
 }
 
+// Returns when the leases that earlier owners have granted are over.
+core::TimePoint SliceScheduler::PredecessorLeaseEnd() const {
+  const core::TimePoint term_end = options_.predecessor_term_end + kClockMargin;
+  if (!options_.predecessor_ended) {
+    return term_end;
+  }
+  return std::min(term_end,
+                  gained_ +
+                      std::chrono::duration_cast<core::Duration>(
+                          options_.limits.longest_lease * kSlowClockFactor) +
+                      kClockMargin);
+}
+
+// Returns the end of a lease on the worker's clock, so that RecordLease expects
+// it to be over no later than the term.
 std::int64_t SliceScheduler::LeaseUntil(const Worker& worker) const {
-  return worker.ClockAt(now_) + core::ToMillis(options_.limits.longest_lease);
+  const auto left_at_report = std::chrono::duration_cast<core::Duration>(
+      (term_end_ - kClockMargin - worker.clock_at) / kSlowClockFactor);
+  return std::min(
+      worker.ClockAt(now_) + core::ToMillis(options_.limits.longest_lease),
+      worker.clock_ms + core::ToMillis(left_at_report));
 }
 
 void SliceScheduler::RecordLease(Worker& worker, std::int64_t until_ms) {
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -76,6 +76,7 @@
   if (ended) {
     return OrderOutcome::kSuperseded;
   }
+  worker.lease_until_ms = std::max(worker.lease_until_ms, order.lease_until_ms);
   worker.runs.push_back({.task = order.task,
                          .number = order.run,
                          .checkpoint = order.checkpoint});
@@ -119,6 +120,8 @@
                                   const RenewLease& order,
                                   core::TimePoint now) {
   worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
+  worker.lease_until_ms =
+      std::max(worker.lease_until_ms, order.lease_until_ms.value_or(0));
   std::erase_if(worker.ends, [&](const EndedRun& end) {
     return end.number <= order.acknowledged;
   });
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -78,6 +78,11 @@
   }
   std::size_t starts(const TaskAddress& task) const;
 
+  /// @returns the end of the worker's lease, on its clock.
+  std::int64_t lease_until_ms(const std::string& worker) {
+    return workers_[worker].lease_until_ms;
+  }
+
  private:
   struct Worker {
     Fault fault = Fault::kNone;
@@ -88,6 +93,7 @@
     std::uint64_t acknowledged = 0;
     Epoch epoch = 0;
     std::int64_t born = 1;
+    std::int64_t lease_until_ms = 0;
     bool replaced = false;
   };
 
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -120,6 +120,47 @@
   CHECK(far.gains.empty());
 }
 
+// Guards against a lease that outlives what a successor waits for: the term of
+// an owner counts from when its claim or renewal was sent, and a successor
+// assumes an end that is not earlier, and hardly later.
+TEST_CASE("a successor knows when the earlier owner's term ends", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  const bool renewed = GENERATE(true, false);
+  cluster.Advance(renewed ? 3s : 100ms, {&a});
+  REQUIRE(a.gains.size() == 1);
+  const core::TimePoint end = a.board().TermEnd(kYoff);
+  CHECK(end <= cluster.now() + SliceBoard::kOwnerGrace);
+  a.reaches_store = false;
+  cluster.Advance(5s, {&a, &b});
+  CHECK(a.board().TermEnd(kYoff) == end);
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.gains[0].predecessor_term_end >= end);
+  CHECK(b.gains[0].predecessor_term_end <= end + 1500ms);
+}
+
+// Guards against a term that begins after the claim was stored: a process was
+// frozen before it read the answer to its claim.
+TEST_CASE("a term begins when the claim is sent", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  const core::TimePoint sent = cluster.now();
+  std::vector<StoreEvent> answers;
+  for (core::TimePoint now = sent; answers.size() < 2; now += 20ms) {
+    a.board().Run(now);
+    for (const StoreCommand& command : a.board().PopCommands()) {
+      answers.push_back(*cluster.store.Run(command));
+      if (answers.size() == 1) {
+        a.board().Handle(answers.front(), now);
+      }
+    }
+  }
+  a.board().Handle(answers.back(), sent + 3s);
+  REQUIRE(a.board().owns_any());
+  CHECK(a.board().TermEnd(kYoff) <= sent + 1s + SliceBoard::kOwnerGrace);
+}
+
 // Guards against an owner that is too small: a VM with 0.07 of a core stayed
 // the owner of a slice with 117 workers, fell behind and repeatedly lost it.
 TEST_CASE("a process on a much larger VM takes a slice over", "[board]") {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "chart_yaml/load.h"
+#include "jobs/slice_board.h"
 
 namespace hickoryusher::jobs {
 namespace {
@@ -150,6 +151,7 @@
        .epoch = epoch_,
        .fence_version = store.Find(FenceRow(kSlice))->version,
        .predecessor_ended = predecessor_ended,
+       .predecessor_term_end = now_ + SliceBoard::kOwnerGrace,
        .limits = {.longest_lease = milliseconds(6000),
                   .keep_final_jobs = milliseconds(120'000)},
        .read_document = ReadSteps,
@@ -169,6 +171,11 @@
   }
 }
 
+core::TimePoint SliceWorld::EndTermIn(milliseconds duration) {
+  owner->SetTermEnd(now_ + duration);
+  return now_ + duration;
+}
+
 void SliceWorld::Configure() {
   owner->SetConfig(std::make_shared<const QueueConfig>(
                        1, std::vector<Queue>{{.name = "diary",
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -29,6 +29,9 @@
   /// Replaces the owner of the slice by a new one with the next epoch.
   void TakeOver(bool predecessor_ended = true, bool configured = true);
 
+  /// Lets the owner's term end after @p duration. @returns when it ends.
+  core::TimePoint EndTermIn(std::chrono::milliseconds duration);
+
   /// Delivers the configuration to the owner.
   void Configure();
 
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -91,6 +91,7 @@
     PopNotices(now);
     const std::int64_t unix_ms = UnixMillis();
     for (const auto& [id, scheduler] : schedulers_) {
+      scheduler->SetTermEnd(board_->TermEnd(id));
       scheduler->Run(now, unix_ms);
       if (scheduler->fenced()) {
         board_->MarkFenced(id, now);
@@ -216,6 +217,7 @@
        .epoch = gained.epoch,
        .fence_version = gained.fence_version,
        .predecessor_ended = gained.predecessor_ended,
+       .predecessor_term_end = gained.predecessor_term_end,
        .limits = options_.limits,
        .read_document = ports_.read_document,
        .log = options_.log},
