Count open writes in a class of their own

OpenWrites counts the copies of writes whose outcome is open; Intake says which outcome each answer means.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -16,6 +15,7 @@
 #include "core/ids.h"
 #include "core/log_line.h"
 #include "core/time.h"
+#include "jobs/open_writes.h"
 #include "jobs/queues.h"
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
@@ -158,9 +158,6 @@
   void Remember(const std::string& job, std::size_t slice);
   void CountPending(ClientCall call, const Queue& queue);
   void Send(Pending pending);
-  void CountOpenWrite(const Pending& pending);
-  void SettleWrite(const Pending& pending, const StoreEvent& event);
-  bool MayBeCarriedOut(const Pending& pending) const;
   void Finish(Pending pending, const StoreEvent& event);
   void FinishRead(Pending pending, const RowsRead& read);
   void FinishCount(const Pending& pending, const RowsRead& read);
@@ -181,10 +178,8 @@
   core::TimePoint last_failure_;
   core::TimePoint last_probe_;
   std::unordered_map<CallId, Pending> pending_;
-  /// By the row that marks a job as submitted or cancelled: the copies of its
-  /// write that may have been carried out, or may still be, also of callers
-  /// that no longer wait.
-  std::map<std::string, std::uint32_t, std::less<>> open_writes_;
+  /// Submissions and cancellations, also of callers that no longer wait.
+  OpenWrites open_writes_;
   /// By slice, as published.
   std::vector<std::optional<SliceLoad>> loads_;
   std::vector<JobDemand> added_;  ///< By slice, since SetLoads.
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -42,10 +42,6 @@
 // times a minute.
 constexpr core::Duration kCapacityRetryAfter = milliseconds(5000);
 
-// Writes without an answer that are remembered. A caller asks again within
-// seconds, in which far fewer are left without one.
-constexpr std::size_t kMaxOpenWrites = 20'000;
-
 // The job id is part of row keys, which have at most 200 bytes.
 constexpr std::size_t kMaxJobIdBytes = 100;
 
@@ -56,12 +52,6 @@
          });
 }
 
-/// @returns the key of the last row that the command writes, or nullptr.
-const std::string* WrittenKey(const StoreCommand& command) {
-  const auto* commit = std::get_if<CommitRows>(&command);
-  return commit == nullptr ? nullptr : &commit->puts.back().key.key;
-}
-
 std::int64_t LongRunningLimit(const SliceLoad& load) {
   return static_cast<std::int64_t>(kLongRunningShare *
                                    static_cast<double>(load.capacity_millis));
@@ -152,7 +142,7 @@
     return;
   }
   // An earlier attempt may have stored the job, or may still store it.
-  const bool may_be_stored = open_writes_.contains(job);
+  const bool may_be_stored = open_writes_.Contains(job);
   if (StoreIsDown(now_) && now_ < last_probe_ + kProbeInterval) {
     Refuse(call, may_be_stored ? Refusal::kUnknownOutcome : Refusal::kStoreDown,
            StoreState());
@@ -337,44 +327,11 @@
   const CallId id = ids_.Next();
   std::visit([id](auto& command) { command.call = id; }, pending.command);
   pending.in_flight = true;
-  CountOpenWrite(pending);
+  open_writes_.Add(pending.command);
   commands_.push_back(pending.command);
   pending_.emplace(id, std::move(pending));
 }
 
-void Intake::CountOpenWrite(const Pending& pending) {
-  if (const std::string* key = WrittenKey(pending.command)) {
-    ++open_writes_[*key];
-    if (open_writes_.size() > kMaxOpenWrites) {
-      open_writes_.erase(open_writes_.begin());
-    }
-  }
-}
-
-// A copy without an answer stays open. Once one copy is known to have taken
-// effect, or a submission to be stored, the others no longer matter.
-void Intake::SettleWrite(const Pending& pending, const StoreEvent& event) {
-  const std::string* key = WrittenKey(pending.command);
-  if (key == nullptr || std::holds_alternative<StoreUnanswered>(event)) {
-    return;
-  }
-  const auto found = open_writes_.find(*key);
-  if (found == open_writes_.end()) {
-    return;
-  }
-  const bool stored = std::holds_alternative<RowsCommitted>(event) ||
-                      (std::holds_alternative<RowsConflicted>(event) &&
-                       pending.call.verb == ClientVerb::kSubmit);
-  if (stored || --found->second == 0) {
-    open_writes_.erase(found);
-  }
-}
-
-bool Intake::MayBeCarriedOut(const Pending& pending) const {
-  const std::string* key = WrittenKey(pending.command);
-  return key != nullptr && open_writes_.contains(*key);
-}
-
 void Intake::RecordStoreResult(const StoreEvent& event, core::TimePoint now) {
   const bool failed = std::holds_alternative<StoreRefused>(event) ||
                       std::holds_alternative<StoreUnanswered>(event);
@@ -405,10 +362,10 @@
 
 void Intake::Finish(Pending pending, const StoreEvent& event) {
   const bool submit = pending.call.verb == ClientVerb::kSubmit;
-  SettleWrite(pending, event);
   std::visit(
       core::Overloaded{
           [&](const RowsCommitted&) {
+            open_writes_.Close(pending.command);
             options_.log(core::LogLine(submit ? "job_stored" : "cancel_stored")
                              .Add("job", pending.job)
                              .Add("queue", pending.queue)
@@ -420,10 +377,12 @@
           [&](const RowsConflicted&) {
             if (submit) {
               // The job is already stored, perhaps by an earlier attempt.
+              open_writes_.Close(pending.command);
               Answer(pending.call, CallDone());
               return;
             }
             // The job's progress has been written since it was read.
+            open_writes_.Drop(pending.command);
             const Queue* queue = config_->FindQueue(pending.queue);
             if (queue == nullptr) {
               Refuse(pending.call, Refusal::kUnknownQueue);
@@ -432,11 +391,16 @@
             ReadState(std::move(pending.call), *queue, std::move(pending.job));
           },
           [&](const RowsRead& read) { FinishRead(std::move(pending), read); },
-          [&](const auto&) {
+          [&](const auto& other) {
+            using Event = std::remove_cvref_t<decltype(other)>;
+            if constexpr (std::is_same_v<Event, StoreRefused>) {
+              open_writes_.Drop(pending.command);
+            }
             pending.in_flight = false;
             pending.send_at = now_ + kRetryPause;
             if (pending.send_at >= pending.call.give_up ||
-                (submit && StoreIsDown(now_) && !MayBeCarriedOut(pending))) {
+                (submit && StoreIsDown(now_) &&
+                 !open_writes_.Contains(pending.command))) {
               GiveUp(pending);
               return;
             }
@@ -506,10 +470,10 @@
 }
 
 void Intake::GiveUp(const Pending& pending) {
-  Refuse(
-      pending.call,
-      MayBeCarriedOut(pending) ? Refusal::kUnknownOutcome : Refusal::kStoreDown,
-      StoreState());
+  Refuse(pending.call,
+         open_writes_.Contains(pending.command) ? Refusal::kUnknownOutcome
+                                                : Refusal::kStoreDown,
+         StoreState());
 }
 
 void Intake::Run(core::TimePoint now) {
