Take a worker's clock from its answers to orders

What callers would have seen, since leases end with the owner's term: a task on a worker that was idle for 500 s has a lease of 1.8 s, and one on a worker that was idle for 590 s and more is never started.

Cause: a lease that certainly ends with the term allows for a clock that has run 2% slow since the worker's last answer, and only reports counted as answers. An idle worker sends none.

Change: the clock in the answer to an order counts as well, also in a refusal. Ruled out: asking idle workers from time to time, which costs calls.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -79,8 +79,8 @@
     std::vector<SliceInfo> all_slices;
     Epoch epoch = 0;
     RowVersion fence_version = 0;
-    bool predecessor_ended = false;  ///< As in SliceGained.
-    core::TimePoint predecessor_term_end;
+    bool predecessor_ended = false;        ///< As in SliceGained.
+    core::TimePoint predecessor_term_end;  ///< As in SliceGained.
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -81,6 +81,9 @@
 
   bool HasLabel(std::string_view label) const;
 
+  /// Records that the worker's clock showed @p millis no later than @p now.
+  void SetClock(std::int64_t millis, core::TimePoint now);
+
   /// @returns the worker's clock at @p now as far as known.
   std::int64_t ClockAt(core::TimePoint now) const;
 
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -216,6 +216,11 @@
     return;
   }
   Worker& worker = workers_.Get(task.worker);
+  if (answer.clock_ms != 0) {
+    // The clock of a worker that was idle is as old as its last report, and the
+    // renewal that follows a start would grant a short lease.
+    worker.SetClock(answer.clock_ms, now_);
+  }
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     DispatchContact(worker, "life_over");
     return;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -174,8 +174,7 @@
   if (worker.life == call.life) {
     worker.forgotten = std::max(worker.forgotten, call.acknowledged);
   }
-  worker.clock_ms = report.clock_ms;
-  worker.clock_at = now_;
+  worker.SetClock(report.clock_ms, now_);
   if (!restored_ || config_ == nullptr) {
     // Without the restored jobs or the configuration, neither the tasks nor
     // their permitted failures are known. The report is requested again.
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -21,6 +21,11 @@
   return std::ranges::find(entry.labels, label) != entry.labels.end();
 }
 
+void Worker::SetClock(std::int64_t millis, core::TimePoint now) {
+  clock_ms = millis;
+  clock_at = now;
+}
+
 std::int64_t Worker::ClockAt(core::TimePoint now) const {
   return clock_ms + core::ToMillis(now - clock_at);
 }
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -53,17 +53,25 @@
         if constexpr (kRenewal) {
           return Report(worker, order, now);
         } else {
-          const OrderOutcome outcome = Execute(worker, order);
+          const OrderOutcome outcome = Execute(worker, order, now);
           if (worker.fault == Fault::kLoseAnswer) {
             return OrderAnswered{.call = order.call};
           }
-          return OrderAnswered{.call = order.call, .outcome = outcome};
+          return OrderAnswered{
+              .call = order.call,
+              .outcome = outcome,
+              .clock_ms = core::ToMillis(now.time_since_epoch())};
         }
       },
       command);
 }
 
-OrderOutcome FakeWorkers::Execute(Worker& worker, const StartRun& order) {
+OrderOutcome FakeWorkers::Execute(Worker& worker,
+                                  const StartRun& order,
+                                  core::TimePoint now) {
+  if (order.lease_until_ms < core::ToMillis(now.time_since_epoch())) {
+    return OrderOutcome::kTooLate;
+  }
   const bool there = std::ranges::any_of(worker.runs, [&](const Run& run) {
     return run.task == order.task && run.number == order.run;
   });
@@ -84,7 +92,9 @@
   return OrderOutcome::kCarriedOut;
 }
 
-OrderOutcome FakeWorkers::Execute(Worker& worker, const StopRun& order) {
+OrderOutcome FakeWorkers::Execute(Worker& worker,
+                                  const StopRun& order,
+                                  core::TimePoint) {
   if (worker.fault == Fault::kSlowStop) {
     return OrderOutcome::kCarriedOut;
   }
@@ -97,7 +107,9 @@
   return OrderOutcome::kCarriedOut;
 }
 
-OrderOutcome FakeWorkers::Execute(Worker& worker, const SetPace& order) {
+OrderOutcome FakeWorkers::Execute(Worker& worker,
+                                  const SetPace& order,
+                                  core::TimePoint) {
   const auto found = std::ranges::find(worker.runs, order.task, &Run::task);
   if (found == worker.runs.end()) {
     return OrderOutcome::kRefused;
@@ -162,7 +174,7 @@
   Worker& target = workers_[worker];
   for (const StartRun& order : std::exchange(target.late, {})) {
     if (order.epoch >= target.epoch) {
-      Execute(target, order);
+      Execute(target, order, core::TimePoint());
     }
   }
 }
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -97,9 +97,15 @@
     bool replaced = false;
   };
 
-  OrderOutcome Execute(Worker& worker, const StartRun& order);
-  OrderOutcome Execute(Worker& worker, const StopRun& order);
-  OrderOutcome Execute(Worker& worker, const SetPace& order);
+  OrderOutcome Execute(Worker& worker,
+                       const StartRun& order,
+                       core::TimePoint now);
+  OrderOutcome Execute(Worker& worker,
+                       const StopRun& order,
+                       core::TimePoint now);
+  OrderOutcome Execute(Worker& worker,
+                       const SetPace& order,
+                       core::TimePoint now);
   LeaseAnswered Report(Worker& worker,
                        const RenewLease& order,
                        core::TimePoint now);
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -9,6 +9,26 @@
 
 using namespace std::chrono_literals;
 
+// Guards against tasks that lapse at once, or are refused as late for ever, on
+// a worker that was idle for minutes: its clock may have run slow since its
+// last report, which shortens the lease that certainly ends with the owner's
+// term.
+TEST_CASE("a task on a worker that was idle for long gets a whole lease",
+          "[slice]") {
+  const auto idle = GENERATE(500s, 900s);
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(idle);
+  world.EndTermIn(12s);
+  world.Submit("j", "c");
+  // The fake worker applies a renewal when it answers, after up to 1.5 s.
+  world.Advance(2s);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  const core::TimePoint now = world.EndTermIn(0s);
+  CHECK(world.workers.lease_until_ms("w1") >=
+        core::ToMillis((now + 3500ms).time_since_epoch()));
+}
+
 // Guards against running finished tasks again: a new owner dropped progress
 // that it had read before the jobs.
 TEST_CASE(
