Log a worker's lease and whether it drains with each change of contact

A run that is lost shows cause=lease_over, but no line told how long the lease ran when the worker fell silent, whether the worker was leaving, nor that a task was moved off a worker that no longer answers (hypotheses 1 and 3 of docs/incidents/lasting-tasks-wait.md). worker_contact has draining and lease_left_ms, task_moved has contact. No decision changes.

--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -110,11 +110,13 @@
         }
         continue;
       }
-      options_.log(core::LogLine("task_moved")
-                       .Add("task", ToText(task->job->AddressOf(*task)))
-                       .Add("from", worker->entry.id)
-                       .Add("reason", leaving ? "worker_leaves" : "slowed")
-                       .Add("pace", task->pace_percent));
+      options_.log(
+          core::LogLine("task_moved")
+              .Add("task", ToText(task->job->AddressOf(*task)))
+              .Add("from", worker->entry.id)
+              .Add("reason", leaving ? "worker_leaves" : "slowed")
+              .Add("contact", charts_.worker_contact.StateName(worker->contact))
+              .Add("pace", task->pace_percent));
       task->slowed_since = core::TimePoint::max();
       task->slow_moves += leaving ? 0 : 1;
       Dispatch(*task, "halt");
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -80,6 +80,8 @@
             .Add("born", worker.born_unix_ms)
             .Add("cause", event)
             .Add("state", charts_.worker_contact.StateName(worker.contact))
+            .Add("draining", worker.entry.draining)
+            .Add("lease_left_ms", core::ToMillis(worker.lease_end - now_))
             .Add("tasks", worker.tasks.size()));
   }
 }
