Grant leases of 6 s at most, whatever the platform permits

Cause: a worker that has left, or is gone, keeps its tasks in the owner's books for the rest of its lease, and an owner granted the longest lease that the platform permits. Where that is 10 s (6 s on the other sites), a task that found no room before its worker left ran again after up to 10.4 s; it must after 9 s. The class: a time-out taken from what is permitted, not from what the time-out is for. Ruled out: the stop (none was sent, there was no room) and the registry (worker_unlisted 50 ms after the worker had left).

Change: one bound of 6 s for what an owner grants, from the 9 s and from the 4 s that a takeover takes. What depended on the platform's bound being granted: a worker that restarts unnoticed holds a lease on its new clock for as long as the platform permits. So a start that no answer and no report has shown, one answered by a clock that is behind, and a new life each keep the old bound.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -47,6 +47,7 @@
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order is sent before this.
   bool stop_unanswered = false;
+  bool run_seen = false;     ///< An answer or a report has shown the run.
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -35,6 +35,9 @@
   core::TimePoint clock_at;
   /// Nothing runs there later than this unless the lease is renewed.
   core::TimePoint lease_end;
+  /// The same if the worker has restarted unnoticed: the end of the lease is a
+  /// time on its clock, which then starts anew.
+  core::TimePoint lease_end_after_restart;
 
   core::Resources used;                  ///< Reserved by tasks.
   core::Resources used_by_long_running;  ///< Part of `used` that long-running
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -55,6 +55,7 @@
                              c.task.starts;
                 c.task.resends = 0;
                 c.task.percent = 0;
+                c.task.run_seen = false;
                 c.task.pace_percent = 100;
                 c.task.pace_unconfirmed = false;
                 c.task.slowed_since = core::TimePoint::max();
@@ -132,6 +133,7 @@
 
 void SliceScheduler::MarkRunning(Task& task) {
   AccrueLoad(workers_.Get(task.worker));
+  task.run_seen = true;
   task.started = now_;
   task.advanced = now_;
   task.settled = now_;
@@ -219,7 +221,7 @@
   if (answer.clock_ms != 0) {
     // The clock of a worker that was idle is as old as its last report, and the
     // renewal that follows a start would grant a short lease.
-    worker.SetClock(answer.clock_ms, now_);
+    HandleClock(worker, answer.clock_ms);
   }
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     DispatchContact(worker, "life_over");
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -18,6 +18,12 @@
 // The same on a worker with serving tasks: the reaction to interference has to
 // take effect well before harm_ms, 4 s at present.
 constexpr core::Duration kServingReportWait = milliseconds(700);
+// The longest lease that is granted, whatever the platform permits. A worker
+// that leaves or is lost keeps its tasks for its lease, and a long-running task
+// must run again 9 s after its last run, of which finding room takes up to 2 s.
+// A successor of a failed owner renews leases 4 s after the last renewal.
+constexpr core::Duration kLongestLease = milliseconds(6000);
+
 constexpr core::Duration kSilentRetryPause = milliseconds(300);
 constexpr core::Duration kLapsedRetryPause = milliseconds(2000);
 // Delays the next renewal while ends are not stored yet: the worker would list
@@ -28,6 +34,10 @@
 constexpr double kSlowClockFactor = 1.02;
 constexpr core::Duration kClockMargin = milliseconds(200);
 
+// An order is answered within this time or not at all. A worker's clock that is
+// further behind than that, and than a slow clock, is the clock of a new life.
+constexpr core::Duration kMaxAnswerDelay = milliseconds(1000);
+
 // The store lists at most this many ended runs in one report.
 constexpr std::size_t kEndsPerReport = 500;
 
@@ -51,6 +61,8 @@
                   c.scheduler.LoseRun(c.worker, *task, c.event);
                 });
               })
+      .Action("extend_lease",
+              [](ContactContext& c) { ExtendLeaseAfterRestart(c.worker); })
       .Action("reset_ends", [](ContactContext& c) {
         ++c.worker.life;
         c.worker.last_end = 0;
@@ -81,7 +93,7 @@
             .Add("cause", event)
             .Add("state", charts_.worker_contact.StateName(worker.contact))
             .Add("draining", worker.entry.draining)
-            .Add("lease_left_ms", core::ToMillis(worker.lease_end - now_))
+            .Add("lease_left_ms", core::ToMillis(LeaseEnd(worker) - now_))
             .Add("tasks", worker.tasks.size()));
   }
 }
@@ -373,11 +385,16 @@
   if (!options_.predecessor_ended) {
     return term_end;
   }
-  return std::min(term_end,
-                  gained_ +
-                      std::chrono::duration_cast<core::Duration>(
-                          options_.limits.longest_lease * kSlowClockFactor) +
-                      kClockMargin);
+  return std::min(term_end, LongestLeaseFrom(gained_));
+}
+
+// Returns when the longest lease that the platform permits is over.
+core::TimePoint SliceScheduler::LongestLeaseFrom(
+    core::TimePoint granted) const {
+  return granted +
+         std::chrono::duration_cast<core::Duration>(
+             options_.limits.longest_lease * kSlowClockFactor) +
+         kClockMargin;
 }
 
 // Returns the end of a lease on the worker's clock, so that RecordLease expects
@@ -386,7 +403,8 @@
   const auto left_at_report = std::chrono::duration_cast<core::Duration>(
       (term_end_ - kClockMargin - worker.clock_at) / kSlowClockFactor);
   return std::min(
-      worker.ClockAt(now_) + core::ToMillis(options_.limits.longest_lease),
+      worker.ClockAt(now_) + core::ToMillis(std::min(
+                                 options_.limits.longest_lease, kLongestLease)),
       worker.clock_ms + core::ToMillis(left_at_report));
 }
 
@@ -397,6 +415,30 @@
       std::chrono::duration_cast<core::Duration>(length * kSlowClockFactor) +
       kClockMargin;
   worker.lease_end = std::max(worker.lease_end, end);
+  worker.lease_end_after_restart = LongestLeaseFrom(now_);
+}
+
+// Returns when nothing runs on the worker any more unless its lease is renewed.
+// A start that nobody has seen carried out may have reached a life of the
+// worker that the owner does not know.
+core::TimePoint SliceScheduler::LeaseEnd(const Worker& worker) const {
+  const bool seen = std::ranges::all_of(worker.tasks, &Task::run_seen);
+  return seen ? worker.lease_end
+              : std::max(worker.lease_end, worker.lease_end_after_restart);
+}
+
+void SliceScheduler::ExtendLeaseAfterRestart(Worker& worker) {
+  worker.lease_end = std::max(worker.lease_end, worker.lease_end_after_restart);
+}
+
+// Handles the clock in the answer to an order.
+void SliceScheduler::HandleClock(Worker& worker, std::int64_t clock_ms) {
+  const auto passed = std::chrono::duration_cast<core::Duration>(
+      (now_ - worker.clock_at) / kSlowClockFactor);
+  if (clock_ms < worker.clock_ms + core::ToMillis(passed - kMaxAnswerDelay)) {
+    ExtendLeaseAfterRestart(worker);
+  }
+  worker.SetClock(clock_ms, now_);
 }
 
 // Returns whether an unlisted worker without tasks can be removed. A worker
@@ -404,7 +446,7 @@
 // expires.
 bool SliceScheduler::IsGone(const Worker& worker) const {
   return !worker.listed && worker.tasks.empty() &&
-         (now_ >= worker.lease_end ||
+         (now_ >= LeaseEnd(worker) ||
           charts_.worker_contact.StateName(worker.contact) == "lapsed");
 }
 
@@ -415,7 +457,7 @@
 
 void SliceScheduler::RenewLeases() {
   for (const auto& worker : workers_.all()) {
-    if (now_ >= worker->lease_end) {
+    if (now_ >= LeaseEnd(*worker)) {
       DispatchContact(*worker, "lease_over");
     }
     if (worker->in_roster && IsGone(*worker)) {
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -18,6 +18,7 @@
           return std::nullopt;
         }
         Worker& worker = found->second;
+        const core::TimePoint clock = now - worker.clock_behind;
         if (worker.fault == Fault::kSilent) {
           return std::nullopt;
         }
@@ -51,16 +52,16 @@
         }
         worker.epoch = order.epoch;
         if constexpr (kRenewal) {
-          return Report(worker, order, now);
+          return Report(worker, order, clock);
         } else {
-          const OrderOutcome outcome = Execute(worker, order, now);
+          const OrderOutcome outcome = Execute(worker, order, clock);
           if (worker.fault == Fault::kLoseAnswer) {
             return OrderAnswered{.call = order.call};
           }
           return OrderAnswered{
               .call = order.call,
               .outcome = outcome,
-              .clock_ms = core::ToMillis(now.time_since_epoch())};
+              .clock_ms = core::ToMillis(clock.time_since_epoch())};
         }
       },
       command);
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -68,6 +68,11 @@
   /// Restarts the worker's process, which loses its state.
   void Restart(const std::string& worker, std::int64_t born);
 
+  /// Lets the worker's clock show @p duration less, as that of a new life does.
+  void SetBackClock(const std::string& worker, core::Duration duration) {
+    workers_[worker].clock_behind = duration;
+  }
+
   /// @returns the worker that runs the task, or an empty string.
   std::string WorkerOf(const TaskAddress& task) const;
   const std::vector<Run>& runs(const std::string& worker) {
@@ -94,6 +99,7 @@
     Epoch epoch = 0;
     std::int64_t born = 1;
     std::int64_t lease_until_ms = 0;
+    core::Duration clock_behind{};
     bool replaced = false;
   };
 
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -72,6 +72,55 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
+// Guards against a long-running task that waits for 10 s: its worker drained
+// and left before another one had room, and the task waited for the rest of a
+// lease that was as long as the platform permits.
+TEST_CASE("a task whose worker has left starts again within 9 s", "[slice]") {
+  SliceWorld world;
+  world.longest_lease = 10s;
+  world.TakeOver();
+  world.StartJob("w");
+  world.Advance(2s);
+  world.Drain("w1");
+  world.Advance(2500ms);
+  world.Remove("w1");
+  world.Advance(1s);
+  world.AddWorker("w2");
+  world.Advance(4s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.Advance(4s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
+// Guards against a task that runs twice: an idle worker restarted unnoticed,
+// its new clock did not bound the lease of the run that it then started, and it
+// was cut off before it answered.
+TEST_CASE("a start that may have reached a new life keeps the longest lease",
+          "[slice]") {
+  const bool answered = GENERATE(true, false);
+  SliceWorld world;
+  world.longest_lease = 10s;
+  world.TakeOver();
+  world.AddWorker("w1");
+  world.Advance(60s);
+  world.workers.Restart("w1", 2);
+  world.workers.SetBackClock("w1", 60s);
+  if (!answered) {
+    world.workers.SetFault("w1", FakeWorkers::Fault::kLoseAnswer);
+  }
+  world.Submit("j", "c");
+  world.Advance(20ms);
+  REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.AddWorker("w2");
+  // The new life shortens the lease to 10 s on its own clock.
+  world.Advance(10s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  // Unanswered starts are sent again for 2 s.
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 TEST_CASE("a task restarts at once when its worker has a new incarnation",
           "[slice]") {
   SliceWorld world;
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -152,7 +152,7 @@
        .fence_version = store.Find(FenceRow(kSlice))->version,
        .predecessor_ended = predecessor_ended,
        .predecessor_term_end = now_ + SliceBoard::kOwnerGrace,
-       .limits = {.longest_lease = milliseconds(6000),
+       .limits = {.longest_lease = longest_lease,
                   .keep_final_jobs = milliseconds(120'000)},
        .read_document = ReadSteps,
        .log =
