Transfer no job of which a task may run on a worker that has not reported

What callers may have seen: a long-running task that runs twice, in two slices (TWICE).

Cause: after a takeover, a task that an earlier owner has started is unknown until its worker reports. Such jobs start nothing meanwhile, but when another job finds no room, one of them may be transferred to another slice in its place once it has been known for 4 s; a takeover may wait for 11 s. The transfer waits for the runs that the owner knows (HasRuns) and the other slice starts all tasks.

Change: each task carries whether a run of it may be on a worker that has not reported: set for tasks of restored jobs, cleared when a worker reports the run as running or when this owner starts it. A job with such a task is not transferred before all workers of the roster are confirmed.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -31,6 +31,8 @@
   std::uint32_t group = 0;   ///< Index into Job::groups.
   chart::StateId state;
   core::WorkerId worker;  ///< Valid while a run may be on it.
+  /// An earlier owner may have started it on a worker that has not reported.
+  bool unlocated = false;
   RunNumber run = 0;
   std::uint32_t starts = 0;  ///< By this owner.
   FailedRuns failures;
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -251,6 +251,9 @@
     ApplyProgress(job, found->second.progress);
     job.progress_version = found->second.version;
   }
+  for (Task& task : job.tasks) {
+    task.unlocated = job.restored;
+  }
   Unblock(job);
   options_.log(core::LogLine("job_taken")
                    .Add("job", job.spec.id)
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -56,6 +56,7 @@
                 c.task.resends = 0;
                 c.task.percent = 0;
                 c.task.run_seen = false;
+                c.task.unlocated = false;
                 c.task.pace_percent = 100;
                 c.task.pace_unconfirmed = false;
                 c.task.slowed_since = core::TimePoint::max();
@@ -75,6 +76,9 @@
                 Worker& worker = c.scheduler.workers_.Get(c.task.worker);
                 worker.Reserve(c.job().StepOf(c.task));
                 worker.tasks.push_back(&c.task);
+                // An earlier owner starts a task again only after it has
+                // learned that the run before is over.
+                c.task.unlocated = false;
                 c.scheduler.MarkRunning(c.task);
               })
       .Action("delay",
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -188,7 +188,8 @@
 
 bool SliceScheduler::MayTransfer(const Job& job) const {
   return IsLongRunning(job) && MayStopAll(job) && !job.halted &&
-         now_ >= job.known_since + kMinResidence;
+         now_ >= job.known_since + kMinResidence &&
+         (std::ranges::none_of(job.tasks, &Task::unlocated) || AllConfirmed());
 }
 
 // Transfers another job so that a waiting task of @p job fits: the one with the
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -88,6 +88,32 @@
         core::ToMillis((end - 500ms).time_since_epoch()));
 }
 
+// Guards against a task that runs twice: a new owner transferred a job of which
+// one task ran on a worker that had not reported yet, and the other slice
+// started that task, too.
+TEST_CASE("no job is transferred while one of its tasks may be elsewhere",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.AddWorker("w2");
+  world.Submit("j", "z");
+  world.Advance(500ms);
+  const TaskAddress second = {.job = "j", .index = 1};
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  REQUIRE(world.workers.WorkerOf(second) == "w2");
+  world.workers.SetFault("w2", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(4500ms);
+  // It finds room here only in the place of the other job.
+  world.Submit("waits", "k");
+  world.owner->SetLoads(
+      {SliceLoad{}, SliceLoad{.capacity_millis = 100'000,
+                              .long_running_room_millis = {32'000, 32'000}}});
+  world.Advance(4s);
+  CHECK_FALSE(world.store.Find(JobRow(kOtherSlice, "j")).has_value());
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 TEST_CASE("a new owner adopts running tasks", "[slice]") {
   SliceWorld world;
   world.StartJob();
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -55,6 +55,7 @@
       {'b', {.need = {.cpu_millis = 20'000}}},
       {'t', {.need = {.cpu_millis = 12'000}, .long_running = true}},
       {'w', {.need = {.cpu_millis = 20'000}, .long_running = true}},
+      {'z', {.count = 2, .need = {.cpu_millis = 20'000}, .long_running = true}},
       {'v', {.need = {.cpu_millis = 30'000}, .long_running = true}},
       {'k',
        {.need = {.cpu_millis = 20'000},
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -44,6 +44,7 @@
   /// - `h`: a long-running task of 20 cores and 100 GB;
   /// - `s`: a long-running task of 20 cores with a target of 100 ms;
   /// - `p`: a long-running task of 8 cores with a target of 100 ms;
+  /// - `z`: two long-running tasks of 20 cores;
   /// - `x`: long-running tasks of 20 cores, at most one of a step per worker;
   /// - `l`, `m` and `f`: best-effort tasks of 1, 4 and 20 cores;
   /// - `g`: a best-effort task of 1 core and 100 GB;
