Start tasks of an earlier owner again as soon as their runs are known

Cause: while a worker of the roster has not reported, a new owner starts no task of a stored job, for up to 11 s. But it adopts what runs on the workers that have reported, and moves tasks off those that drain: it stops a task that it may not start again. A task that fails meanwhile waits as well. The class: a permission asked for at one of two steps that belong together, on whole jobs where the doubt is about single tasks. Ruled out: a stop by the earlier owner (its machine was down) and want of room (the task was moved because there was room).

Change: what waits is the task whose run may be on a worker that has not reported, not its job. A run that a worker reports as running under the new epoch is the only one: an earlier owner starts a task again only after its run has ended or lost its lease. The rule about whole jobs is gone.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -309,6 +309,7 @@
   double Score(Worker& worker, const Group& group, const StepSpec& step) const;
   double ServingScore(Worker& worker, ImageId image) const;
   bool IsReady(const Task& task) const;
+  bool MayStart(const Task& task) const;
 
   // Waits.
   void LogWait(Job& job, const Group& group);
@@ -412,6 +413,7 @@
     core::TimePoint updated;
   };
   std::map<std::string, Baseline, std::less<>> baseline_utilisations_;
+  bool all_confirmed_ = false;  ///< At the start of a placement pass.
   bool placement_due_ = false;
   core::TimePoint next_placement_;
 
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -61,8 +61,14 @@
 
 }  // namespace
 
+// A task that an earlier owner may have started waits until every worker of the
+// roster has reported or runs nothing any more.
+bool SliceScheduler::MayStart(const Task& task) const {
+  return IsState(task, states_.ready) && (all_confirmed_ || !task.unlocated);
+}
+
 bool SliceScheduler::IsReady(const Task& task) const {
-  return IsState(task, states_.ready) && now_ >= task.not_before;
+  return MayStart(task) && now_ >= task.not_before;
 }
 
 // A group is idle if it has ready tasks and none of its tasks is on a worker.
@@ -70,8 +76,7 @@
   const auto tasks = job.TasksOf(group);
   const bool idle =
       std::ranges::any_of(
-          tasks,
-          [this](const Task& task) { return IsState(task, states_.ready); }) &&
+          tasks, [this](const Task& task) { return MayStart(task); }) &&
       std::ranges::none_of(
           tasks, [](const Task& task) { return task.worker.valid(); });
   group.idle_since =
@@ -82,20 +87,20 @@
   if (config_ == nullptr || !restored_) {
     return;
   }
-  const bool confirmed = AllConfirmed();
-  if (!confirmed) {
+  all_confirmed_ = AllConfirmed();
+  if (!all_confirmed_) {
     LogUnconfirmed();
   }
   std::vector<Candidate> candidates;
   jobs_.ForEach([&](Job& job) {
-    if (job.halted || (job.restored && !confirmed)) {
+    if (job.halted) {
       return;
     }
     for (Group& group : job.groups) {
       const bool ready =
           group.unblocked &&
           std::ranges::any_of(job.TasksOf(group), [this](const Task& task) {
-            return IsState(task, states_.ready);
+            return MayStart(task);
           });
       UpdateIdleSince(job, group);
       if (ready) {
@@ -161,7 +166,7 @@
   const StepSpec& step = job.StepOf(group);
   bool room = true;
   for (Task& task : job.TasksOf(group)) {
-    if (!IsState(task, states_.ready)) {
+    if (!MayStart(task)) {
       continue;
     }
     if (now_ < task.not_before) {
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -163,8 +163,7 @@
       return;
     }
     const bool all_placed = std::ranges::none_of(
-        job.tasks,
-        [this](const Task& task) { return IsState(task, states_.ready); });
+        job.tasks, [this](const Task& task) { return MayStart(task); });
     if (all_placed || job.halted) {
       job.unplaced_since.reset();
       return;
@@ -198,8 +197,7 @@
 void SliceScheduler::TransferOtherFor(Job& job) {
   const auto waiting =
       std::ranges::find_if(job.tasks, [this](const Task& task) {
-        return IsState(task, states_.ready) &&
-               task.job->StepOf(task).long_running;
+        return MayStart(task) && task.job->StepOf(task).long_running;
       });
   if (waiting == job.tasks.end()) {
     return;
--- a/packages/jobs/src/slice_waits.cc
+++ b/packages/jobs/src/slice_waits.cc
@@ -35,7 +35,7 @@
   const StepSpec& step = job.StepOf(group);
   const auto tasks = job.TasksOf(group);
   const auto waiting = std::ranges::find_if(
-      tasks, [this](const Task& task) { return IsState(task, states_.ready); });
+      tasks, [this](const Task& task) { return MayStart(task); });
   if (waiting == tasks.end()) {
     return;
   }
@@ -63,7 +63,7 @@
   options_.log(line);
 }
 
-// Logs how many workers jobs of earlier owners still wait for, and the one
+// Logs how many workers tasks of earlier owners still wait for, and the one
 // whose lease ends last.
 void SliceScheduler::LogUnconfirmed() {
   if (now_ < next_unconfirmed_log_) {
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -88,6 +88,33 @@
         core::ToMillis((end - 500ms).time_since_epoch()));
 }
 
+// Guards against a long-running task that is down for 15 s: a new owner moved
+// it off a draining worker, and did not start it again until a worker that had
+// gone was known to run nothing.
+TEST_CASE("a task that a new owner has stopped starts again at once",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("w");
+  world.AddWorker("w2");
+  world.Submit("other", "v");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("other")) == "w2");
+  world.AddWorker("w3");
+  world.Advance(500ms);
+  world.workers.SetFault("w2", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(500ms);
+  const bool fails = GENERATE(true, false);
+  if (fails) {
+    world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  } else {
+    world.Drain("w1");
+  }
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+  CHECK(world.workers.starts(SliceWorld::Task("other")) == 1);
+}
+
 // Guards against a task that runs twice: a new owner transferred a job of which
 // one task ran on a worker that had not reported yet, and the other slice
 // started that task, too.
