Take the term of a claim that is found from the read that found it

What callers would have seen: a slice without an owner, and so jobs that wait without end.

Cause: a claim whose answer was lost is found by a later read of the row. The term was reckoned from when the claim was sent and by the clock of that read, so that the time between them was taken off twice: after an outage of 5.5 s the term was over whenever the claim was found, again each second. And the flag that a claim is unanswered stayed set, so that an owner that was fenced later "found" its claim once more, with the version of its row for that of the fence (so on as well).

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -66,12 +66,8 @@
 class SliceBoard {
  public:
   /// How long a process remains the owner without a renewal. The store's usual
-  /// outages last up to 9 s, and the last renewal before may be 1.3 s older.
-  static constexpr core::Duration kOwnerGrace = std::chrono::seconds(11);
-
-  /// The same of an owner whose row does not say when its term ends: one of an
-  /// earlier version, or one that does not know the store's clock.
-  static constexpr core::Duration kUnknownOwnerGrace = std::chrono::seconds(12);
+  /// outages last up to 9 s.
+  static constexpr core::Duration kOwnerGrace = std::chrono::seconds(12);
 
   struct Options {
     std::string process;      ///< Unique among running processes.
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -401,7 +401,7 @@
   }
   slice.owner_term_end =
       slice.owner.term_end_ms == 0 || clock_ms == 0
-          ? slice.unchanged_since + kUnknownOwnerGrace
+          ? slice.unchanged_since + kOwnerGrace
           : now + milliseconds(slice.owner.term_end_ms - clock_ms);
   slice.answer_clock_ms = clock_ms;
   // The row shows whether an unanswered claim has succeeded. The claim wrote
@@ -410,6 +410,11 @@
   if (slice.claim_unanswered && slice.owner.epoch == slice.claim_epoch &&
       IsOwn(slice.owner) && !releasing_) {
     slice.claim_version = version;
+    slice.claim_unanswered = false;
+    if (clock_ms != 0) {
+      // The clock was read in this call, not when the claim was written.
+      slice.write_sent = list_sent_;
+    }
     Dispatch(slice, "found_own_claim", now);
   } else if (MayClaim(slice, now)) {
     Dispatch(slice, "holder_silent", now);
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -387,5 +388,66 @@
   CHECK(load->pending.at("diary") == 2);
 }
 
+// Guards against a slice without an owner: the answer to a claim was lost in an
+// outage of the store, and the time since the claim was taken off its term
+// twice, so that the term was over whenever the claim was found.
+TEST_CASE("a claim is found after an outage of the store", "[board]") {
+  const auto outage = std::chrono::seconds(GENERATE(4, 7, 9));
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.store.SetFault(FakeStore::Fault::kLoseAnswer,
+                         /*several_parts_only=*/true);
+  cluster.Advance(100ms, {&a});
+  cluster.store.SetFault(FakeStore::Fault::kNone);
+  a.reaches_store = false;
+  cluster.Advance(outage, {&a});
+  a.reaches_store = true;
+  cluster.Advance(5s, {&a});
+  CHECK(a.board().owns_any());
+  CHECK(a.losses == 0);
+}
+
+// Guards against an owner whose every write fails: after a claim that was found
+// and renewals, it took the version of its row for that of the fence row.
+TEST_CASE("a claim is found only once", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.store.SetFault(FakeStore::Fault::kLoseAnswer,
+                         /*several_parts_only=*/true);
+  cluster.Advance(100ms, {&a});
+  cluster.store.SetFault(FakeStore::Fault::kNone);
+  cluster.Advance(5s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  a.board().MarkFenced(kYoff, cluster.now());
+  cluster.Advance(3s, {&a});
+  REQUIRE(a.gains.size() == 2);
+  CHECK(a.gains[1].fence_version ==
+        cluster.store.Find(FenceRow("yoff-0"))->version);
+}
+
+// Guards against a lease that a successor takes for over: an owner whose
+// machine was suspended granted leases before it renewed its term, and wrote a
+// term that ends before them.
+TEST_CASE("a term after a suspension covers the leases granted", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.Advance(2s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  // One read of the rows fails, so that the reads no longer come just before
+  // the renewals.
+  a.reaches_store = false;
+  cluster.Advance(20ms, {&a});
+  a.reaches_store = true;
+  cluster.Advance(980ms, {&a});
+  cluster.Suspend(8s);
+  const core::TimePoint lease_end =
+      std::min<core::TimePoint>(cluster.now() + 6s, a.board().TermEnd(kYoff));
+  cluster.Advance(40ms, {&a});
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(5s, {&b});
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.gains[0].predecessor_term_end >= lease_end);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
