Bound a lease by the latest deadline granted and the clock last seen

What callers would have seen: a task that runs twice (TWICE) after a worker has restarted under its id, on a platform that permits leases of 10 s.

Cause: an order granted on the clock of a worker's earlier life counts on the new one for as long as the platform permits, whenever it is carried out. The code prolonged its record at three signs of a restart (registry, report, clock behind by over 1 s), once, and from when the order was sent.

Change: the owner keeps the latest deadline that it has granted to the worker; each clock that an answer shows bounds the lease by what is left until that deadline, at most the platform's longest lease. The signs, their action in the chart and the constant are gone. An unanswered start on a life that nobody has seen keeps the longest lease, as before.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -241,8 +241,6 @@
   void RenewLease(Worker& worker);
   void RecordLease(Worker& worker, std::int64_t until_ms);
   core::TimePoint LeaseEnd(const Worker& worker) const;
-  core::TimePoint LongestLeaseFrom(core::TimePoint granted) const;
-  static void ExtendLeaseAfterRestart(Worker& worker);
   void HandleClock(Worker& worker, std::int64_t clock_ms);
   std::int64_t LeaseUntil(const Worker& worker) const;
   core::TimePoint PredecessorLeaseEnd() const;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -33,6 +33,8 @@
 
   std::int64_t clock_ms = 0;  ///< The worker's clock at clock_at.
   core::TimePoint clock_at;
+  /// The latest time on the worker's clock until which a lease was granted.
+  std::int64_t granted_until_ms = 0;
   /// Nothing runs there later than this unless the lease is renewed.
   core::TimePoint lease_end;
   /// The same if the worker has restarted unnoticed: the end of the lease is a
--- a/packages/jobs/src/slice_waits.cc
+++ b/packages/jobs/src/slice_waits.cc
@@ -89,7 +89,7 @@
           .Add("slice", options_.slice.name)
           .Add("workers", unconfirmed)
           .Add("last", last->entry.id)
-          .Add("lease_left_ms", core::ToMillis(last->lease_end - now_)));
+          .Add("lease_left_ms", core::ToMillis(LeaseEnd(*last) - now_)));
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -34,10 +34,6 @@
 constexpr double kSlowClockFactor = 1.02;
 constexpr core::Duration kClockMargin = milliseconds(200);
 
-// An order is answered within this time or not at all. A worker's clock that is
-// further behind than that, and than a slow clock, is the clock of a new life.
-constexpr core::Duration kMaxAnswerDelay = milliseconds(1000);
-
 // The store lists at most this many ended runs in one report.
 constexpr std::size_t kEndsPerReport = 500;
 
@@ -48,6 +44,14 @@
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 constexpr core::Duration kEarlyFailure = milliseconds(1000);
 
+// Returns when a lease is over that begins at @p begin and lasts for @p length
+// on a worker's clock.
+core::TimePoint LeaseOver(core::TimePoint begin, core::Duration length) {
+  return begin +
+         std::chrono::duration_cast<core::Duration>(length * kSlowClockFactor) +
+         kClockMargin;
+}
+
 }  // namespace
 
 chart::Bindings<SliceScheduler::ContactContext>
@@ -61,8 +65,6 @@
                   c.scheduler.LoseRun(c.worker, *task, c.event);
                 });
               })
-      .Action("extend_lease",
-              [](ContactContext& c) { ExtendLeaseAfterRestart(c.worker); })
       .Action("reset_ends", [](ContactContext& c) {
         ++c.worker.life;
         c.worker.last_end = 0;
@@ -188,7 +190,7 @@
   if (worker.life == call.life) {
     worker.forgotten = std::max(worker.forgotten, call.acknowledged);
   }
-  worker.SetClock(report.clock_ms, now_);
+  HandleClock(worker, report.clock_ms);
   if (!restored_ || config_ == nullptr) {
     // Without the restored jobs or the configuration, neither the tasks nor
     // their permitted failures are known. The report is requested again.
@@ -385,16 +387,7 @@
   if (!options_.predecessor_ended) {
     return term_end;
   }
-  return std::min(term_end, LongestLeaseFrom(gained_));
-}
-
-// Returns when the longest lease that the platform permits is over.
-core::TimePoint SliceScheduler::LongestLeaseFrom(
-    core::TimePoint granted) const {
-  return granted +
-         std::chrono::duration_cast<core::Duration>(
-             options_.limits.longest_lease * kSlowClockFactor) +
-         kClockMargin;
+  return std::min(term_end, LeaseOver(gained_, options_.limits.longest_lease));
 }
 
 // Returns the end of a lease on the worker's clock, so that RecordLease expects
@@ -409,13 +402,12 @@
 }
 
 void SliceScheduler::RecordLease(Worker& worker, std::int64_t until_ms) {
-  const core::Duration length = milliseconds(until_ms - worker.clock_ms);
-  const core::TimePoint end =
-      worker.clock_at +
-      std::chrono::duration_cast<core::Duration>(length * kSlowClockFactor) +
-      kClockMargin;
-  worker.lease_end = std::max(worker.lease_end, end);
-  worker.lease_end_after_restart = LongestLeaseFrom(now_);
+  worker.lease_end = std::max(
+      worker.lease_end,
+      LeaseOver(worker.clock_at, milliseconds(until_ms - worker.clock_ms)));
+  worker.lease_end_after_restart =
+      LeaseOver(now_, options_.limits.longest_lease);
+  worker.granted_until_ms = std::max(worker.granted_until_ms, until_ms);
 }
 
 // Returns when nothing runs on the worker any more unless its lease is renewed.
@@ -427,18 +419,14 @@
               : std::max(worker.lease_end, worker.lease_end_after_restart);
 }
 
-void SliceScheduler::ExtendLeaseAfterRestart(Worker& worker) {
-  worker.lease_end = std::max(worker.lease_end, worker.lease_end_after_restart);
-}
-
-// Handles the clock in the answer to an order.
+// Handles the clock that an answer shows. An order that was granted on the
+// clock of an earlier life, and is carried out late, counts on this one.
 void SliceScheduler::HandleClock(Worker& worker, std::int64_t clock_ms) {
-  const auto passed = std::chrono::duration_cast<core::Duration>(
-      (now_ - worker.clock_at) / kSlowClockFactor);
-  if (clock_ms < worker.clock_ms + core::ToMillis(passed - kMaxAnswerDelay)) {
-    ExtendLeaseAfterRestart(worker);
-  }
   worker.SetClock(clock_ms, now_);
+  const core::Duration left =
+      std::min<core::Duration>(milliseconds(worker.granted_until_ms - clock_ms),
+                               options_.limits.longest_lease);
+  worker.lease_end = std::max(worker.lease_end, LeaseOver(now_, left));
 }
 
 // Returns whether an unlisted worker without tasks can be removed. A worker
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -42,6 +42,12 @@
             return OrderAnswered{.call = order.call};
           }
         }
+        if constexpr (kRenewal) {
+          if (worker.fault == Fault::kLateLease && order.lease_until_ms) {
+            late_renewals_[order.to.worker].push_back(order);
+            return LeaseAnswered{.call = order.call};
+          }
+        }
         if (order.epoch < worker.epoch) {
           if constexpr (kRenewal) {
             return LeaseAnswered{.call = order.call,
@@ -85,7 +91,7 @@
   if (ended) {
     return OrderOutcome::kSuperseded;
   }
-  worker.lease_until_ms = std::max(worker.lease_until_ms, order.lease_until_ms);
+  Extend(worker, order.lease_until_ms, now);
   worker.runs.push_back({.task = order.task,
                          .number = order.run,
                          .checkpoint = order.checkpoint});
@@ -133,8 +139,7 @@
                                   const RenewLease& order,
                                   core::TimePoint now) {
   worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
-  worker.lease_until_ms =
-      std::max(worker.lease_until_ms, order.lease_until_ms.value_or(0));
+  Extend(worker, order.lease_until_ms.value_or(0), now);
   std::erase_if(worker.ends, [&](const EndedRun& end) {
     return end.number <= order.acknowledged;
   });
@@ -180,6 +185,39 @@
   }
 }
 
+void FakeWorkers::Accept(RenewLease& order, core::TimePoint now) {
+  const auto found = workers_.find(order.to.worker);
+  if (found == workers_.end() || found->second.fault == Fault::kLateLease) {
+    return;
+  }
+  const Worker& worker = found->second;
+  const std::int64_t until =
+      std::exchange(order.lease_until_ms, {}).value_or(0);
+  if (!worker.replaced && worker.fault != Fault::kSilent &&
+      worker.fault != Fault::kGone && order.epoch >= worker.epoch) {
+    Extend(found->second, until, now - worker.clock_behind);
+  }
+}
+
+void FakeWorkers::ExecuteLateLeases(const std::string& worker,
+                                    core::TimePoint now) {
+  Worker& target = workers_[worker];
+  for (const RenewLease& order : std::exchange(late_renewals_[worker], {})) {
+    if (order.epoch >= target.epoch) {
+      Report(target, order, now - target.clock_behind);
+    }
+  }
+}
+
+void FakeWorkers::Extend(Worker& worker,
+                         std::int64_t until_ms,
+                         core::TimePoint now) const {
+  const std::int64_t longest =
+      core::ToMillis(now.time_since_epoch()) + core::ToMillis(longest_lease);
+  worker.lease_until_ms =
+      std::max(worker.lease_until_ms, std::min(until_ms, longest));
+}
+
 void FakeWorkers::Restart(const std::string& worker, std::int64_t born) {
   workers_[worker] = Worker{.born = born};
 }
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -29,6 +29,7 @@
     kGone,        ///< Refuses connections.
     kLoseAnswer,  ///< Executes orders, but loses the answers.
     kLate,        ///< No answer; ExecuteLateCommands executes starts.
+    kLateLease,   ///< Renewals of leases arrive with ExecuteLateLeases.
     kSlowStop,    ///< Runs ordered to stop continue until End.
   };
 
@@ -59,6 +60,13 @@
   void End(const TaskAddress& task, EndKind kind, std::string checkpoint = {});
   void ExecuteLateCommands(const std::string& worker);
 
+  /// Handles the lease of a renewal that arrives and then waits for an end.
+  /// Unless it is late, the lease does not change again when it is answered.
+  void Accept(RenewLease& order, core::TimePoint now);
+
+  /// Executes late renewals, also those sent to an earlier life of the worker.
+  void ExecuteLateLeases(const std::string& worker, core::TimePoint now);
+
   /// Simulates another worker at the same address.
   void Replace(const std::string& worker) {
     workers_[worker].replaced = true;
@@ -83,6 +91,16 @@
   }
   std::size_t starts(const TaskAddress& task) const;
 
+  /// @returns true if the tasks of the worker may run at @p now.
+  bool HoldsLease(const std::string& worker, core::TimePoint now) {
+    const Worker& found = workers_[worker];
+    return found.lease_until_ms >
+           core::ToMillis((now - found.clock_behind).time_since_epoch());
+  }
+
+  /// Workers shorten longer leases to this.
+  core::Duration longest_lease = core::Duration::max();
+
   /// @returns the end of the worker's lease, on its clock.
   std::int64_t lease_until_ms(const std::string& worker) {
     return workers_[worker].lease_until_ms;
@@ -116,7 +134,10 @@
                        const RenewLease& order,
                        core::TimePoint now);
 
+  void Extend(Worker& worker, std::int64_t until_ms, core::TimePoint now) const;
+
   std::map<std::string, Worker> workers_;
+  std::map<std::string, std::vector<RenewLease>> late_renewals_;
   std::vector<TaskAddress> started_;
   std::map<std::string, double> usage_;
 };
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -152,7 +152,7 @@
        .epoch = epoch_,
        .fence_version = store.Find(FenceRow(kSlice))->version,
        .predecessor_ended = predecessor_ended,
-       .predecessor_term_end = now_ + SliceBoard::kOwnerGrace,
+       .predecessor_term_end = now_ + predecessor_term,
        .limits = {.longest_lease = longest_lease,
                   .keep_final_jobs = milliseconds(120'000)},
        .read_document = ReadSteps,
@@ -278,7 +278,9 @@
   for (const WorkerCommand& command : owner->PopWorkerCommands()) {
     const auto* renewal = std::get_if<RenewLease>(&command);
     if (renewal != nullptr && renewal->wait > core::Duration()) {
-      waiting_renewals_.emplace_back(now_ + renewal->wait, *renewal);
+      RenewLease waiting = *renewal;
+      workers.Accept(waiting, now_);
+      waiting_renewals_.emplace_back(now_ + renewal->wait, std::move(waiting));
     } else {
       Deliver(command);
     }
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -10,6 +10,7 @@
 
 #include "fake_store.h"
 #include "fake_workers.h"
+#include "jobs/slice_board.h"
 #include "jobs/slice_scheduler.h"
 
 namespace hickoryusher::jobs {
@@ -71,6 +72,8 @@
   /// @param incoming version of the announcement that the other slice has seen.
   void OfferRoomElsewhere(RowVersion incoming = 0);
 
+  core::TimePoint now() const { return now_; }
+
   JobPhase PhaseOf(const std::string& id) const;
 
   static TaskAddress Task(const std::string& job, std::uint32_t step = 0) {
@@ -87,6 +90,8 @@
   std::chrono::milliseconds commit_delay{0};  ///< Before writes are answered.
   /// The longest that the platform permits, for the next owner.
   std::chrono::milliseconds longest_lease{6000};
+  /// How long the term of the owner before lasts after a takeover.
+  core::Duration predecessor_term = SliceBoard::kOwnerGrace;
   std::size_t commits = 0;
 
   /// Log lines of all owners.
