Let ctest play three fixed seeds of the fault soak

It did not see a lasting task that stays down, nor a process that ends by itself, as a report of a sanitizer ends it.

Change: "soak: rules hold under overlapping faults" (tests/soak/plays.sh) plays seeds 101 to 103 at the same time against the program of the build folder, each with 15 s of three or four faults. "soak: checks find their faults" runs the new checks on records with such faults.

The AddressSanitizer build was not played.

--- /dev/null
+++ b/tests/soak/plays.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Guards against rules broken only when faults of different kinds overlap, as
+# when idle executors restart while the store refuses calls.
+#
+#   tests/soak/plays.sh BUILD_FOLDER
+#
+# Plays fixed seeds at the same time; each takes its ports from a block of its
+# own (review/standin.py) and 15 s of faults within about 45 s.
+set -euo pipefail
+export PYTHONDONTWRITEBYTECODE=1
+build=$(cd "$1" && pwd)
+soak=$(cd "$(dirname "$0")" && pwd)/soak.py
+records=$build/soak
+plays=(
+  "101 restart_idle,store_down,store_away"
+  "102 drain_cut,kill,store_lost"
+  "103 cut,freeze,restart,lost_answers"
+)
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do
+    kill -TERM "$pid" 2> /dev/null || true
+  done
+  wait
+}
+trap stop_all EXIT
+
+rm -rf "$records"
+mkdir -p "$records"
+for play in "${plays[@]}"; do
+  read -r seed faults <<< "$play"
+  folder=$records/$seed
+  mkdir "$folder"
+  # The stand-ins keep the logs of the processes under TMPDIR.
+  TMPDIR=$folder python3 "$soak" "$seed" 15 "$faults" --folder "$folder" \
+    --program "$build/packages/entry/hickoryusher" > "$folder/output.txt" 2>&1 &
+  pids+=($!)
+done
+
+failures=0
+for i in "${!plays[@]}"; do
+  read -r seed faults <<< "${plays[i]}"
+  status=0
+  wait "${pids[i]}" || status=$?
+  cat "$records/$seed/output.txt"
+  if [ "$status" -ne 0 ]; then
+    failures=$((failures + 1))
+    echo "FAILED with status $status: soak.py $seed 15 $faults; record in $records/$seed"
+  fi
+done
+pids=()
+[ "$failures" -eq 0 ]
--- /dev/null
+++ b/tests/soak/rules_test.py
@@ -0,0 +1,61 @@
+#!/usr/bin/env python3
+"""Guards against a soak that passes although a lasting task stays down or a
+process has ended by itself: each check is run on a record with that fault."""
+
+import types
+import unittest
+
+import soak
+
+NOW = 100000
+ANSWERS = {"a": [503, 200]}
+LASTING = {"a": (1, [1, 2])}  # Step 1 lasts and has two tasks.
+
+
+def run(task, ended=None):
+    return types.SimpleNamespace(task=task, ended=ended)
+
+
+def lost(*runs, answers=None):
+    return [line.split()[1] for line in
+            soak.lost_tasks(runs, answers or ANSWERS, LASTING, NOW)]
+
+
+class LostTasks(unittest.TestCase):
+    def test_task_runs(self):
+        self.assertEqual(lost(run("a.0.0.0", 50000), run("a.0.1.0"), run("a.0.1.1")), [])
+
+    def test_task_never_ran(self):
+        self.assertEqual(lost(run("a.0.0.0", 50000), run("a.0.1.0")), ["a.0.1.1"])
+
+    def test_task_ended_and_was_not_started_again(self):
+        before = (run("a.0.0.0", 50000), run("a.0.1.0"))
+        self.assertEqual(lost(*before, run("a.0.1.1", NOW - 9001)), ["a.0.1.1"])
+        self.assertEqual(lost(*before, run("a.0.1.1", NOW - 9000)), [])
+        self.assertEqual(lost(*before, run("a.0.1.1", NOW - 20000), run("a.0.1.1")), [])
+
+    def test_turn_has_not_come(self):
+        self.assertEqual(lost(run("a.0.0.0")), [])
+        self.assertEqual(lost(run("a.0.0.0", NOW - 9000)), [])
+
+    def test_step_before_never_ran(self):
+        self.assertEqual(lost(), ["a.0.1.0", "a.0.1.1"])
+
+    def test_job_was_not_accepted(self):
+        self.assertEqual(lost(answers={"a": [503, 0]}), [])
+
+
+class OwnEnds(unittest.TestCase):
+    def test_status(self):
+        def ends(status, expected=None):
+            process = types.SimpleNamespace(
+                name="edge", process=types.SimpleNamespace(returncode=status))
+            return len(soak.own_end(process, expected))
+        self.assertEqual(ends(None), 0)
+        self.assertEqual(ends(-9, -9), 0)
+        self.assertEqual(ends(66, 0), 1)
+        self.assertEqual(ends(-11), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,10 +5,13 @@
 of the named faults comes again and again, all of them overlapping. Afterwards
 the record of the executors is checked: no task ran twice at the same time or
 after an end as done that was acknowledged, no job ran of which every attempt
-was refused, and every accepted job has started.
+was refused, every accepted job has started, every lasting task of an accepted
+job runs, and no process has ended by itself.
 
 Usage: soak.py SEED SECONDS FAULT[,FAULT...] [--rate JOBS_PER_S] [--work MIN,MAX]
-Build the program first, with the line `build` of deploy/system.toml.
+               [--program PATH] [--folder FOLDER]
+Build the program first, with the line `build` of deploy/system.toml or, for
+--program, in any other build folder.
 Exit code: 0 if all rules held, 1 if one was broken, 2 if it could not run.
 """
 
@@ -21,11 +24,14 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review"))
+import standin  # noqa: E402
 from standin import HEARTBEAT_MS, CannotRun, Reset, World, ms  # noqa: E402
 
 CPU_OF_EXECUTORS = (32000, 32000, 32000, 32000)
 # Entries of the registry lag behind the start of an executor by up to 800 ms.
 REGISTRY_LAGS_MS = (0, 300, 800)
+# RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
+LASTING_GAP_MS = 9000
 
 
 class Faults:
@@ -34,6 +40,7 @@
     def __init__(self, world, rng):
         self.world, self.rng = world, rng
         self.disturbed = set()  # Executors and processes with a fault.
+        self.own_ends = []
 
     async def run(self, name, end):
         while ms() < end:
@@ -189,7 +196,10 @@
 
     async def end_process(self, number, down_s):
         for process in self.pick(self.world.entries):
+            ended = own_end(process)
             await process.end(number)
+            self.own_ends += ended or own_end(
+                process, 0 if number == signal.SIGTERM else -number)
             await asyncio.sleep(down_s)
             await process.start()
             self.disturbed.discard(process)
@@ -202,11 +212,18 @@
 
     async def freeze(self):
         for process in self.pick(self.world.entries):
-            process.process.send_signal(signal.SIGSTOP)
+            self.send_signal(process, signal.SIGSTOP)
             await asyncio.sleep(self.rng.uniform(0.5, 5))
-            process.process.send_signal(signal.SIGCONT)
+            self.send_signal(process, signal.SIGCONT)
             self.disturbed.discard(process)
 
+    @staticmethod
+    def send_signal(process, number):
+        try:
+            process.process.send_signal(number)
+        except ProcessLookupError:
+            pass  # It has ended by itself, which own_end reports.
+
 
 class Callers:
     """Hand in jobs at random times, each with up to four attempts at any process."""
@@ -215,6 +232,7 @@
         self.world, self.rng, self.seed = world, rng, seed
         self.rate, self.work_ms = rate, work_ms
         self.answers = {}  # Statuses by job.
+        self.lasting = {}  # Number of the step and its tasks, by job.
         self.stopped = False
 
     async def run(self):
@@ -237,6 +255,7 @@
                           "estimate_ms": 1000, **({"after": [step - 1]} if step else {}),
                           **({"long_running": True} if lasts else {})})
             if lasts:
+                self.lasting[job] = (step, [s["count"] for s in steps])
                 break
         self.answers[job] = []
         for _ in range(4):
@@ -274,7 +293,32 @@
     return noted is not None and not any(run.ended <= lapse <= noted for lapse in executor.lapses)
 
 
-def broken_rules(world, answers):
+def own_end(process, expected=None):
+    """A process that ends by itself, by a crash or a report of a sanitizer, is a fault."""
+    status = process.process.returncode
+    return [] if status == expected else [
+        f"FAULT: {process.name} ended by itself with status {status}"]
+
+
+def lost_tasks(runs, answers, lasting, now):
+    """Lasting tasks of accepted jobs that do not run, LASTING_GAP_MS after their last run
+    or, if they have none, after their turn came."""
+    ends = {}
+    for run in runs:
+        ends[run.task] = max(ends.get(run.task, 0), now if run.ended is None else run.ended)
+    for job, (step, counts) in lasting.items():
+        if 200 not in answers[job]:
+            continue
+        before = [ends.get(f"{job}.0.{step - 1}.{n}", 0) for n in range(counts[step - 1])
+                  ] if step else []
+        for task in (f"{job}.0.{step}.{n}" for n in range(counts[step])):
+            idle_ms = now - max([ends.get(task, 0), *before])
+            if idle_ms > LASTING_GAP_MS:
+                yield (f"LOST: {task} lasts, was accepted and " +
+                       (f"has not run for {idle_ms:.0f} ms" if task in ends else "never ran"))
+
+
+def broken_rules(world, answers, lasting):
     broken = [f"TWICE: {a.task} run {a.number} on {world.where(a).id} ({a.how}) and run "
               f"{b.number} on {world.where(b).id} ({b.how}) at the same time for {overlap_ms:.0f} ms"
               for a, b, overlap_ms in world.overlaps()]
@@ -290,10 +334,12 @@
             broken.append(f"REFUSED: {job} was answered {statuses} and has started")
         if 200 in statuses and job not in started:
             broken.append(f"LOST: {job} was accepted and has not started")
-    return broken
+    return broken + list(lost_tasks([run for run, _ in runs], answers, lasting, ms()))
 
 
 async def soak(options, folder):
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
     rng = random.Random(options.seed)
     world = World(folder, per_zone=2, cpus=CPU_OF_EXECUTORS)
     for executor in world.executors:
@@ -311,11 +357,14 @@
         await calling
         # Longer than a term and the start of a task after it.
         await asyncio.sleep(16)
-        broken = broken_rules(world, callers.answers)
+        broken = broken_rules(world, callers.answers, callers.lasting) + faults.own_ends
+        for process in world.entries:
+            broken += own_end(process)
         accepted = sum(200 in statuses for statuses in callers.answers.values())
         print(f"seed={options.seed} faults={','.join(options.faults)} "
               f"jobs={len(callers.answers)} accepted={accepted} "
-              f"runs={sum(len(e.runs) for e in world.executors)} broken={len(broken)}")
+              f"runs={sum(len(e.runs) for e in world.executors)} "
+              f"lasting={len(callers.lasting)} broken={len(broken)}")
     finally:
         os.environ["KEEP"] = "1"
         await world.stop()
@@ -333,6 +382,8 @@
     parser.add_argument("--work", type=lambda text: tuple(map(int, text.split(","))),
                         default=(100, 2500), help="shortest and longest task in ms")
     parser.add_argument("--folder", default="/tmp", help="where the record is written")
+    parser.add_argument("--program", type=os.path.abspath,
+                        help="the program to play, instead of the one of the deploy file")
     options = parser.parse_args()
     unknown = [name for name in options.faults if not hasattr(Faults, name)]
     if unknown:
@@ -344,9 +395,16 @@
     options = parse()
     folder = os.path.join(options.folder, f"soak-{options.seed}-{'+'.join(options.faults)}")
     os.makedirs(folder, exist_ok=True)
+    command = standin.deploy_command()
+    if options.program:
+        command[0] = options.program
+        standin.deploy_command = lambda: command
+    if not os.path.exists(os.path.join(ROOT, command[0])):
+        print("cannot run: expected the program at", command[0])
+        return 2
     try:
         return asyncio.run(asyncio.wait_for(soak(options, folder), options.seconds + 100))
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print("cannot run:", repr(error))
         return 2
 
