Acknowledge ends only to a worker that has answered

What callers saw: a task that had run well ran again (rule TWICE), with the end of its first run acknowledged.

Cause: an acknowledgement was sent until an answer confirmed it, also while the worker did not answer. A worker that is cut off without a reset of its connections and restarts behind the cut numbers its ends from 1 again. A start that was sent while it still counted as live is repeated and reaches the new life; if the task ends before the next renewal, that renewal, still with the number of the old life, makes the worker forget the end unread. The report lists the run no more, and the task starts again.

Change: only a live worker is sent an acknowledgement. A silent one is asked without it, and its answer tells its life.

--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -490,15 +490,16 @@
   const CallId call = ids_.Next();
   jobs::RenewLease order{
       .call = call, .to = DestinationOf(worker), .epoch = options_.epoch};
+  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // Sent until it is confirmed, and not again: the worker may restart at any
-  // time, and would forget the ends of its new life.
-  if (worker.acknowledged > worker.forgotten) {
+  // time, and would forget the ends of its new life. A worker that has not
+  // answered may have done so already, and has to report its life first.
+  if (live && worker.acknowledged > worker.forgotten) {
     order.acknowledged = worker.acknowledged;
   }
   calls_[call] = RenewalCall{.worker = worker.id,
                              .life = worker.life,
                              .acknowledged = order.acknowledged};
-  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
   // tasks could never be treated as ended.
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -227,6 +227,33 @@
   CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
 }
 
+// Guards against a task that runs again after it was done: a worker was cut off
+// before it answered an acknowledgement and restarted behind the cut, and the
+// acknowledgement, sent again, made its new life forget an end that was not
+// read.
+TEST_CASE("an acknowledgement that was not answered reaches no later life",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("v", "filler");
+  world.Submit("first", "c");
+  world.Advance(500ms);
+  world.commit_delay = 100ms;
+  world.workers.End(SliceWorld::Task("first"), EndKind::kDone);
+  world.Advance(100ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(300ms);
+  world.Submit("j", "c");
+  world.Advance(1750ms);
+  world.workers.Restart("w1", 2);
+  while (world.workers.WorkerOf(SliceWorld::Task("j")).empty()) {
+    world.Advance(10ms);
+  }
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
 // Guards against a loss of workers: those that had crashed were never used
 // again, which left 36 of 48 workers.
 TEST_CASE("a worker whose lease has ended is used when it returns", "[slice]") {
