Take no answer of an earlier life for one of the present life

Cause: the owner took an answer for one of the worker's present life, whenever its order had been sent. - A report of the life before that arrives after the registry has told of the new one made the worker live again, and the numbers of its ends were acknowledged to the new life, which forgot an end that nobody had read. - A start that was sent to an address which the worker had left, and which belonged to another one by then, is answered 421 late. The worker had reported from its new address by then and runs tasks there. All of them were given up with cause=life_over, and started elsewhere.

Change: orders and renewals carry the life that the owner knew. A report of another life, and a 421, count only if no new life was learned of since; the worker is asked again.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -141,6 +141,7 @@
     std::string job;
     std::uint32_t number = 0;
     RunNumber run = 0;
+    std::uint32_t life = 0;  ///< Of the worker, as known then.
   };
   struct RenewalCall {
     core::WorkerId worker;
@@ -230,6 +231,9 @@
   void HandlePaceAnswer(const TaskCall& run, const OrderAnswered& answer);
   void HandleStopAnswer(Task& task, const OrderAnswered& answer);
   void HandleRenewal(const RenewalCall& call, const LeaseAnswered& answer);
+  static bool IsFromEarlierLife(const Worker& worker,
+                                const RenewalCall& call,
+                                const LeaseAnswered& answer);
   void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
   void HandleActive(Worker& worker, const ActiveRun& run);
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -165,8 +165,10 @@
   Worker& worker = workers_.Get(task.worker);
   const Job& job = *task.job;
   const CallId call = ids_.Next();
-  calls_[call] =
-      TaskCall{.job = job.spec.id, .number = task.number, .run = task.run};
+  calls_[call] = TaskCall{.job = job.spec.id,
+                          .number = task.number,
+                          .run = task.run,
+                          .life = worker.life};
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
   RecordLease(worker, until);
@@ -193,8 +195,10 @@
   const Worker& worker = workers_.Get(task.worker);
   const CallId call = ids_.Next();
   task.stop_unanswered = false;
-  calls_[call] = TaskCall{
-      .job = task.job->spec.id, .number = task.number, .run = task.run};
+  calls_[call] = TaskCall{.job = task.job->spec.id,
+                          .number = task.number,
+                          .run = task.run,
+                          .life = worker.life};
   task.settled = core::TimePoint::max();
   worker_commands_.push_back(StopRun{.call = call,
                                      .to = DestinationOf(worker),
@@ -223,7 +227,9 @@
     // renewal that follows a start would grant a short lease.
     HandleClock(worker, answer.clock_ms);
   }
-  if (answer.outcome == OrderOutcome::kOtherIncarnation) {
+  // Says nothing about a life that was learned of since.
+  if (answer.outcome == OrderOutcome::kOtherIncarnation &&
+      worker.life == call.life) {
     DispatchContact(worker, "life_over");
     return;
   }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -164,6 +164,8 @@
   worker.renewal.reset();
   if (answer.outcome == OrderOutcome::kFenced) {
     fenced_ = true;
+  } else if (IsFromEarlierLife(worker, call, answer)) {
+    worker.next_renewal = now_;
   } else if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     DispatchContact(worker, "life_over");
     worker.next_renewal = now_ + kLapsedRetryPause;
@@ -175,6 +177,20 @@
   }
 }
 
+// Returns whether a renewal that was sent before the worker's present life was
+// learned of is answered by another life. The next renewal tells which one is
+// the later.
+bool SliceScheduler::IsFromEarlierLife(const Worker& worker,
+                                       const RenewalCall& call,
+                                       const LeaseAnswered& answer) {
+  if (worker.life == call.life) {
+    return false;
+  }
+  return answer.outcome == OrderOutcome::kOtherIncarnation ||
+         (answer.report && answer.report->born_unix_ms != 0 &&
+          answer.report->born_unix_ms != worker.born_unix_ms);
+}
+
 void SliceScheduler::HandleReport(const RenewalCall& call,
                                   const WorkerReport& report) {
   Worker& worker = workers_.Get(call.worker);
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -254,6 +254,57 @@
   CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
 }
 
+// Guards against a task that runs again after it was done: a report of a
+// worker's first life arrived after the registry had told of its second life,
+// which was then sent the acknowledgement of the first one's end.
+TEST_CASE("a report of an earlier life does not count for a later one",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "first");
+  world.answer_delay = 300ms;
+  world.workers.End(SliceWorld::Task("first"), EndKind::kDone);
+  world.Advance(10ms);
+  world.answer_delay = 0ms;
+  world.workers.Restart("w1", 2);
+  world.Register("w1", 2);
+  world.commit_delay = 100ms;
+  world.Submit("j", "c");
+  for (int i = 0; i < 50; ++i) {
+    world.Advance(10ms);
+    if (!world.workers.WorkerOf(SliceWorld::Task("j")).empty()) {
+      break;
+    }
+  }
+  world.Advance(10ms);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(5s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
+// Guards against a task that runs twice: a worker had moved to another address
+// and started the task there, when the answer to an earlier order arrived from
+// its old address, which belonged to another worker by then.
+TEST_CASE("an answer from an earlier address loses no task", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(1s);
+  world.workers.Replace("w1");
+  world.answer_delay = 300ms;
+  world.Submit("early", "c");
+  world.Advance(10ms);
+  world.answer_delay = 0ms;
+  world.workers.Restart("w1", 2);
+  world.Register("w1", 2);
+  world.Advance(100ms);
+  world.Submit("j", "c");
+  world.Advance(50ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.AddWorker("w2");
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
 // Guards against a loss of workers: those that had crashed were never used
 // again, which left 36 of 48 workers.
 TEST_CASE("a worker whose lease has ended is used when it returns", "[slice]") {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -307,6 +307,8 @@
       std::visit([](const auto& event) { return event.outcome; }, answer);
   if (outcome == OrderOutcome::kUnanswered) {
     given_up_.emplace_back(now_ + kCallTimeout, std::move(answer));
+  } else if (answer_delay > milliseconds(0)) {
+    given_up_.emplace_back(now_ + answer_delay, std::move(answer));
   } else {
     owner->Handle(answer, now_);
   }
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -84,6 +84,7 @@
   std::string slow_table;
   std::string unreadable_table;  ///< Values of its rows cannot be read.
   std::chrono::milliseconds commit_delay{0};  ///< Before writes are answered.
+  std::chrono::milliseconds answer_delay{0};  ///< Before workers are heard.
   /// The longest that the platform permits, for the next owner.
   std::chrono::milliseconds longest_lease{6000};
   std::size_t commits = 0;
