Soak: executors that restart while their packets are lost

An executor answers nothing, is in a new life meanwhile, and its connections break only later, as those of a machine that lost its power do. Crashes and cuts of the soak reset all connections at once.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -91,6 +91,27 @@
             executor.reachable = True
             await self.restart_executor(executor, 0)
 
+    async def silent_restart(self):
+        """All packets to an executor are lost for a while, in which it starts again."""
+        for executor in self.pick(self.world.executors):
+            lost = asyncio.create_task(asyncio.sleep(self.rng.uniform(0.3, 2.5)))
+
+            async def wait(_):
+                await asyncio.sleep(4)
+                raise Reset
+
+            async def restart():
+                await lost
+                for run in executor.running.values():
+                    run.ended, run.how = ms(), "crashed"
+                executor.beats.cancel()
+                executor.new_life()
+                self.world.record("executor_up", id=executor.id, born=executor.born, silent=True)
+                executor.beats = asyncio.create_task(
+                    executor.beat(self.rng.choice(REGISTRY_LAGS_MS)))
+
+            await self.with_handler(executor, wait, restart)
+
     async def drain_cut(self):
         """A draining executor is cut off, comes back, leaves and is replaced."""
         for executor in self.pick(self.world.executors):
