Let an owner give up when it reads of its successor

A store that refuses an owner's writes alone, but serves its reads, left the owner in place for the rest of its term, up to 11 s, beside its successor. It reads and starts new jobs in this time; a worker that the successor does not reach lets it, and the successor, which waits 4 s for such jobs, starts them elsewhere (rule TWICE). The second half follows from the code and was not played.

Change: an owner that reads a row with a later epoch is deposed.

Test: "an owner that reads of its successor gives up"; before: 0 == 1 losses 1.5 s after the successor's gain. jobs_tests now: 132 cases pass.

--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -381,6 +381,14 @@
                          const Row* row,
                          std::int64_t clock_ms,
                          core::TimePoint now) {
+  if (row != nullptr && chart_.StateName(slice.state) == "owning") {
+    // The read may be older than this process's claim.
+    const auto owner = DecodeOwnerRecord(row->value);
+    if (owner && owner->epoch > slice.owner.epoch) {
+      Dispatch(slice, "deposed", now);
+    }
+    return;
+  }
   if (slice.write || chart_.StateName(slice.state) != "watching") {
     return;
   }
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -47,7 +47,9 @@
   void Run(core::TimePoint now) {
     board_->Run(now);
     for (const StoreCommand& command : board_->PopCommands()) {
-      if (reaches_store) {
+      if (!may_write && std::holds_alternative<CommitRows>(command)) {
+        board_->Handle(StoreRefused{.call = CallOf(command)}, now);
+      } else if (reaches_store) {
         board_->Handle(*store_.Run(command), now);
       } else {
         board_->Handle(StoreUnanswered{.call = CallOf(command)}, now);
@@ -65,6 +67,7 @@
   SliceBoard& board() { return *board_; }
 
   bool reaches_store = true;
+  bool may_write = true;  ///< The store refuses its writes otherwise.
   std::vector<SliceGained> gains;
   std::size_t losses = 0;
 
@@ -354,6 +357,22 @@
   CHECK(a.losses == 1);
 }
 
+// Guards against a task that runs twice: the store refused an owner's writes
+// alone, and the owner went on to read and start new jobs for the rest of its
+// term, on workers that its successor did not reach.
+TEST_CASE("an owner that reads of its successor gives up", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  cluster.Advance(2s, {&a});
+  a.may_write = false;
+  while (b.gains.empty()) {
+    cluster.Advance(20ms, {&a, &b});
+  }
+  cluster.Advance(1500ms, {&a, &b});
+  CHECK(a.losses == 1);
+}
+
 // Guards against an owner whose every write fails: the fence row has the
 // version of the claim, not that of a later renewal.
 TEST_CASE("a fenced owner that finds its own row claims the slice again",
