--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -166,6 +166,8 @@
   worker.renewal.reset();
   if (answer.outcome == OrderOutcome::kFenced) {
     fenced_ = true;
+  } else if (IsFromEarlierLife(worker, call, answer)) {
+    worker.next_renewal = now_;
   } else if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     DispatchContact(worker, "life_over");
     worker.next_renewal = now_ + kLapsedRetryPause;
@@ -177,6 +179,20 @@
   }
 }
 
+// Returns whether a renewal that was sent before the worker's present life was
+// learned of is answered by another life. The next renewal tells which one is
+// the later.
+bool SliceScheduler::IsFromEarlierLife(const Worker& worker,
+                                       const RenewalCall& call,
+                                       const LeaseAnswered& answer) {
+  if (worker.life == call.life) {
+    return false;
+  }
+  return answer.outcome == OrderOutcome::kOtherIncarnation ||
+         (answer.report && answer.report->born_unix_ms != 0 &&
+          answer.report->born_unix_ms != worker.born_unix_ms);
+}
+
 void SliceScheduler::HandleReport(const RenewalCall& call,
                                   const WorkerReport& report) {
   Worker& worker = workers_.Get(call.worker);
@@ -478,15 +494,16 @@
   const CallId call = ids_.Next();
   jobs::RenewLease order{
       .call = call, .to = DestinationOf(worker), .epoch = options_.epoch};
+  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // Sent until it is confirmed, and not again: the worker may restart at any
-  // time, and would forget the ends of its new life.
-  if (worker.acknowledged > worker.forgotten) {
+  // time, and would forget the ends of its new life. A worker that has not
+  // answered may have done so already, and has to report its life first.
+  if (live && worker.acknowledged > worker.forgotten) {
     order.acknowledged = worker.acknowledged;
   }
   calls_[call] = RenewalCall{.worker = worker.id,
                              .life = worker.life,
                              .acknowledged = order.acknowledged};
-  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
   // tasks could never be treated as ended.
