--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -31,8 +31,6 @@
   std::uint32_t group = 0;   ///< Index into Job::groups.
   chart::StateId state;
   core::WorkerId worker;  ///< Valid while a run may be on it.
-  /// An earlier owner may have started it on a worker that has not reported.
-  bool unlocated = false;
   RunNumber run = 0;
   std::uint32_t starts = 0;  ///< By this owner.
   FailedRuns failures;
@@ -49,6 +47,8 @@
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order is sent before this.
   bool stop_unanswered = false;
+  /// An earlier owner may have started it on a worker that has not reported.
+  bool unlocated = false;
   bool run_seen = false;     ///< An answer or a report has shown the run.
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
