Log the state before a change of contact, and what an owner knows of the term

`worker_contact` shows the state before (`from`) and how long the owner's term lasts (`term_left_ms`), `slice_restored` how long leases of earlier owners may go on. The scheduler knows its term before it handles the registry.

--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -124,7 +124,9 @@
   options_.log(core::LogLine("slice_restored")
                    .Add("slice", options_.slice.name)
                    .Add("epoch", options_.epoch)
-                   .Add("jobs", jobs_.size()));
+                   .Add("jobs", jobs_.size())
+                   .Add("predecessor_lease_left_ms",
+                        core::ToMillis(PredecessorLeaseEnd() - now_)));
 }
 
 // Without the roster or a job's progress, tasks would be started that may
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -4,36 +4,18 @@
 #include "core/overloaded.h"
 #include "slice_scheduler_p.h"
 
-/// Handles the reports of workers and renews their leases. A worker runs tasks
-/// only while it holds a lease.
+/// Handles the registry's entries and the reports of workers.
 namespace hickoryusher::jobs {
 namespace {
 
 using std::chrono::milliseconds;
 
-// While tasks run, a worker answers a renewal with its report after this time,
-// so that the successor of a failed owner has over 3 s before the 6 s leases
-// expire.
-constexpr core::Duration kReportWait = milliseconds(1500);
-// The same on a worker with serving tasks: the reaction to interference has to
-// take effect well before harm_ms, 4 s at present.
-constexpr core::Duration kServingReportWait = milliseconds(700);
-// The longest lease that is granted, whatever the platform permits. A worker
-// that leaves or is lost keeps its tasks for its lease, and a long-running task
-// must run again 9 s after its last run, of which finding room takes up to 2 s.
-// A successor of a failed owner renews leases 4 s after the last renewal.
-constexpr core::Duration kLongestLease = milliseconds(6000);
-
 constexpr core::Duration kSilentRetryPause = milliseconds(300);
 constexpr core::Duration kLapsedRetryPause = milliseconds(2000);
 // Delays the next renewal while ends are not stored yet: the worker would list
 // them again immediately.
 constexpr core::Duration kUnstoredEndPause = milliseconds(400);
 
-// Lease ends allow for a worker's clock that runs up to 2% slow.
-constexpr double kSlowClockFactor = 1.02;
-constexpr core::Duration kClockMargin = milliseconds(200);
-
 // The store lists at most this many ended runs in one report.
 constexpr std::size_t kEndsPerReport = 500;
 
@@ -44,14 +26,6 @@
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 constexpr core::Duration kEarlyFailure = milliseconds(1000);
 
-// Returns when a lease is over that begins at @p begin and lasts for @p length
-// on a worker's clock.
-core::TimePoint LeaseOver(core::TimePoint begin, core::Duration length) {
-  return begin +
-         std::chrono::duration_cast<core::Duration>(length * kSlowClockFactor) +
-         kClockMargin;
-}
-
 }  // namespace
 
 chart::Bindings<SliceScheduler::ContactContext>
@@ -93,9 +67,11 @@
             .Add("worker", worker.entry.id)
             .Add("born", worker.born_unix_ms)
             .Add("cause", event)
+            .Add("from", charts_.worker_contact.StateName(before))
             .Add("state", charts_.worker_contact.StateName(worker.contact))
             .Add("draining", worker.entry.draining)
             .Add("lease_left_ms", core::ToMillis(LeaseEnd(worker) - now_))
+            .Add("term_left_ms", core::ToMillis(term_end_ - now_))
             .Add("tasks", worker.tasks.size()));
   }
 }
@@ -397,144 +373,4 @@
   Dispatch(task, "lost");
 }
 
-// Returns when the leases that earlier owners have granted are over.
-core::TimePoint SliceScheduler::PredecessorLeaseEnd() const {
-  const core::TimePoint term_end = options_.predecessor_term_end + kClockMargin;
-  if (!options_.predecessor_ended) {
-    return term_end;
-  }
-  return std::min(term_end, LeaseOver(gained_, options_.limits.longest_lease));
-}
-
-// Returns the end of a lease on the worker's clock, so that RecordLease expects
-// it to be over no later than the term.
-std::int64_t SliceScheduler::LeaseUntil(const Worker& worker) const {
-  const auto left_at_report = std::chrono::duration_cast<core::Duration>(
-      (term_end_ - kClockMargin - worker.clock_at) / kSlowClockFactor);
-  return std::min(
-      worker.ClockAt(now_) + core::ToMillis(std::min(
-                                 options_.limits.longest_lease, kLongestLease)),
-      worker.clock_ms + core::ToMillis(left_at_report));
-}
-
-void SliceScheduler::RecordLease(Worker& worker, std::int64_t until_ms) {
-  worker.lease_end = std::max(
-      worker.lease_end,
-      LeaseOver(worker.clock_at, milliseconds(until_ms - worker.clock_ms)));
-  worker.lease_end_after_restart =
-      LeaseOver(now_, options_.limits.longest_lease);
-  worker.granted_until_ms = std::max(worker.granted_until_ms, until_ms);
-}
-
-// Returns when nothing runs on the worker any more unless its lease is renewed.
-// A start that nobody has seen carried out may have reached a life of the
-// worker that the owner does not know.
-core::TimePoint SliceScheduler::LeaseEnd(const Worker& worker) const {
-  const bool seen = std::ranges::all_of(worker.tasks, &Task::run_seen);
-  return seen ? worker.lease_end
-              : std::max(worker.lease_end, worker.lease_end_after_restart);
-}
-
-// Handles the clock that an answer shows. An order that was granted on the
-// clock of an earlier life, and is carried out late, counts on this one.
-void SliceScheduler::HandleClock(Worker& worker, std::int64_t clock_ms) {
-  worker.SetClock(clock_ms, now_);
-  const core::Duration left =
-      std::min<core::Duration>(milliseconds(worker.granted_until_ms - clock_ms),
-                               options_.limits.longest_lease);
-  worker.lease_end = std::max(worker.lease_end, LeaseOver(now_, left));
-}
-
-// Returns whether an unlisted worker without tasks can be removed. A worker
-// whose address belongs to another one is known to have ended before its lease
-// expires.
-bool SliceScheduler::IsGone(const Worker& worker) const {
-  return !worker.listed && worker.tasks.empty() &&
-         (now_ >= LeaseEnd(worker) ||
-          charts_.worker_contact.StateName(worker.contact) == "lapsed");
-}
-
-void SliceScheduler::ScheduleRosterWrite() {
-  roster_due_ = true;
-  commit_due_ = std::min(commit_due_, now_ + kTick);
-}
-
-void SliceScheduler::RenewLeases() {
-  for (const auto& worker : workers_.all()) {
-    if (now_ >= LeaseEnd(*worker)) {
-      DispatchContact(*worker, "lease_over");
-    }
-    if (worker->in_roster && IsGone(*worker)) {
-      // If it stayed in the roster, the next owner would wait for its report.
-      worker->in_roster = false;
-      ScheduleRosterWrite();
-    }
-    const std::vector<Task*> tasks = worker->tasks;
-    for (Task* task : tasks) {
-      if (task->stop_unanswered && now_ >= task->not_before) {
-        Dispatch(*task, "unanswered");
-      }
-    }
-    const std::string_view contact =
-        charts_.worker_contact.StateName(worker->contact);
-    // A worker in the roster may run tasks although it is not listed.
-    const bool needs_contact =
-        contact != "live" &&
-        (worker->listed || (worker->in_roster && contact != "lapsed"));
-    const bool needs_renewal = !worker->tasks.empty() ||
-                               worker->last_end > worker->forgotten ||
-                               needs_contact;
-    if (needs_renewal && !worker->renewal && now_ >= worker->next_renewal) {
-      RenewLease(*worker);
-    }
-  }
-}
-
-void SliceScheduler::RenewLease(Worker& worker) {
-  const CallId call = ids_.Next();
-  jobs::RenewLease order{
-      .call = call, .to = DestinationOf(worker), .epoch = options_.epoch};
-  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
-  // Sent until it is confirmed, and not again: the worker may restart at any
-  // time, and would forget the ends of its new life. A worker that has not
-  // answered may have done so already, and has to report its life first.
-  if (live && worker.acknowledged > worker.forgotten) {
-    order.acknowledged = worker.acknowledged;
-  }
-  calls_[call] = RenewalCall{.worker = worker.id,
-                             .life = worker.life,
-                             .acknowledged = order.acknowledged};
-  // A renewal without an answer may still extend the lease. A silent worker is
-  // therefore only queried; otherwise its lease would never expire and its
-  // tasks could never be treated as ended.
-  if (!worker.tasks.empty() && live) {
-    const std::int64_t until = LeaseUntil(worker);
-    RecordLease(worker, until);
-    order.lease_until_ms = until;
-    const bool serves = std::ranges::any_of(worker.tasks, [](const Task* task) {
-      return task->job->StepOf(*task).latency_target > core::Duration();
-    });
-    if (worker.last_end == worker.acknowledged) {
-      order.wait = serves ? kServingReportWait : kReportWait;
-    }
-  }
-  worker.renewal = call;
-  worker.renewal_sent = now_;
-  worker_commands_.push_back(std::move(order));
-}
-
-bool SliceScheduler::AllConfirmed() const {
-  // A worker that is not in the roster has never had a task.
-  return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
-    return worker->in_roster &&
-           charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
-  });
-}
-
-bool SliceScheduler::IsUsable(const Worker& worker) const {
-  return worker.listed && worker.in_roster && !worker.entry.draining &&
-         now_ >= worker.quarantined_until &&
-         charts_.worker_contact.StateName(worker.contact) == "live";
-}
-
 }  // namespace hickoryusher::jobs
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -237,6 +237,7 @@
                                      .wait = kRegistryFollowWait},
         ids_);
   }
+  scheduler->SetTermEnd(board_->TermEnd(gained.slice));
   for (const auto& [id, entry] : registry_) {
     scheduler->UpdateWorker(entry, now);
   }
