Query a worker before leases of an earlier owner count as over

Cause: a successor took a lease for over as soon as the term in the slice's row had ended, which is at once where it gains the slice after the outage, and started the worker's tasks elsewhere although the worker could be asked. A lease outlives the term where a renewal on the clock of a worker's earlier life reaches the next one. And ends that nobody could store in the outage stood unread in the worker's list.

A worker that can be reached tells what runs there; one that cannot costs at most the time-out of one call, and nothing where its lease lasts for longer.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -278,6 +278,7 @@
   double HeadroomShareOn(Worker& worker,
                          ImageId image,
                          const StepSpec& added) const;
+  bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
   bool IsUsable(const Worker& worker) const;
   bool IsGone(const Worker& worker) const;
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -163,11 +163,18 @@
   worker_commands_.push_back(std::move(order));
 }
 
+// Returns whether tasks of earlier owners may run on the worker. A worker that
+// is not in the roster has never had a task.
+bool SliceScheduler::IsUnconfirmed(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  return worker.in_roster &&
+         (contact == "unconfirmed" || contact == "unreached");
+}
+
 bool SliceScheduler::AllConfirmed() const {
-  // A worker that is not in the roster has never had a task.
   return std::ranges::none_of(workers_.all(), [this](const auto& worker) {
-    return worker->in_roster &&
-           charts_.worker_contact.StateName(worker->contact) == "unconfirmed";
+    return IsUnconfirmed(*worker);
   });
 }
 
--- a/packages/jobs/src/slice_waits.cc
+++ b/packages/jobs/src/slice_waits.cc
@@ -73,8 +73,7 @@
   std::size_t unconfirmed = 0;
   const Worker* last = nullptr;
   for (const auto& worker : workers_.all()) {
-    if (worker->in_roster &&
-        charts_.worker_contact.StateName(worker->contact) == "unconfirmed") {
+    if (IsUnconfirmed(*worker)) {
       ++unconfirmed;
       if (last == nullptr || worker->lease_end > last->lease_end) {
         last = worker.get();
--- a/packages/jobs/tests/slice_lease_bounds_test.cc
+++ b/packages/jobs/tests/slice_lease_bounds_test.cc
@@ -100,6 +100,56 @@
   CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
 }
 
+// Guards against a task that runs twice: the term of an owner ended during an
+// outage of the store, and its successor started the task on another worker
+// although the first one, which held a lease for longer, could have reported
+// it.
+TEST_CASE("a worker is queried before leases of an earlier owner count as over",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.Advance(2s);
+  world.slow_worker = "w1";
+  world.predecessor_term = -1s;
+  world.TakeOver(/*predecessor_ended=*/GENERATE(true, false));
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
+// Guards against a task that runs again after it is done: it ended while the
+// store was away, and its owner's successor did not read the ends that the
+// worker still listed.
+TEST_CASE("ends that an earlier owner could not store are read", "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.Advance(2s);
+  world.slow_worker = "w1";
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.predecessor_term = -1s;
+  world.TakeOver();
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
+// Guards against an earlier owner's tasks that never run again because their
+// worker does not answer any more.
+TEST_CASE("an unreachable worker keeps its tasks until the term has ended",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.workers.SetFault(
+      "w1", GENERATE(FakeWorkers::Fault::kSilent, FakeWorkers::Fault::kGone));
+  world.predecessor_term = 4s;
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(4s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(AwaitStarts(world, "j", 2) <= 1500ms);
+}
+
 // Guards against a task that runs twice: an owner that had not renewed its term
 // for 5 s started it on a worker that had restarted unnoticed, so that the
 // lease outlived the term, and was then killed. Its successor took the lease
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -308,8 +308,12 @@
   answer = workers.Handle(command, now_).value_or(answer);
   const OrderOutcome outcome =
       std::visit([](const auto& event) { return event.outcome; }, answer);
+  const std::string& worker = std::visit(
+      [](const auto& c) -> const auto& { return c.to.worker; }, command);
   if (outcome == OrderOutcome::kUnanswered) {
     given_up_.emplace_back(now_ + kCallTimeout, std::move(answer));
+  } else if (worker == slow_worker) {
+    given_up_.emplace_back(now_ + kSlowAnswer, std::move(answer));
   } else if (answer_delay > milliseconds(0)) {
     given_up_.emplace_back(now_ + answer_delay, std::move(answer));
   } else {
