Start no task under a lease that may outlive the owner's term

Cause: a lease is a time on the worker's clock, which starts anew with each life. An owner that had not renewed its term for a while started tasks on a worker that had restarted, known or unknown to it, and an order on the clock of the life before gave that life the longest lease that the platform permits, past the end of the term. A successor that cannot reach the worker then starts them elsewhere beside it.

Fix: a worker gets no start while its lease may outlive the term: if the lease as known does, or if the worker has no run that has been seen, so that nobody calls it and a restart goes unnoticed, and the longest lease from now would. A start is not sent again, and a lease not renewed, in the second case either.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -156,7 +156,8 @@
   /// Why a task is not placed on a worker.
   enum class Obstacle {
     kNone,
-    kNotUsable,  ///< Silent, unlisted, leaving or quarantined.
+    kNotUsable,     ///< Silent, unlisted, leaving or quarantined.
+    kOutlivesTerm,  ///< Its lease might last for longer than the term.
     kOtherService,
     kNoLabel,
     kSpread,  ///< Has the maximum number of tasks of the step.
@@ -278,6 +279,8 @@
   double HeadroomShareOn(Worker& worker,
                          ImageId image,
                          const StepSpec& added) const;
+  bool MayOutliveTerm(const Worker& worker) const;
+  bool MayRunPastTerm(const Worker& worker) const;
   bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
   bool IsUsable(const Worker& worker) const;
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -75,6 +75,25 @@
               : std::max(worker.lease_end, worker.lease_end_after_restart);
 }
 
+// Returns whether an order that grants a lease now may give the worker one that
+// outlives the term, which a successor would take for over. The worker may have
+// restarted unnoticed unless all its runs have been seen: the end of the lease
+// then counts on a clock that has started anew.
+bool SliceScheduler::MayOutliveTerm(const Worker& worker) const {
+  const bool seen = !worker.tasks.empty() &&
+                    std::ranges::all_of(worker.tasks, &Task::run_seen);
+  return !seen &&
+         LeaseOver(now_, options_.limits.longest_lease) - kClockMargin >
+             term_end_;
+}
+
+// Returns whether a task that starts on the worker now may run for longer than
+// the term. A worker that has restarted may have been given a longer lease by a
+// renewal on the clock of the life before.
+bool SliceScheduler::MayRunPastTerm(const Worker& worker) const {
+  return MayOutliveTerm(worker) || worker.lease_end - kClockMargin > term_end_;
+}
+
 // Handles the clock that an answer shows. An order that was granted on the
 // clock of an earlier life, and is carried out late, counts on this one.
 void SliceScheduler::HandleClock(Worker& worker, std::int64_t clock_ms) {
@@ -147,7 +166,7 @@
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
   // tasks could never be treated as ended.
-  if (!worker.tasks.empty() && live) {
+  if (!worker.tasks.empty() && live && !MayOutliveTerm(worker)) {
     const std::int64_t until = LeaseUntil(worker);
     RecordLease(worker, until);
     order.lease_until_ms = until;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -243,6 +243,9 @@
   if (!IsUsable(worker)) {
     return Obstacle::kNotUsable;
   }
+  if (MayRunPastTerm(worker)) {
+    return Obstacle::kOutlivesTerm;
+  }
   if (worker.entry.service != job.queue.service) {
     return Obstacle::kOtherService;
   }
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -37,7 +37,11 @@
                       c.task.failures.size() + 1 < c.job().queue.max_attempts;
              })
       .Guard("resends_left",
-             [](const Context& c) { return c.task.resends < kMaxResends; })
+             [](const Context& c) {
+               const Worker& worker = c.scheduler.workers_.Get(c.task.worker);
+               return c.task.resends < kMaxResends &&
+                      !c.scheduler.MayOutliveTerm(worker);
+             })
       .Guard("job_halted", [](const Context& c) { return c.job().halted; });
   bindings
       .Action("reserve",
