Take a worker that has drained out of the roster at once

Cause: a leaving worker stayed in the roster until it had left the registry and its last lease was over, up to 6 s after its last task had been moved away. A successor waits for the report of each worker in the roster, and for the end of all leases if there is none.

Fix: a leaving worker leaves the roster when its report lists no run, no task is on it and its ends are stored, as nothing will be started there. The rule that waited for the end of its lease is gone.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -284,7 +284,9 @@
   bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
   bool IsUsable(const Worker& worker) const;
-  bool IsGone(const Worker& worker) const;
+  static bool IsLeaving(const Worker& worker);
+  bool HasLeft(const Worker& worker) const;
+  bool NeedsRenewal(const Worker& worker) const;
   void ScheduleRosterWrite();
 
   // Placement.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -96,7 +96,7 @@
   for (const auto& worker : workers_.all()) {
     const bool answers =
         charts_.worker_contact.StateName(worker->contact) == "live";
-    if (!IsGone(*worker) && (worker->in_roster || answers)) {
+    if (!HasLeft(*worker) && (worker->in_roster || answers)) {
       text += worker->entry.id + ' ' + worker->entry.address + '\n';
       commit.roster.push_back(worker->id);
     }
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -104,13 +104,21 @@
   worker.lease_end = std::max(worker.lease_end, LeaseOver(now_, left));
 }
 
-// Returns whether an unlisted worker without tasks can be removed. A worker
-// whose address belongs to another one is known to have ended before its lease
-// expires.
-bool SliceScheduler::IsGone(const Worker& worker) const {
-  return !worker.listed && worker.tasks.empty() &&
-         (now_ >= LeaseEnd(worker) ||
-          charts_.worker_contact.StateName(worker.contact) == "lapsed");
+// Returns whether the worker gets no task any more because it leaves or has
+// left.
+bool SliceScheduler::IsLeaving(const Worker& worker) {
+  return worker.entry.draining || !worker.listed;
+}
+
+// Returns whether nothing runs on a leaving worker, so that a successor need
+// not wait for its report. The ends that it has listed must be stored: the
+// successor would start their tasks again.
+bool SliceScheduler::HasLeft(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  return IsLeaving(worker) && worker.tasks.empty() &&
+         (contact == "lapsed" || (contact == "live" && worker.runs_nothing &&
+                                  worker.last_end <= worker.acknowledged));
 }
 
 void SliceScheduler::ScheduleRosterWrite() {
@@ -123,8 +131,7 @@
     if (now_ >= LeaseEnd(*worker)) {
       DispatchContact(*worker, "lease_over");
     }
-    if (worker->in_roster && IsGone(*worker)) {
-      // If it stayed in the roster, the next owner would wait for its report.
+    if (worker->in_roster && HasLeft(*worker)) {
       worker->in_roster = false;
       ScheduleRosterWrite();
     }
@@ -134,21 +141,26 @@
         Dispatch(*task, "unanswered");
       }
     }
-    const std::string_view contact =
-        charts_.worker_contact.StateName(worker->contact);
-    // A worker in the roster may run tasks although it is not listed.
-    const bool needs_contact =
-        contact != "live" &&
-        (worker->listed || (worker->in_roster && contact != "lapsed"));
-    const bool needs_renewal = !worker->tasks.empty() ||
-                               worker->last_end > worker->forgotten ||
-                               needs_contact;
-    if (needs_renewal && !worker->renewal && now_ >= worker->next_renewal) {
+    if (NeedsRenewal(*worker) && !worker->renewal &&
+        now_ >= worker->next_renewal) {
       RenewLease(*worker);
     }
   }
 }
 
+bool SliceScheduler::NeedsRenewal(const Worker& worker) const {
+  if (!worker.tasks.empty() || worker.last_end > worker.forgotten) {
+    return true;
+  }
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  if (contact == "live") {
+    return worker.in_roster && IsLeaving(worker) && !worker.runs_nothing;
+  }
+  // A worker in the roster may run tasks although it is not listed.
+  return worker.listed || (worker.in_roster && contact != "lapsed");
+}
+
 void SliceScheduler::RenewLease(Worker& worker) {
   const CallId call = ids_.Next();
   jobs::RenewLease order{
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -180,6 +180,7 @@
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
   RecordLease(worker, until);
+  worker.runs_nothing = false;
   worker_commands_.push_back(StartRun{.call = call,
                                       .to = DestinationOf(worker),
                                       .epoch = options_.epoch,
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -194,6 +194,7 @@
   std::ranges::for_each(
       report.running, [&](const ActiveRun& run) { HandleActive(worker, run); });
   DropMissing(worker, report);
+  worker.runs_nothing = report.running.empty() && worker.tasks.empty();
   DispatchContact(worker, "report");
   AdjustPace(worker);
   const bool unstored = worker.last_end > worker.acknowledged;
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -113,6 +113,53 @@
   CHECK(world.workers.starts(SliceWorld::Task("other")) == 1);
 }
 
+// Guards against long-running tasks that wait for over 9 s: a worker had
+// drained, with all its tasks moved away, and its owner failed before the last
+// lease there was over, so that the successor waited for its report.
+TEST_CASE("a successor does not wait for a worker that has drained",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("w");
+  world.AddWorker("w2");
+  world.Advance(2s);
+  const bool leaves = GENERATE(true, false);
+  if (leaves) {
+    world.Drain("w1");
+  } else {
+    world.Remove("w1");
+    world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+    world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  }
+  world.Advance(1s);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w2");
+  world.Remove("w1");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Remove("w1");
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 3);
+}
+
+// Guards against a task that runs again after it is done: its worker was
+// draining, and its end, the last one there, was not stored when the owner
+// failed.
+TEST_CASE("a draining worker stays in the roster until its ends are stored",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.Advance(2s);
+  world.Drain("w1");
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(1s);
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.slow_worker = "w1";
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
 // Guards against a task that runs twice: a new owner transferred a job of which
 // one task ran on a worker that had not reported yet, and the other slice
 // started that task, too.
