Write into the roster when the lease of a silent worker is over

Cause: a successor knew no bound for the lease of a worker that is gone but its predecessor's term, 12 s, or the longest lease that the platform permits from its own start, although the predecessor had known that the worker was silent, and each further owner waited anew.

Fix: an owner that gets no answer from a worker writes into the roster until when, by the store's clock, its last lease may go on, and grants none until the roster is written without that time. A successor takes the time from the roster and hands it on. No time is written while the store does not answer, as a worker that answers again could not get another lease then.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -15,6 +15,7 @@
 #include "core/log_line.h"
 #include "jobs/rows.h"
 #include "jobs/slice_load.h"
+#include "jobs/store_clock.h"
 #include "jobs/table_follower.h"
 
 namespace hickoryusher::jobs {
@@ -122,6 +123,8 @@
   /// renewed until then.
   core::TimePoint TermEnd(core::SliceId slice) const;
 
+  const StoreClock& store_clock() const { return store_clock_; }
+
  private:
   struct OwnerRecord;
   struct Slice;
@@ -163,10 +166,7 @@
   std::vector<Slice> slices_;
   std::optional<CallId> list_call_;
   core::TimePoint list_sent_;
-  /// The store's clock in the last answer that showed one, and when the call
-  /// was sent: at that time, the clock showed no more.
-  std::int64_t clock_ms_ = 0;
-  core::TimePoint clock_sent_;
+  StoreClock store_clock_;
   core::TimePoint next_list_;
   bool releasing_ = false;
   bool loads_changed_ = false;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -23,9 +23,11 @@
 #include "jobs/job_table.h"
 #include "jobs/pace_plan.h"
 #include "jobs/queues.h"
+#include "jobs/roster.h"
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
 #include "jobs/slice_load.h"
+#include "jobs/store_clock.h"
 #include "jobs/table_follower.h"
 #include "jobs/worker_calls.h"
 #include "jobs/worker_pool.h"
@@ -105,6 +107,8 @@
   /// granted beyond it.
   void SetTermEnd(core::TimePoint end) { term_end_ = end; }
 
+  void SetStoreClock(const StoreClock& clock) { store_clock_ = clock; }
+
   /// Apply changes in the registry to workers of the slice's failure domain.
   void UpdateWorker(const WorkerEntry& entry, core::TimePoint now);
   void RemoveWorker(std::string_view id, core::TimePoint now);
@@ -197,6 +201,7 @@
     std::vector<std::string> jobs;
     std::vector<EndsOfWorker> ends;
     std::vector<core::WorkerId> roster;  ///< If the roster is written too.
+    std::vector<core::WorkerId> opened;  ///< Of these, those without a time.
   };
 
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
@@ -280,6 +285,7 @@
                          ImageId image,
                          const StepSpec& added) const;
   bool MayOutliveTerm(const Worker& worker) const;
+  bool MayGrantLease(const Worker& worker) const;
   bool MayRunPastTerm(const Worker& worker) const;
   bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
@@ -363,7 +369,9 @@
   void CollectRoster(Commit& commit);
   void HandleConflict(const Commit& commit, const RowsConflicted& conflict);
   void MarkStored(const Commit& commit, RowVersion version);
-  void HandleRoster(const Row& row);
+  void HandleRoster(const Row& row, std::int64_t clock_ms);
+  bool MayCloseLeases(const Worker& worker) const;
+  bool StoreAnswers() const;
   void LogLoad();
 
   Options options_;
@@ -378,6 +386,7 @@
   bool fenced_ = false;
   core::TimePoint gained_;
   core::TimePoint term_end_ = core::TimePoint::max();
+  StoreClock store_clock_;
 
   /// States of the chart `task_run` that decisions depend on.
   struct TaskStates {
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -28,6 +28,8 @@
   /// In the stored roster, so that a later owner of the slice queries it for
   /// its runs. Only then may tasks be placed on it.
   bool in_roster = false;
+  /// The roster may say when the last lease is over, so that none is granted.
+  bool leases_closed = false;
   /// The last report lists no run, and none was started since.
   bool runs_nothing = false;
   chart::StateId contact;
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -231,8 +231,7 @@
 
 void SliceBoard::HandleClock(std::int64_t clock_ms, core::TimePoint sent) {
   if (clock_ms != 0) {
-    clock_ms_ = clock_ms;
-    clock_sent_ = sent;
+    store_clock_ = {.shown_ms = clock_ms, .sent = sent};
   }
 }
 
@@ -314,9 +313,7 @@
       .incarnation = options_.incarnation,
       .cpu_millis = options_.cpu_millis,
       .term_end_ms =
-          clock_ms_ == 0
-              ? 0
-              : clock_ms_ + core::ToMillis(now - clock_sent_ + kOwnerGrace)};
+          store_clock_.known() ? store_clock_.LatestAt(now + kOwnerGrace) : 0};
   const RowKey key = {
       .table = std::string(kSliceTable), .part = {}, .key = slice.info.name};
   CommitRows commit{.call = ids_.Next(),
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -88,37 +87,63 @@
   }
 }
 
+// Returns whether the roster shall say when the last lease of the worker is
+// over, which spares a successor the wait for the term. The worker then gets no
+// lease until the roster is written again, which needs a store that answers.
+bool SliceScheduler::MayCloseLeases(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  if (contact == "live" || !store_clock_.known()) {
+    return false;
+  }
+  return worker.leases_closed || (contact != "unconfirmed" && StoreAnswers());
+}
+
 // Collects the workers on which tasks of this slice may run. A worker that has
 // never answered runs none, and would delay the next owner.
 void SliceScheduler::CollectRoster(Commit& commit) {
   roster_due_ = false;
-  std::string text;
+  std::vector<RosterEntry> entries;
   for (const auto& worker : workers_.all()) {
     const bool answers =
         charts_.worker_contact.StateName(worker->contact) == "live";
     if (!HasLeft(*worker) && (worker->in_roster || answers)) {
-      text += worker->entry.id + ' ' + worker->entry.address + '\n';
+      RosterEntry& entry =
+          entries.emplace_back(worker->entry.id, worker->entry.address);
       commit.roster.push_back(worker->id);
+      if (MayCloseLeases(*worker)) {
+        worker->leases_closed = true;
+        entry.over_ms = store_clock_.LatestAt(LeaseEnd(*worker));
+      } else {
+        commit.opened.push_back(worker->id);
+      }
     }
   }
   const RowKey key = RosterRow(options_.slice.name);
   commit.rows.conditions.push_back({.key = key, .version = roster_version_});
-  commit.rows.puts.push_back({.key = key, .value = std::move(text)});
+  commit.rows.puts.push_back({.key = key, .value = EncodeRoster(entries)});
 }
 
-void SliceScheduler::HandleRoster(const Row& row) {
+/// @param clock_ms the store's clock when the row was read; 0 if unknown.
+void SliceScheduler::HandleRoster(const Row& row, std::int64_t clock_ms) {
   roster_version_ = row.version;
-  std::istringstream in(row.value);
-  WorkerEntry entry{.failure_domain = options_.slice.failure_domain};
-  while (in >> entry.id >> entry.address) {
+  for (const RosterEntry& entry : DecodeRoster(row.value)) {
     Worker* worker = workers_.Find(entry.id);
     if (worker == nullptr) {
       // Its tasks may still run although it is not in the registry.
-      UpdateWorker(entry, now_);
+      UpdateWorker({.id = entry.id,
+                    .address = entry.address,
+                    .failure_domain = options_.slice.failure_domain},
+                   now_);
       worker = workers_.Find(entry.id);
       worker->listed = false;
     }
     worker->in_roster = true;
+    worker->leases_closed = entry.over_ms != 0;
+    if (worker->leases_closed && clock_ms != 0) {
+      worker->lease_end = std::min(
+          worker->lease_end, now_ + milliseconds(entry.over_ms - clock_ms));
+    }
   }
 }
 
@@ -204,6 +229,9 @@
   for (const core::WorkerId id : commit.roster) {
     workers_.Get(id).in_roster = true;
   }
+  for (const core::WorkerId id : commit.opened) {
+    workers_.Get(id).leases_closed = false;
+  }
   for (const std::string& id : commit.jobs) {
     if (Job* job = jobs_.Find(id)) {
       job->progress_version = version;
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -87,6 +87,10 @@
              term_end_;
 }
 
+bool SliceScheduler::MayGrantLease(const Worker& worker) const {
+  return !worker.leases_closed && !MayOutliveTerm(worker);
+}
+
 // Returns whether a task that starts on the worker now may run for longer than
 // the term. A worker that has restarted may have been given a longer lease by a
 // renewal on the clock of the life before.
@@ -178,15 +182,12 @@
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
   // tasks could never be treated as ended.
-  if (!worker.tasks.empty() && live && !MayOutliveTerm(worker)) {
+  if (!worker.tasks.empty() && live && MayGrantLease(worker)) {
     const std::int64_t until = LeaseUntil(worker);
     RecordLease(worker, until);
     order.lease_until_ms = until;
-    const bool serves = std::ranges::any_of(worker.tasks, [](const Task* task) {
-      return task->job->StepOf(*task).latency_target > core::Duration();
-    });
     if (worker.last_end == worker.acknowledged) {
-      order.wait = serves ? kServingReportWait : kReportWait;
+      order.wait = Serves(worker) ? kServingReportWait : kReportWait;
     }
   }
   worker.renewal = call;
@@ -210,8 +211,8 @@
 }
 
 bool SliceScheduler::IsUsable(const Worker& worker) const {
-  return worker.listed && worker.in_roster && !worker.entry.draining &&
-         now_ >= worker.quarantined_until &&
+  return worker.listed && worker.in_roster && !worker.leases_closed &&
+         !worker.entry.draining && now_ >= worker.quarantined_until &&
          charts_.worker_contact.StateName(worker.contact) == "live";
 }
 
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -59,7 +59,10 @@
     placement_due_ = true;
     const std::string_view state =
         charts_.worker_contact.StateName(worker.contact);
-    if (state == "lapsed" || (state == "live" && !worker.in_roster)) {
+    const bool open = worker.in_roster && !worker.leases_closed;
+    const bool unanswered = state == "silent" || state == "unreached";
+    if (state == "lapsed" || (state == "live" && !open) ||
+        (unanswered && open)) {
       ScheduleRosterWrite();
     }
     options_.log(
@@ -197,9 +200,12 @@
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
   DispatchContact(worker, "report");
   AdjustPace(worker);
-  const bool unstored = worker.last_end > worker.acknowledged;
-  worker.next_renewal =
-      now_ + (unstored ? kUnstoredEndPause : core::Duration());
+  worker.next_renewal = now_;
+  if (worker.last_end > worker.acknowledged) {
+    worker.next_renewal += kUnstoredEndPause;
+  } else if (worker.tasks.empty() || !MayGrantLease(worker)) {
+    worker.next_renewal += kTick;
+  }
 }
 
 void SliceScheduler::HandleEnd(Worker& worker, const EndedRun& end) {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -5,6 +5,7 @@
 #include "fake_store.h"
 #include "jobs/interference_model.h"
 #include "jobs/progress.h"
+#include "jobs/roster.h"
 #include "jobs/slice_scheduler.h"
 #include "jobs/table_follower.h"
 
@@ -26,6 +27,17 @@
   }
 }
 
+TEST_CASE("a roster is unchanged by encoding and decoding", "[records]") {
+  const std::vector<RosterEntry> roster = {
+      {.id = "w1", .address = "10.0.0.1:80"},
+      {.id = "w2", .address = "10.0.0.2:80", .over_ms = 12'345}};
+  CHECK(DecodeRoster(EncodeRoster(roster)) == roster);
+  CHECK(DecodeRoster("").empty());
+  // A time that cannot be read must not end the wait for a worker.
+  const std::vector<RosterEntry> damaged = {{.id = "w", .address = "a:1"}};
+  CHECK(DecodeRoster("w a:1@x\n") == damaged);
+}
+
 TEST_CASE("damaged records are refused", "[records]") {
   for (const char* text :
        {"", "active", "active/", "unknown//", "active/x/", "active//1",
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -268,10 +268,50 @@
   world.AddWorker("w2");
   world.Advance(1s);
   world.TakeOver(/*predecessor_ended=*/false);
-  world.Advance(5s);
-  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
-  world.Advance(15s);
+  std::chrono::milliseconds passed{0};
+  while (world.workers.starts(SliceWorld::Task("j")) == 1 && passed < 20s) {
+    world.Advance(20ms);
+    passed += 20ms;
+  }
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+  CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
+}
+
+// Guards against a task that runs twice: an owner that was turned away by the
+// store renewed the lease of a worker that answered again, although the roster
+// said when the last one was over, and its successor relied on that.
+TEST_CASE("no lease is granted while the roster says when the last one is over",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.Advance(2s);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(3s);
+  const std::int64_t until = world.workers.lease_until_ms("w1");
+  world.Submit("k", "c");
+  world.Advance(100ms);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.Advance(1s);
+  CHECK(world.workers.lease_until_ms("w1") == until);
+  CHECK(world.workers.starts(SliceWorld::Task("k")) == 0);
+  const bool store_returns = GENERATE(true, false);
+  if (store_returns) {
+    world.store.SetFault(FakeStore::Fault::kNone);
+    world.Advance(1s);
+    CHECK(world.workers.lease_until_ms("w1") > until);
+    CHECK(world.workers.starts(SliceWorld::Task("k")) == 1);
+  } else {
+    world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+    world.store.SetFault(FakeStore::Fault::kNone);
+    world.TakeOver(/*predecessor_ended=*/false);
+    world.AddWorker("w2");
+    while (world.workers.starts(SliceWorld::Task("j")) == 1) {
+      REQUIRE(world.workers.HoldsLease("w1", world.now() - 1s));
+      world.Advance(20ms);
+    }
+    CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
+  }
 }
 
 // Guards against a job that runs twice: a job submitted after the claim of the
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -222,6 +222,9 @@
     for (const auto& [at, command] : answers) {
       Deliver(command);
     }
+    store.SetTime(now_);
+    owner->SetStoreClock(
+        {.shown_ms = core::ToMillis(now_.time_since_epoch()), .sent = now_});
     owner->Run(now_, 0);
     ExecuteCommands();
   }
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -92,6 +92,7 @@
     const std::int64_t unix_ms = UnixMillis();
     for (const auto& [id, scheduler] : schedulers_) {
       scheduler->SetTermEnd(board_->TermEnd(id));
+      scheduler->SetStoreClock(board_->store_clock());
       scheduler->Run(now, unix_ms);
       if (scheduler->fenced()) {
         board_->MarkFenced(id, now);
