--- a/tests/soak/plays.sh
+++ b/tests/soak/plays.sh
@@ -15,6 +15,7 @@
   "101 restart_idle,store_down,store_away"
   "102 drain_cut,kill,store_lost"
   "103 cut,freeze,restart,lost_answers"
+  "104 term_out,restart_idle"
 )
 pids=()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,7 @@
 job runs, and no process has ended by itself.
 
 Usage: soak.py SEED SECONDS FAULT[,FAULT...] [--rate JOBS_PER_S] [--work MIN,MAX]
-               [--program PATH] [--folder FOLDER]
+               [--hold MS] [--program PATH] [--folder FOLDER]
 Build the program first, with the line `build` of deploy/system.toml or, for
 --program, in any other build folder.
 Exit code: 0 if all rules held, 1 if one was broken, 2 if it could not run.
@@ -30,6 +30,10 @@
 CPU_OF_EXECUTORS = (32000, 32000, 32000, 32000)
 # Entries of the registry lag behind the start of an executor by up to 800 ms.
 REGISTRY_LAGS_MS = (0, 300, 800)
+# The bounds that the program relies on: until a successor claims a slice, the lease of a
+# worker, and the term of an owner. Faults last for less, for about as long, and for longer.
+BOUNDS_S = (2.8, 6, 12)
+AROUND = ((0.5, 0.85), (0.85, 1.15), (1.15, 1.4))
 # RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
 LASTING_GAP_MS = 9000
 
@@ -197,6 +201,88 @@
             return 503, {}
         await self.with_store_fault(self.world.entries, refuse, self.rng.uniform(1, 4.5))
 
+    def around(self, bound_s):
+        return bound_s * self.rng.uniform(*self.rng.choice(AROUND))
+
+    def one_or_all(self):
+        return self.pick(self.world.entries) if self.rng.random() < 0.5 else self.world.entries
+
+    def denial(self, paths=None):
+        """Refuses the calls with these paths, or all, or leaves them without an answer."""
+        silent = self.rng.random() < 0.5
+
+        async def deny(request):
+            if paths is not None and request.path not in paths:
+                return None
+            if silent:
+                await asyncio.sleep(30)
+                raise Reset
+            return 503, {}
+        return deny
+
+    async def outage(self, processes, seconds):
+        """The store does not serve some processes, and executors restart meanwhile."""
+        away = asyncio.create_task(self.with_store_fault(processes, self.denial(), seconds))
+        while not away.done():
+            await asyncio.wait([away], timeout=self.rng.uniform(0.2, 2))
+            await self.restart_busy()
+
+    async def store_out(self):
+        """An outage of one process, or of all, for about one of the bounds."""
+        picked = self.one_or_all()
+        await self.outage(picked, self.around(self.rng.choice(BOUNDS_S)))
+        self.disturbed.difference_update(picked)
+
+    async def term_out(self):
+        """An outage of all for about the term of an owner."""
+        await self.outage(self.world.entries, BOUNDS_S[2] * self.rng.uniform(0.95, 1.15))
+
+    async def restart_busy(self):
+        busy = [e for e in self.world.executors if e.running]
+        await asyncio.gather(*(self.restart_executor(e, self.rng.uniform(0.05, 0.5))
+                               for e in self.pick(busy, 4)))
+
+    async def writes_out(self):
+        """The same for writes alone."""
+        picked = self.one_or_all()
+        await self.with_store_fault(picked, self.denial(["/api/rows-tx"]),
+                                    self.around(self.rng.choice(BOUNDS_S)))
+        self.disturbed.difference_update(picked)
+
+    async def cut_long(self):
+        """Executors are cut off for about a lease, and run on."""
+        async def cut(executor):
+            await executor.cut()
+            expiry = asyncio.create_task(self.expire(executor))
+            await asyncio.sleep(self.around(BOUNDS_S[1]))
+            expiry.cancel()
+            await executor.heal()
+            self.disturbed.discard(executor)
+
+        await asyncio.gather(*map(cut, self.pick(self.world.executors, 3)))
+
+    async def freeze_long(self):
+        """One process, or all, are frozen for about one of the bounds."""
+        picked = self.one_or_all()
+        for process in picked:
+            self.send_signal(process, signal.SIGSTOP)
+        await asyncio.sleep(self.around(self.rng.choice(BOUNDS_S)))
+        for process in picked:
+            self.send_signal(process, signal.SIGCONT)
+        self.disturbed.difference_update(picked)
+
+    async def release(self):
+        """Executors drain, leave and are replaced."""
+        for executor in self.pick(self.world.executors, 3):
+            executor.state = "draining"
+            executor.announce()
+            await asyncio.sleep(self.rng.uniform(2, 3))
+            await executor.leave()
+            executor.state = "ready"
+            executor.id += "x"
+            await executor.start()
+            self.disturbed.discard(executor)
+
     async def store_slow(self):
         slowest_s = self.rng.uniform(0.06, 0.24)
 
@@ -294,6 +380,18 @@
         self.setdefault(element, ms())
 
 
+def refuse_when_down(executor):
+    """A request that was read before an executor was killed is not carried out after it."""
+    handle = executor.handle
+
+    async def handle_when_up(request):
+        if not executor.up:
+            raise Reset
+        return await handle(request)
+
+    executor.handle = executor.server.handle = handle_when_up
+
+
 def watch_lease(executor):
     """Keeps when ends were acknowledged and when leases lapsed."""
     executor.noted, executor.lapses = Times(), []
@@ -362,8 +460,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
     rng = random.Random(options.seed)
+    standin.HOLD_MAX_MS = options.hold
+    standin.SETTINGS = standin.SETTINGS.replace("hold_max_ms: 6000",
+                                                f"hold_max_ms: {options.hold}")
     world = World(folder, per_zone=2, cpus=CPU_OF_EXECUTORS)
     for executor in world.executors:
+        refuse_when_down(executor)
         watch_lease(executor)
     try:
         await world.start()
@@ -402,6 +504,7 @@
     parser.add_argument("--rate", type=float, default=6, help="jobs a second")
     parser.add_argument("--work", type=lambda text: tuple(map(int, text.split(","))),
                         default=(100, 2500), help="shortest and longest task in ms")
+    parser.add_argument("--hold", type=int, default=6000, help="longest lease in ms")
     parser.add_argument("--folder", default="/tmp", help="where the record is written")
     parser.add_argument("--program", type=os.path.abspath,
                         help="the program to play, instead of the one of the deploy file")
