--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -293,6 +293,7 @@
   static bool IsLeaving(const Worker& worker);
   bool HasLeft(const Worker& worker) const;
   bool NeedsRenewal(const Worker& worker) const;
+  bool IsRosterOutdated(const Worker& worker) const;
   void ScheduleRosterWrite();
 
   // Placement.
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -125,6 +125,16 @@
                                   worker.last_end <= worker.acknowledged));
 }
 
+// Returns whether the stored roster does not show the worker's contact: one
+// that answers may get leases, and one that does not gets none.
+bool SliceScheduler::IsRosterOutdated(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  const bool open = worker.in_roster && !worker.leases_closed;
+  return contact == "lapsed" || (contact == "live" && !open) ||
+         ((contact == "silent" || contact == "unreached") && open);
+}
+
 void SliceScheduler::ScheduleRosterWrite() {
   roster_due_ = true;
   commit_due_ = std::min(commit_due_, now_ + kTick);
@@ -195,8 +205,8 @@
   worker_commands_.push_back(std::move(order));
 }
 
-// Returns whether tasks of earlier owners may run on the worker. A worker that
-// is not in the roster has never had a task.
+// Returns whether tasks of earlier owners may run on the worker. None run on a
+// worker that is not in the roster.
 bool SliceScheduler::IsUnconfirmed(const Worker& worker) const {
   const std::string_view contact =
       charts_.worker_contact.StateName(worker.contact);
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -57,12 +57,7 @@
           .state;
   if (worker.contact != before) {
     placement_due_ = true;
-    const std::string_view state =
-        charts_.worker_contact.StateName(worker.contact);
-    const bool open = worker.in_roster && !worker.leases_closed;
-    const bool unanswered = state == "silent" || state == "unreached";
-    if (state == "lapsed" || (state == "live" && !open) ||
-        (unanswered && open)) {
+    if (IsRosterOutdated(worker)) {
       ScheduleRosterWrite();
     }
     options_.log(
