Let a second successor wait for the term of the first owner

Cause: an owner that the store does not serve keeps its term of 12 s.

Fix: the slice's row also says when the terms of the owners before the one in it have ended. A row of an earlier version lacks that, and counts as unknown.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -38,6 +38,8 @@
   bool predecessor_ended = false;
   /// The earlier owner grants no lease that lasts longer than this.
   core::TimePoint predecessor_term_end;
+  /// The same of the owners before it, which may still be in their terms.
+  core::TimePoint earlier_term_end;
 };
 
 struct SliceLost {
@@ -137,6 +139,10 @@
   static std::optional<OwnerRecord> OwnerRecordIn(
       const RowsConflicted& conflict);
   static core::TimePoint TermEndOf(const Slice& slice);
+  std::int64_t EarlierTermEndMs(const Slice& slice) const;
+  static core::TimePoint EarlierTermEnd(const Slice& slice,
+                                        std::int64_t clock_ms,
+                                        core::TimePoint now);
   bool IsOwn(const OwnerRecord& owner) const;
   bool ShouldTakeOver(const Slice& slice) const;
   void Dispatch(Slice& slice, std::string_view event, core::TimePoint now);
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -83,6 +83,7 @@
     RowVersion fence_version = 0;
     bool predecessor_ended = false;        ///< As in SliceGained.
     core::TimePoint predecessor_term_end;  ///< As in SliceGained.
+    core::TimePoint earlier_term_end;      ///< As in SliceGained.
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -53,12 +53,16 @@
   /// When the owner's term ends unless it renews, by the store's clock; 0 if
   /// unknown.
   std::int64_t term_end_ms = 0;
+  /// When the terms of all owners before have ended; 0 if there were none or
+  /// they have ended, negative if unknown.
+  std::int64_t earlier_term_end_ms = -1;
 };
 
 std::string SliceBoard::Encode(const OwnerRecord& owner) {
   return std::to_string(owner.epoch) + ' ' + owner.process + ' ' +
          owner.incarnation + ' ' + std::to_string(owner.cpu_millis) + ' ' +
-         std::to_string(owner.term_end_ms);
+         std::to_string(owner.term_end_ms) + ' ' +
+         std::to_string(owner.earlier_term_end_ms);
 }
 
 std::optional<SliceBoard::OwnerRecord> SliceBoard::DecodeOwnerRecord(
@@ -69,7 +73,7 @@
     return std::nullopt;
   }
   // Rows written by earlier versions lack these.
-  in >> owner.cpu_millis >> owner.term_end_ms;
+  in >> owner.cpu_millis >> owner.term_end_ms >> owner.earlier_term_end_ms;
   return owner;
 }
 
@@ -111,8 +115,9 @@
   RowVersion claim_version = 0;   ///< Of this process's claim.
   std::optional<SliceLoad> load;  ///< As last read, or as set by the owner.
   bool listed = false;
-  core::TimePoint unchanged_since;  ///< In every read since then.
-  core::TimePoint owner_term_end;   ///< Of the owner in the row.
+  core::TimePoint unchanged_since;   ///< In every read since then.
+  core::TimePoint owner_term_end;    ///< Of the owner in the row.
+  core::TimePoint earlier_term_end;  ///< Of the owners before that one.
   std::optional<CallId> write;
   core::TimePoint write_sent;
   std::int64_t write_term_end_ms = 0;  ///< In the owner record of the write.
@@ -120,6 +125,7 @@
   core::TimePoint term_end;          ///< Of this process as the owner.
   core::TimePoint next_write;
   Epoch claim_epoch = 0;
+  std::int64_t claim_earlier_ms = 0;  ///< In the owner record of the claim.
   bool vacant = false;  ///< The slice was vacant when it was claimed.
   bool claim_unanswered = false;
   bool release_due = false;
@@ -154,12 +160,13 @@
               [](Context& c) {
                 c.slice.term_end = TermEndOf(c.slice);
                 c.slice.next_write = c.now + kRenewInterval;
-                c.board.notices_.push_back(SliceGained{
-                    .slice = c.slice.id,
-                    .epoch = c.slice.owner.epoch,
-                    .fence_version = c.slice.claim_version,
-                    .predecessor_ended = c.slice.vacant,
-                    .predecessor_term_end = c.slice.owner_term_end});
+                c.board.notices_.push_back(
+                    SliceGained{.slice = c.slice.id,
+                                .epoch = c.slice.owner.epoch,
+                                .fence_version = c.slice.claim_version,
+                                .predecessor_ended = c.slice.vacant,
+                                .predecessor_term_end = c.slice.owner_term_end,
+                                .earlier_term_end = c.slice.earlier_term_end});
               })
       .Action("announce_loss", [](Context& c) {
         c.slice.unchanged_since = c.now;
@@ -229,6 +236,29 @@
              milliseconds(slice.write_term_end_ms - slice.answer_clock_ms));
 }
 
+// Returns what a claim writes as the end of the terms of earlier owners.
+std::int64_t SliceBoard::EarlierTermEndMs(const Slice& slice) const {
+  if (slice.version == 0) {
+    return 0;
+  }
+  if (IsVacant(slice)) {
+    return slice.owner.earlier_term_end_ms;
+  }
+  return slice.owner.term_end_ms == 0 ? -1 : slice.owner.term_end_ms;
+}
+
+// Returns when the terms of the owners before the one in the row have ended.
+core::TimePoint SliceBoard::EarlierTermEnd(const Slice& slice,
+                                           std::int64_t clock_ms,
+                                           core::TimePoint now) {
+  const std::int64_t end_ms = slice.owner.earlier_term_end_ms;
+  if (slice.version == 0 || end_ms == 0) {
+    return {};
+  }
+  return end_ms < 0 || clock_ms == 0 ? slice.owner_term_end
+                                     : now + milliseconds(end_ms - clock_ms);
+}
+
 void SliceBoard::HandleClock(std::int64_t clock_ms, core::TimePoint sent) {
   if (clock_ms != 0) {
     store_clock_ = {.shown_ms = clock_ms, .sent = sent};
@@ -313,7 +343,9 @@
       .incarnation = options_.incarnation,
       .cpu_millis = options_.cpu_millis,
       .term_end_ms =
-          store_clock_.known() ? store_clock_.LatestAt(now + kOwnerGrace) : 0};
+          store_clock_.known() ? store_clock_.LatestAt(now + kOwnerGrace) : 0,
+      .earlier_term_end_ms =
+          claim ? EarlierTermEndMs(slice) : slice.owner.earlier_term_end_ms};
   const RowKey key = {
       .table = std::string(kSliceTable), .part = {}, .key = slice.info.name};
   CommitRows commit{.call = ids_.Next(),
@@ -325,6 +357,7 @@
   }
   if (claim) {
     slice.vacant = IsVacant(slice);
+    slice.claim_earlier_ms = owner.earlier_term_end_ms;
     slice.claim_unanswered = false;
     commit.puts.push_back({.key = FenceRow(slice.info.name),
                            .value = std::to_string(owner.epoch)});
@@ -408,6 +441,7 @@
       slice.owner.term_end_ms == 0 || clock_ms == 0
           ? slice.unchanged_since + kOwnerGrace
           : now + milliseconds(slice.owner.term_end_ms - clock_ms);
+  slice.earlier_term_end = EarlierTermEnd(slice, clock_ms, now);
   slice.answer_clock_ms = clock_ms;
   // The row shows whether an unanswered claim has succeeded. The claim wrote
   // this row and the fence row in one transaction, and no renewal has followed,
@@ -443,6 +477,7 @@
                    slice.owner.incarnation = options_.incarnation;
                    if (claiming) {
                      slice.owner.epoch = slice.claim_epoch;
+                     slice.owner.earlier_term_end_ms = slice.claim_earlier_ms;
                      slice.claim_version = done.version;
                    }
                    Dispatch(slice, claiming ? "claim_won" : "renewed", now);
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -43,7 +43,9 @@
   if (!options_.predecessor_ended) {
     return term_end;
   }
-  return std::min(term_end, LeaseOver(gained_, options_.limits.longest_lease));
+  return std::max(
+      options_.earlier_term_end + kClockMargin,
+      std::min(term_end, LeaseOver(gained_, options_.limits.longest_lease)));
 }
 
 // Returns the end of a lease on the worker's clock, so that RecordLease expects
--- /dev/null
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -0,0 +1,208 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chart_yaml/load.h"
+#include "fake_store.h"
+#include "jobs/slice_board.h"
+#include "slice_world.h"
+
+/// An owner that is cut off from the store stays the owner for the rest of its
+/// term, beside successors that follow each other within that time.
+namespace hickoryusher::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::SliceId kYoff(0);
+// How long SliceScheduler takes a lease of 6 s to last at most.
+constexpr std::chrono::milliseconds kLongestLease(6320);
+
+const chart::Chart& OwnershipChart() {
+  static const chart::Chart kChart = [] {
+    chart_yaml::Loader loader;
+    auto chart =
+        loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/slice_ownership.yaml");
+    REQUIRE(chart.has_value());
+    return *std::move(chart);
+  }();
+  return kChart;
+}
+
+/// One process of the slice's failure domain with its own board.
+class Process {
+ public:
+  Process(FakeStore& store,
+          const std::string& name,
+          const std::string& incarnation = "1")
+      : store_(store) {
+    std::vector<chart::Problem> problems;
+    board_ = SliceBoard::Create(
+        {.process = name,
+         .incarnation = incarnation,
+         .failure_domain = "yoff",
+         .slices = {{.name = "yoff-0", .failure_domain = "yoff"}},
+         .log = [](const core::LogLine&) {}},
+        OwnershipChart(), ids_, problems);
+    REQUIRE(problems.empty());
+  }
+
+  void Run(core::TimePoint now) {
+    board_->Run(now);
+    for (const StoreCommand& command : board_->PopCommands()) {
+      if (reaches_store) {
+        board_->Handle(*store_.Run(command), now);
+      } else {
+        board_->Handle(StoreUnanswered{.call = CallOf(command)}, now);
+      }
+    }
+    for (const SliceNotice& notice : board_->PopNotices()) {
+      if (const auto* gained = std::get_if<SliceGained>(&notice)) {
+        gains.push_back(*gained);
+        gained_at = now;
+      }
+    }
+  }
+
+  /// @returns when this process takes leases of earlier owners for over, as
+  /// SliceScheduler does for workers that it cannot reach.
+  core::TimePoint LeasesOver() const {
+    const SliceGained& gain = gains.back();
+    return gain.predecessor_ended
+               ? std::max(gain.earlier_term_end,
+                          std::min(gain.predecessor_term_end,
+                                   gained_at + kLongestLease))
+               : gain.predecessor_term_end;
+  }
+
+  SliceBoard& board() { return *board_; }
+
+  bool reaches_store = true;
+  std::vector<SliceGained> gains;
+  core::TimePoint gained_at;
+
+ private:
+  FakeStore& store_;
+  CallIds ids_;
+  std::unique_ptr<SliceBoard> board_;
+};
+
+class Processes {
+ public:
+  void Advance(std::chrono::milliseconds duration,
+               const std::vector<Process*>& processes) {
+    const core::TimePoint end = now_ + duration;
+    while (now_ < end) {
+      now_ += 20ms;
+      std::ranges::for_each(processes, [this](Process* p) { p->Run(now_); });
+    }
+  }
+
+  core::TimePoint now() const { return now_; }
+
+  FakeStore store;
+
+ private:
+  core::TimePoint now_{1h};
+};
+
+// Guards against a task that runs twice: an owner that the store did not serve
+// went on renewing leases. Its successor was killed soon after its claim, and
+// started again, or released the slice. The next claim took all leases for over
+// after the longest one, which ends before the term of the first owner.
+TEST_CASE("a second successor waits for the term of the first owner",
+          "[board]") {
+  const bool releases = GENERATE(false, true);
+  Processes processes;
+  Process a(processes.store, "a");
+  Process b(processes.store, "b");
+  processes.Advance(2s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  a.reaches_store = false;
+  while (b.gains.empty() && a.board().owns_any()) {
+    processes.Advance(20ms, {&a, &b});
+  }
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.LeasesOver() >= a.board().TermEnd(kYoff));
+  if (releases) {
+    b.board().ReleaseAll(processes.now());
+    processes.Advance(200ms, {&a, &b});
+  }
+  Process next(processes.store, releases ? "c" : "b", "2");
+  processes.Advance(200ms, {&a, &next});
+  REQUIRE(next.gains.size() == 1);
+  REQUIRE(a.board().owns_any());
+  CAPTURE(core::ToMillis(a.board().TermEnd(kYoff) - next.LeasesOver()));
+  CHECK(next.LeasesOver() >= a.board().TermEnd(kYoff));
+}
+
+// Guards against the same with one successor alone: its first claim was carried
+// out late, so that the second one failed. It then read its own row, claimed
+// the slice again, and took it for free.
+TEST_CASE("a successor whose claim was done late waits for the earlier owner",
+          "[board]") {
+  // The second claim follows the first one by up to 1 s.
+  for (auto late = 20ms; late <= 1000ms; late += 20ms) {
+    Processes processes;
+    Process a(processes.store, "a");
+    Process b(processes.store, "b");
+    processes.Advance(2s, {&a});
+    REQUIRE(a.gains.size() == 1);
+    processes.Advance(20ms, {&a, &b});
+    a.reaches_store = false;
+    processes.store.SetFault(FakeStore::Fault::kPostpone);
+    processes.Advance(3500ms + late, {&a, &b});
+    REQUIRE(b.gains.empty());
+    processes.store.SetFault(FakeStore::Fault::kNone);
+    processes.store.ApplyPostponed();
+    processes.Advance(2s, {&a, &b});
+    REQUIRE(b.gains.size() == 1);
+    REQUIRE(a.board().owns_any());
+    CAPTURE(late.count(),
+            core::ToMillis(a.board().TermEnd(kYoff) - b.LeasesOver()));
+    CHECK(b.LeasesOver() >= a.board().TermEnd(kYoff));
+  }
+}
+
+// Guards against a task that runs again after it is done: an earlier owner, in
+// its term, read a job that its successor could not read yet, and ran it on a
+// worker that the successor had not reached. The successor acknowledged the end
+// of a job that it did not know, and then started the job.
+TEST_CASE("a job that is read after the end of its task does not run again",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("first", "c");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.AddWorker("w2");
+  world.Advance(300ms);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.Advance(100ms);
+  world.store.Put(ProgressRow(kSlice, "j"), EncodeProgress(Progress()));
+  world.store.Put(JobRow(kSlice, "j"),
+                  EncodeStoredJob({.queue = "diary", .document = "c"}));
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.workers.Handle(StartRun{.to = {.worker = "w1"},
+                                .epoch = 1,
+                                .task = SliceWorld::Task("j"),
+                                .run = 1,
+                                .lease_until_ms = core::ToMillis(
+                                    (world.now() + 5s).time_since_epoch())},
+                       world.now());
+  REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(2s);
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
+}  // namespace
+}  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -86,7 +86,7 @@
 
   /// Commands on this table are answered later than those on other tables.
   std::string slow_table;
-  std::string slow_worker;  ///< Answers later than the other workers.
+  std::string slow_worker;       ///< Answers later than the other workers.
   std::string unreadable_table;  ///< Values of its rows cannot be read.
   std::chrono::milliseconds commit_delay{0};  ///< Before writes are answered.
   std::chrono::milliseconds answer_delay{0};  ///< Before workers are heard.
