--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -146,6 +146,9 @@
   WorkerReport report{.clock_ms = core::ToMillis(now.time_since_epoch()),
                       .born_unix_ms = worker.born,
                       .ended = worker.ends};
+  if (report.ended.size() > ends_per_report) {
+    report.ended.resize(ends_per_report);
+  }
   for (const Run& run : worker.runs) {
     report.running.push_back({.task = run.task,
                               .run = run.number,
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -2,6 +2,7 @@
 #define JOBS_TESTS_FAKE_WORKERS_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -101,6 +102,9 @@
   /// Workers shorten longer leases to this.
   core::Duration longest_lease = core::Duration::max();
 
+  /// Reports list the first ends, up to this many.
+  std::size_t ends_per_report = std::numeric_limits<std::size_t>::max();
+
   /// @returns the end of the worker's lease, on its clock.
   std::int64_t lease_until_ms(const std::string& worker) {
     return workers_[worker].lease_until_ms;
