Repeat no start while the roster says when leases are over

A start that a silent worker had not answered was sent again after the roster said when its last lease was over.

The guard `resends_left` now asks MayGrantLease as renewals do.

--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -40,7 +40,7 @@
              [](const Context& c) {
                const Worker& worker = c.scheduler.workers_.Get(c.task.worker);
                return c.task.resends < kMaxResends &&
-                      !c.scheduler.MayOutliveTerm(worker);
+                      c.scheduler.MayGrantLease(worker);
              })
       .Guard("job_halted", [](const Context& c) { return c.job().halted; });
   bindings
