Repeat a failed write of an empty roster

Whether a commit writes the roster was told by the workers in it. When the last worker had drained and the write without it failed, it was not sent again, and a successor waited for that worker. Nor was the version of an empty roster kept, so that the next write of the roster met a conflict first.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -201,7 +201,8 @@
     CommitRows rows;
     std::vector<std::string> jobs;
     std::vector<EndsOfWorker> ends;
-    std::vector<core::WorkerId> roster;  ///< If the roster is written too.
+    /// Workers in the roster, if it is written too.
+    std::optional<std::vector<core::WorkerId>> roster;
     std::vector<core::WorkerId> opened;  ///< Of these, those without a time.
   };
 
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -103,6 +103,7 @@
 // never answered runs none, and would delay the next owner.
 void SliceScheduler::CollectRoster(Commit& commit) {
   roster_due_ = false;
+  commit.roster.emplace();
   std::vector<RosterEntry> entries;
   for (const auto& worker : workers_.all()) {
     const bool answers =
@@ -110,7 +111,7 @@
     if (!HasLeft(*worker) && (worker->in_roster || answers)) {
       RosterEntry& entry =
           entries.emplace_back(worker->entry.id, worker->entry.address);
-      commit.roster.push_back(worker->id);
+      commit.roster->push_back(worker->id);
       if (MayCloseLeases(*worker)) {
         worker->leases_closed = true;
         entry.over_ms = store_clock_.LatestAt(LeaseEnd(*worker));
@@ -183,12 +184,12 @@
             .Add("entries", commit.rows.conditions.size() +
                                 commit.rows.puts.size() +
                                 commit.rows.removals.size())
-            .Add("roster", !commit.roster.empty())
+            .Add("roster", commit.roster.has_value())
             .Add("present",
                  conflict == nullptr ? 0 : conflict->present.size()));
   }
   dirty_.insert(commit.jobs.begin(), commit.jobs.end());
-  roster_due_ |= !commit.roster.empty();
+  roster_due_ |= commit.roster.has_value();
   commit_due_ = now_;
   commit_retry_ = now_ + kCommitRetryDelay;
 }
@@ -209,7 +210,7 @@
       job->progress_version = version_of(ProgressRow(options_.slice.name, id));
     }
   }
-  if (!commit.roster.empty()) {
+  if (commit.roster) {
     roster_version_ = version_of(RosterRow(options_.slice.name));
   }
 }
@@ -222,12 +223,12 @@
       worker.next_renewal = now_;
     }
   }
-  if (!commit.roster.empty()) {
+  if (commit.roster) {
     roster_version_ = version;
     placement_due_ = true;
-  }
-  for (const core::WorkerId id : commit.roster) {
-    workers_.Get(id).in_roster = true;
+    for (const core::WorkerId id : *commit.roster) {
+      workers_.Get(id).in_roster = true;
+    }
   }
   for (const core::WorkerId id : commit.opened) {
     workers_.Get(id).leases_closed = false;
