Write the roster whenever a worker in it stops answering

A worker that answered and was silent again before the roster without its time was stored was still noted as closed then, so that no further write followed, and a successor waited for the owner's term. The write no longer depends on what the roster says at present.

--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -134,7 +134,8 @@
       charts_.worker_contact.StateName(worker.contact);
   const bool open = worker.in_roster && !worker.leases_closed;
   return contact == "lapsed" || (contact == "live" && !open) ||
-         ((contact == "silent" || contact == "unreached") && open);
+         ((contact == "silent" || contact == "unreached") &&
+          worker.in_roster);
 }
 
 void SliceScheduler::ScheduleRosterWrite() {
