Close leases in the roster only while writes succeed

Whether the store answers was told by the reads that follow the job table. In an outage of writes alone, a worker that missed one call was closed, got no lease although it answered again, and its tasks lapsed after 6 s while the owner's term went on.

The renewal of the term is a write, so its age tells. A worker that is lost within 2 s after the last renewal can still be closed.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -374,7 +374,6 @@
   void MarkStored(const Commit& commit, RowVersion version);
   void HandleRoster(const Row& row, std::int64_t clock_ms);
   bool MayCloseLeases(const Worker& worker) const;
-  bool StoreAnswers() const;
   void LogLoad();
 
   Options options_;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "jobs/slice_board.h"
 #include "slice_scheduler_p.h"
 
 /// Writes of the owner of a slice: job progress, final states, the roster, and
@@ -16,6 +17,9 @@
 constexpr core::Duration kCommitDelay = milliseconds(40);
 constexpr core::Duration kCommitRetryDelay = milliseconds(150);
 
+// Without a renewal of the term for this long, writes are taken to fail.
+constexpr core::Duration kMaxRenewalAge = milliseconds(2000);
+
 // Each job takes up to four entries of a transaction, and the store accepts at
 // most 100 entries.
 constexpr std::size_t kJobsPerCommit = 20;
@@ -96,7 +100,9 @@
   if (contact == "live" || !store_clock_.known()) {
     return false;
   }
-  return worker.leases_closed || (contact != "unconfirmed" && StoreAnswers());
+  const bool renewed =
+      term_end_ > now_ + SliceBoard::kOwnerGrace - kMaxRenewalAge;
+  return worker.leases_closed || (contact != "unconfirmed" && renewed);
 }
 
 // Collects the workers on which tasks of this slice may run. A worker that has
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -27,10 +27,6 @@
 
 constexpr core::Duration kReadRetryDelay = milliseconds(200);
 
-// A store that has not answered a read that follows the job table for this long
-// is taken for unavailable.
-constexpr core::Duration kMaxStoreSilence = milliseconds(2000);
-
 }  // namespace
 
 SliceScheduler::SliceScheduler(Options options,
@@ -380,10 +376,6 @@
   next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
 }
 
-bool SliceScheduler::StoreAnswers() const {
-  return now_ <= job_rows_.last_answer() + kMaxStoreSilence;
-}
-
 std::vector<StoreCommand> SliceScheduler::PopStoreCommands() {
   return std::exchange(store_commands_, {});
 }
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -21,6 +21,10 @@
 // transferring the job takes well under 1 s.
 constexpr core::Duration kUnplacedTransferDelay = milliseconds(900);
 
+// No transfer begins if the store has not answered for this long: a job in
+// transfer runs nowhere until the store has answered.
+constexpr core::Duration kMaxStoreSilence = milliseconds(2000);
+
 // Minimum time that a job stays on a slice, so that jobs are not passed back
 // and forth between slices without room.
 constexpr core::Duration kMinResidence = milliseconds(4000);
@@ -165,7 +169,7 @@
       return;
     }
     if (now_ < *job.unplaced_since + kUnplacedTransferDelay ||
-        !StoreAnswers()) {  // A job in transfer runs nowhere until it answers.
+        now_ > job_rows_.last_answer() + kMaxStoreSilence) {
       return;
     }
     const bool may_transfer = MayTransfer(job);
