Start tasks on idle workers where leases as long as a term are permitted

Tasks now start on such workers for at least 1.8 s after a renewal of the term, which comes each second. Where leases of over 10 s are permitted, a task may so outlive the term, as before.

--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/slice_board.h"
 #include "slice_scheduler_p.h"
 
 /// Grants and renews the leases of workers, and tells when they are over. A
@@ -27,6 +28,11 @@
 constexpr double kSlowClockFactor = 1.02;
 constexpr core::Duration kClockMargin = milliseconds(200);
 
+// For at least this long after a renewal of the term, which comes each second,
+// tasks start on workers that may have restarted unnoticed. Where leases of
+// over 10 s are permitted, such a task may outlive the term.
+constexpr core::Duration kStartWindow = milliseconds(1800);
+
 // Returns when a lease is over that begins at @p begin and lasts for @p length
 // on a worker's clock.
 core::TimePoint LeaseOver(core::TimePoint begin, core::Duration length) {
@@ -84,9 +90,10 @@
 bool SliceScheduler::MayOutliveTerm(const Worker& worker) const {
   const bool seen = !worker.tasks.empty() &&
                     std::ranges::all_of(worker.tasks, &Task::run_seen);
-  return !seen &&
-         LeaseOver(now_, options_.limits.longest_lease) - kClockMargin >
-             term_end_;
+  const core::TimePoint lease_over =
+      LeaseOver(now_, options_.limits.longest_lease) - kClockMargin;
+  return !seen && std::min(lease_over, now_ + SliceBoard::kOwnerGrace -
+                                           kStartWindow) > term_end_;
 }
 
 bool SliceScheduler::MayGrantLease(const Worker& worker) const {
@@ -134,8 +141,7 @@
       charts_.worker_contact.StateName(worker.contact);
   const bool open = worker.in_roster && !worker.leases_closed;
   return contact == "lapsed" || (contact == "live" && !open) ||
-         ((contact == "silent" || contact == "unreached") &&
-          worker.in_roster);
+         ((contact == "silent" || contact == "unreached") && worker.in_roster);
 }
 
 void SliceScheduler::ScheduleRosterWrite() {
