Write no lease end into the roster that a late renewal may outlast

A successor that could not reach the worker started its tasks beside it, 2.7 s before the lease was over. Found by the review.

No time is written for a worker whose earlier life was granted a lease that would still be the longest one on the new clock; a successor waits for the term then, as before.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -288,6 +288,7 @@
                          const StepSpec& added) const;
   bool MayOutliveTerm(const Worker& worker) const;
   bool MayGrantLease(const Worker& worker) const;
+  bool MayGetLateLease(const Worker& worker) const;
   bool MayRunPastTerm(const Worker& worker) const;
   bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -102,7 +102,8 @@
   }
   const bool renewed =
       term_end_ > now_ + SliceBoard::kOwnerGrace - kMaxRenewalAge;
-  return worker.leases_closed || (contact != "unconfirmed" && renewed);
+  return worker.leases_closed ||
+         (contact != "unconfirmed" && renewed && !MayGetLateLease(worker));
 }
 
 // Collects the workers on which tasks of this slice may run. A worker that has
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -100,6 +100,13 @@
   return !worker.leases_closed && !MayOutliveTerm(worker);
 }
 
+// Returns whether an order that was granted on the clock of an earlier life of
+// the worker, and has not been answered, may still give this life a lease.
+bool SliceScheduler::MayGetLateLease(const Worker& worker) const {
+  return milliseconds(worker.granted_until_ms - worker.clock_ms) >
+         options_.limits.longest_lease;
+}
+
 // Returns whether a task that starts on the worker now may run for longer than
 // the term. A worker that has restarted may have been given a longer lease by a
 // renewal on the clock of the life before.
