Test a start on a worker that has restarted since its last report

The worker counts as being in its present life as its runs have been seen, and the start outlives the term.

--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -204,5 +204,40 @@
   CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
 }
 
+// Guards against a task that runs twice: during an outage of the store, a
+// worker restarted since its last report. The task that was then started beside
+// the runs that it had reported got a lease by the clock of the new life, which
+// outlived the term. The worker was cut off when the next owner queried it.
+TEST_CASE("no start on a worker in use outlives the term after a restart",
+          "[slice]") {
+  const std::chrono::milliseconds left = GENERATE(1s, 3s, 5s);
+  SliceWorld world;
+  world.workers.longest_lease = 6s;
+  world.StartJob();
+  world.Advance(20s);
+  world.EndTermIn(left + 7s);
+  world.Advance(7s);
+  world.workers.Restart("w1", 2);
+  world.workers.SetBackClock("w1", 27s);
+  world.Submit("k", "c");
+  world.Advance(100ms);
+  const std::size_t starts = world.workers.starts(SliceWorld::Task("k"));
+  // The store answers again when the term has ended.
+  world.predecessor_term = left - 100ms;
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver();
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.AddWorker("w2");
+  for (int i = 0; i < 1000; ++i) {
+    if (world.workers.starts(SliceWorld::Task("k")) > starts) {
+      break;
+    }
+    world.Advance(20ms);
+  }
+  REQUIRE(world.workers.starts(SliceWorld::Task("k")) == starts + 1);
+  CAPTURE(starts, left.count());
+  CHECK_FALSE((starts == 1 && world.workers.HoldsLease("w1", world.now())));
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
