Stop an unknown run again if the order to stop it was lost

Callers could see a task of a cancelled job run on after the cancelling was acknowledged.

A worker that runs nothing else is not asked again once it has reported, so that a lost or refused order left the run going until the lease of the owner before ended, up to 6 s.

Change: a live worker is asked until it reports that it runs nothing, whether it leaves or not.

--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -185,7 +185,7 @@
   const std::string_view contact =
       charts_.worker_contact.StateName(worker.contact);
   if (contact == "live") {
-    return worker.in_roster && IsLeaving(worker) && !worker.runs_nothing;
+    return worker.in_roster && !worker.runs_nothing;
   }
   // A worker in the roster may run tasks although it is not listed.
   return worker.listed || (worker.in_roster && contact != "lapsed");
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -2,6 +2,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <string>
 
 #include "slice_world.h"
 
@@ -41,6 +42,27 @@
   CHECK(world.workers.acknowledged("w1") == 1);
 }
 
+// Guards against a run that goes on after its job was cancelled: a new owner
+// has closed the job, the order to stop is lost, and the worker runs nothing
+// else, so that its report is not requested again.
+TEST_CASE("an unknown run is stopped although an order was lost", "[slice]") {
+  SliceWorld world;
+  world.StartJob("w");
+  world.Advance(1s);
+  world.Cancel("j");
+  world.answer_delay = 100ms;
+  world.TakeOver();
+  world.Advance(60ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(100ms);
+  REQUIRE(std::ranges::any_of(world.log, [](const std::string& line) {
+    return line.find("unknown_run_stopped") != std::string::npos;
+  }));
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.Advance(3s);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")).empty());
+}
+
 TEST_CASE("a task restarts after its worker's lease, not before", "[slice]") {
   SliceWorld world;
   world.StartJob();
