Keep memory for one more task, not half of it, beside slowed work

Cause: where every worker serves and has no headroom, a best-effort task of which nothing runs starts only on a worker of which half of the memory stays free.

Change: the share of the worker's memory is out. Such a task starts where it takes at most half of the free memory, so that one more of its size fits.

Tests: "best-effort work starts where slowed tasks hold half of the memory" fails without the change and passes with it.

--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -26,10 +26,6 @@
 // start takes up to 0.9 s if its first answer is lost.
 constexpr core::Duration kMaxIdleTime = std::chrono::milliseconds(1500);
 
-// Share of a worker's memory that must stay free after such a placement. The
-// task runs slowly, and would hold memory that tasks at full pace need.
-constexpr double kFreeMemoryShare = 0.5;
-
 // Headroom of a worker without serving tasks.
 constexpr double kMaxHeadroom = 10;
 
@@ -43,11 +39,10 @@
 // task that is over its target: others cause that.
 constexpr double kNegligibleShare = 0.2;
 
-bool LeavesMemory(const Worker& worker, const StepSpec& step) {
-  const core::Resources left = worker.free() - Reservation(step);
-  return static_cast<double>(left.memory_bytes) >=
-         kFreeMemoryShare *
-             static_cast<double>(worker.entry.capacity.memory_bytes);
+// A task that starts without headroom runs slowly and holds its memory for
+// long. Room for another one stays for tasks at full pace.
+bool HasRoomForTwo(const Worker& worker, const StepSpec& step) {
+  return Fits(Reservation(step), worker.free() - Reservation(step));
 }
 
 }  // namespace
@@ -176,7 +171,7 @@
     return Obstacle::kNone;
   }
   // A task that starts without headroom is slowed immediately.
-  const bool starts = IsOverdue(group) && LeavesMemory(worker, step) &&
+  const bool starts = IsOverdue(group) && HasRoomForTwo(worker, step) &&
                       !step.gang;  // Its members would wait for headroom.
   return starts ? Obstacle::kNone : Obstacle::kDisturbs;
 }
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -87,6 +87,9 @@
       {'g',
        {.need = {.cpu_millis = 1'000, .memory_bytes = 100 * kGigabyte},
         .best_effort = true}},
+      {'q',
+       {.need = {.cpu_millis = 1'000, .memory_bytes = 20 * kGigabyte},
+        .best_effort = true}},
   };
   return kSteps;
 }
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -48,7 +48,7 @@
   /// - `z`: two long-running tasks of 20 cores;
   /// - `x`: long-running tasks of 20 cores, at most one of a step per worker;
   /// - `l`, `m` and `f`: best-effort tasks of 1, 4 and 20 cores;
-  /// - `g`: a best-effort task of 1 core and 100 GB;
+  /// - `g` and `q`: a best-effort task of 1 core and 100 or 20 GB;
   /// - `y`: a gang of three best-effort tasks of 20 cores.
   void Submit(const std::string& id, const std::string& steps);
   void Cancel(const std::string& id);
