Move the owner record, and the tests of roster and handover, to files of their own

The record of a slice's row and its codec are in owner_record.h and .cc now, tests of the roster in slice_roster_test.cc; slice_review_test.cc is slice_handover_test.cc.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -13,6 +13,7 @@
 #include "chart/interpreter.h"
 #include "core/ids.h"
 #include "core/log_line.h"
+#include "jobs/owner_record.h"
 #include "jobs/rows.h"
 #include "jobs/slice_load.h"
 #include "jobs/store_clock.h"
@@ -128,14 +129,11 @@
   const StoreClock& store_clock() const { return store_clock_; }
 
  private:
-  struct OwnerRecord;
   struct Slice;
   struct Context;
 
   SliceBoard(Options options, const chart::Chart& chart, CallIds& ids);
   static chart::Bindings<Context> MakeBindings();
-  static std::string Encode(const OwnerRecord& owner);
-  static std::optional<OwnerRecord> DecodeOwnerRecord(const std::string& text);
   static std::optional<OwnerRecord> OwnerRecordIn(
       const RowsConflicted& conflict);
   static core::TimePoint TermEndOf(const Slice& slice);
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <sstream>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -44,40 +43,7 @@
 
 }  // namespace
 
-/// The owner's part of a slice's row.
-struct SliceBoard::OwnerRecord {
-  Epoch epoch = 0;
-  std::string process;
-  std::string incarnation;
-  std::int64_t cpu_millis = 0;  ///< CPU of the owner's VM; 0 if unknown.
-  /// When the owner's term ends unless it renews, by the store's clock; 0 if
-  /// unknown.
-  std::int64_t term_end_ms = 0;
-  /// When the terms of all owners before have ended; 0 if there were none or
-  /// they have ended, negative if unknown.
-  std::int64_t earlier_term_end_ms = -1;
-};
-
-std::string SliceBoard::Encode(const OwnerRecord& owner) {
-  return std::to_string(owner.epoch) + ' ' + owner.process + ' ' +
-         owner.incarnation + ' ' + std::to_string(owner.cpu_millis) + ' ' +
-         std::to_string(owner.term_end_ms) + ' ' +
-         std::to_string(owner.earlier_term_end_ms);
-}
-
-std::optional<SliceBoard::OwnerRecord> SliceBoard::DecodeOwnerRecord(
-    const std::string& text) {
-  OwnerRecord owner;
-  std::istringstream in(text.substr(0, text.find('\n')));
-  if (!(in >> owner.epoch >> owner.process >> owner.incarnation)) {
-    return std::nullopt;
-  }
-  // Rows written by earlier versions lack these.
-  in >> owner.cpu_millis >> owner.term_end_ms >> owner.earlier_term_end_ms;
-  return owner;
-}
-
-std::optional<SliceBoard::OwnerRecord> SliceBoard::OwnerRecordIn(
+std::optional<OwnerRecord> SliceBoard::OwnerRecordIn(
     const RowsConflicted& conflict) {
   return conflict.present.empty()
              ? std::nullopt
@@ -350,7 +316,7 @@
       .table = std::string(kSliceTable), .part = {}, .key = slice.info.name};
   CommitRows commit{.call = ids_.Next(),
                     .conditions = {{.key = key, .version = slice.version}},
-                    .puts = {{.key = key, .value = Encode(owner)}},
+                    .puts = {{.key = key, .value = EncodeOwnerRecord(owner)}},
                     .several_parts = claim};
   if (!claim && slice.load) {
     commit.puts.front().value += '\n' + EncodeSliceLoad(*slice.load);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -465,6 +465,8 @@
                                                 f"hold_max_ms: {options.hold}")
     world = World(folder, per_zone=2, cpus=CPU_OF_EXECUTORS)
     for executor in world.executors:
+        # Not among the ports that the system gives to other sockets while it is down.
+        executor.server.port = standin.free_port()
         refuse_when_down(executor)
         watch_lease(executor)
     try:
