--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -175,6 +175,10 @@
   }
 }
 
+void SliceWorld::HandOver() {
+  TakeOver(/*predecessor_ended=*/true);
+}
+
 core::TimePoint SliceWorld::EndTermIn(milliseconds duration) {
   owner->SetTermEnd(now_ + duration);
   return now_ + duration;
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -30,6 +30,9 @@
   /// Replaces the owner of the slice by a new one with the next epoch.
   void TakeOver(bool predecessor_ended = true, bool configured = true);
 
+  /// Lets the owner leave in good order, and replaces it.
+  void HandOver();
+
   /// Lets the owner's term end after @p duration. @returns when it ends.
   core::TimePoint EndTermIn(std::chrono::milliseconds duration);
 
