Tell a successor where tasks may run, not only which workers run some

Callers saw a long-running task down for over 10 s (LOST): it had been moved off a worker that left, its owner was restarted by SIGTERM, and its successor kept all stored jobs waiting for another worker that had left, 6.3 s anew after each restart. An owner that was killed left the same behind.

Cause: the roster names the workers that may run something. What runs there was known to the owner alone and went with it, so that a successor had to assume that any task may run on any worker that does not answer.

- An owner that is to leave sends no more orders, stores all progress, and with it, for each worker, which tasks may run there and when its last lease is over.
Only then is the slice released.
The next owner believes it if its epoch is the one before its own.
- The place of a long-running task is stored before the task starts (a row per job, written with its progress).
After an owner failed, such a task waits for its own worker alone.
The slice's row tells since which epoch owners do so.
- A task's wait for workers ends for good once they have been heard of; it began again when one of them restarted later.

Gone: the wait of each new job for all workers in the first 4 s after a planned hand-over.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -47,9 +47,15 @@
   core::WorkerId last_failed_on;
   core::TimePoint not_before;  ///< No order is sent before this.
   bool stop_unanswered = false;
-  /// An earlier owner may have started it on a worker that has not reported.
+  /// An earlier owner may have started it on any worker that has not reported.
   bool unlocated = false;
-  bool run_seen = false;     ///< An answer or a report has shown the run.
+  /// The same for these workers alone.
+  std::vector<core::WorkerId> last_workers;
+  /// Of a long-running task: where it may run by the stored row, if that is one
+  /// worker, and by the row in the write in flight.
+  core::WorkerId stored_place;
+  core::WorkerId written_place;
+  bool run_seen = false;     ///< No start is on its way that nobody has seen.
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
@@ -120,6 +126,9 @@
   Progress ToProgress(chart::StateId done_state) const;
 };
 
+/// @returns true if the store says where the tasks of the step may run.
+bool KeepsPlaces(const StepSpec& step);
+
 /// @returns true if a run of one of the job's tasks may be on a worker.
 bool HasRuns(const Job& job);
 
--- a/packages/jobs/include/jobs/owner_record.h
+++ b/packages/jobs/include/jobs/owner_record.h
@@ -22,6 +22,9 @@
   /// When the terms of all owners before have ended; 0 if there were none or
   /// they have ended, negative if unknown.
   std::int64_t earlier_term_end_ms = -1;
+  /// Since this epoch, all owners have stored the places of long-running tasks;
+  /// 0 if the last one has not.
+  Epoch places_since = 0;
 };
 
 std::string EncodeOwnerRecord(const OwnerRecord& owner);
--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -41,6 +41,8 @@
   core::TimePoint predecessor_term_end;
   /// The same of the owners before it, which may still be in their terms.
   core::TimePoint earlier_term_end;
+  /// As in OwnerRecord, of the owner before; 0 if there was none.
+  Epoch places_since = 0;
 };
 
 struct SliceLost {
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -19,6 +19,7 @@
 #include "chart/interpreter.h"
 #include "core/log_line.h"
 #include "core/name_table.h"
+#include "jobs/hand_over.h"
 #include "jobs/interference_model.h"
 #include "jobs/job_table.h"
 #include "jobs/pace_plan.h"
@@ -41,6 +42,12 @@
 RowKey ProgressRow(std::string_view slice, std::string_view job);
 RowKey RosterRow(std::string_view slice);
 
+/// Where the long-running tasks of a job may run. Written with its progress.
+RowKey PlacesRow(std::string_view slice, std::string_view job);
+
+/// Row @p index of those that an owner leaves behind when it releases a slice.
+RowKey HandOverRow(std::string_view slice, std::size_t index);
+
 /// Row that another slice writes to announce a job that it transfers to this
 /// slice. Of concurrent announcements, exactly one succeeds.
 RowKey IncomingRow(std::string_view slice);
@@ -84,6 +91,7 @@
     bool predecessor_ended = false;        ///< As in SliceGained.
     core::TimePoint predecessor_term_end;  ///< As in SliceGained.
     core::TimePoint earlier_term_end;      ///< As in SliceGained.
+    Epoch places_since = 0;                ///< As in SliceGained.
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
@@ -135,6 +143,13 @@
   /// take most of the time of placement.
   std::uint64_t candidates_evaluated() const { return candidates_evaluated_; }
 
+  /// Ends scheduling for good, because the slice is to be released, and stores
+  /// for the successor where tasks may run.
+  void HandOver(core::TimePoint now);
+
+  /// @returns true once the slice may be released after HandOver.
+  bool handed_over() const;
+
   /// @returns true once a worker has refused an order with this owner's epoch.
   bool fenced() const { return fenced_; }
   core::SliceId slice() const { return options_.id; }
@@ -204,6 +219,7 @@
     /// Workers in the roster, if it is written too.
     std::optional<std::vector<core::WorkerId>> roster;
     std::vector<core::WorkerId> opened;  ///< Of these, those without a time.
+    bool hand_over = false;              ///< Contains the rows of HandOver.
   };
 
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
@@ -288,6 +304,7 @@
                          const StepSpec& added) const;
   bool MayOutliveTerm(const Worker& worker) const;
   bool MayGrantLease(const Worker& worker) const;
+  bool WritesSucceed() const;
   bool MayGetLateLease(const Worker& worker) const;
   bool MayRunPastTerm(const Worker& worker) const;
   bool IsUnconfirmed(const Worker& worker) const;
@@ -364,6 +381,21 @@
   void ContinueTransfer();
   void FinishTransfer(const StoreEvent& event);
 
+  // Runs of earlier owners.
+  bool MayRunUnseen(const Task& task) const;
+  void SettleTasks();
+  void InitLastWorkers(Job& job);
+  void InitFromHandOver(Job& job);
+  void InitFromPlaces(Job& job, const Places& places);
+  std::vector<core::WorkerId> WorkersNamed(std::span<const std::string> ids);
+  void HandleHandOver(const Row& row, std::int64_t clock_ms);
+  void HandlePlaces(const Row& row);
+  void CollectPlaces(Job& job, Commit& commit);
+  void FinishPlaces(Job& job);
+  bool MayStartThere(const Task& task);
+  void CollectHandOver(Commit& commit);
+  std::vector<std::string> TasksThatMayRunOn(const Worker& worker);
+
   // Commits.
   void MarkDirty(Job& job, bool urgent);
   void StartCommit();
@@ -395,6 +427,7 @@
   struct TaskStates {
     chart::StateId blocked;
     chart::StateId ready;
+    chart::StateId placing;
     chart::StateId starting;
     chart::StateId running;
     chart::StateId stopping;
@@ -413,11 +446,22 @@
     RowVersion version = 0;
   };
   std::map<std::string, StoredProgress, std::less<>> stored_progress_;
+  std::map<std::string, Places, std::less<>> stored_places_;
   RowVersion roster_version_ = 0;
   bool roster_due_ = false;
   bool restored_ = false;        ///< All jobs and their progress are known.
   std::vector<Row> early_rows_;  ///< Read before the progress.
 
+  /// Where the predecessor's tasks may run, by the text of their addresses;
+  /// nothing unless it has handed the slice over.
+  std::optional<std::map<std::string, std::vector<std::string>, std::less<>>>
+      handed_over_workers_;
+  /// By worker: when the leases that the predecessor has granted are over.
+  std::map<std::string, core::TimePoint, std::less<>> handed_over_leases_;
+  bool closing_ = false;  ///< HandOver was called.
+  core::TimePoint closing_until_;
+  bool hand_over_stored_ = false;
+
   std::unordered_map<CallId, PendingCall> calls_;
   core::NameTable<ImageId> images_;
   InterferenceModel interference_;
@@ -433,7 +477,6 @@
     core::TimePoint updated;
   };
   std::map<std::string, Baseline, std::less<>> baseline_utilisations_;
-  bool all_confirmed_ = false;  ///< At the start of a placement pass.
   bool placement_due_ = false;
   core::TimePoint next_placement_;
 
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -49,6 +49,10 @@
   return progress;
 }
 
+bool KeepsPlaces(const StepSpec& step) {
+  return step.long_running && !step.gang;
+}
+
 bool HasRuns(const Job& job) {
   return std::ranges::any_of(
       job.tasks, [](const Task& task) { return task.worker.valid(); });
--- a/packages/jobs/src/owner_record.cc
+++ b/packages/jobs/src/owner_record.cc
@@ -8,7 +8,8 @@
   return std::to_string(owner.epoch) + ' ' + owner.process + ' ' +
          owner.incarnation + ' ' + std::to_string(owner.cpu_millis) + ' ' +
          std::to_string(owner.term_end_ms) + ' ' +
-         std::to_string(owner.earlier_term_end_ms);
+         std::to_string(owner.earlier_term_end_ms) + ' ' +
+         std::to_string(owner.places_since);
 }
 
 std::optional<OwnerRecord> DecodeOwnerRecord(std::string_view row) {
@@ -18,7 +19,8 @@
     return std::nullopt;
   }
   // Rows written by earlier versions lack these.
-  in >> owner.cpu_millis >> owner.term_end_ms >> owner.earlier_term_end_ms;
+  in >> owner.cpu_millis >> owner.term_end_ms >> owner.earlier_term_end_ms >>
+      owner.places_since;
   return owner;
 }
 
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -92,7 +92,9 @@
   core::TimePoint next_write;
   Epoch claim_epoch = 0;
   std::int64_t claim_earlier_ms = 0;  ///< In the owner record of the claim.
-  bool vacant = false;  ///< The slice was vacant when it was claimed.
+  Epoch claim_places_since = 0;       ///< In the owner record of the claim.
+  bool vacant = false;     ///< The slice was vacant when it was claimed.
+  Epoch places_since = 0;  ///< Of the owner before this process's claim.
   bool claim_unanswered = false;
   bool release_due = false;
   bool write_releases = false;  ///< The write in flight is a release.
@@ -132,7 +134,8 @@
                                 .fence_version = c.slice.claim_version,
                                 .predecessor_ended = c.slice.vacant,
                                 .predecessor_term_end = c.slice.owner_term_end,
-                                .earlier_term_end = c.slice.earlier_term_end});
+                                .earlier_term_end = c.slice.earlier_term_end,
+                                .places_since = c.slice.places_since});
               })
       .Action("announce_loss", [](Context& c) {
         c.slice.unchanged_since = c.now;
@@ -311,7 +314,8 @@
       .term_end_ms =
           store_clock_.known() ? store_clock_.LatestAt(now + kOwnerGrace) : 0,
       .earlier_term_end_ms =
-          claim ? EarlierTermEndMs(slice) : slice.owner.earlier_term_end_ms};
+          claim ? EarlierTermEndMs(slice) : slice.owner.earlier_term_end_ms,
+      .places_since = slice.owner.places_since};
   const RowKey key = {
       .table = std::string(kSliceTable), .part = {}, .key = slice.info.name};
   CommitRows commit{.call = ids_.Next(),
@@ -322,6 +326,11 @@
     commit.puts.front().value += '\n' + EncodeSliceLoad(*slice.load);
   }
   if (claim) {
+    if (owner.places_since == 0) {
+      owner.places_since = owner.epoch;
+    }
+    slice.places_since = slice.owner.places_since;
+    slice.claim_places_since = owner.places_since;
     slice.vacant = IsVacant(slice);
     slice.claim_earlier_ms = owner.earlier_term_end_ms;
     slice.claim_unanswered = false;
@@ -444,6 +453,7 @@
                    if (claiming) {
                      slice.owner.epoch = slice.claim_epoch;
                      slice.owner.earlier_term_end_ms = slice.claim_earlier_ms;
+                     slice.owner.places_since = slice.claim_places_since;
                      slice.claim_version = done.version;
                    }
                    Dispatch(slice, claiming ? "claim_won" : "renewed", now);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -20,9 +20,9 @@
 // Without a renewal of the term for this long, writes are taken to fail.
 constexpr core::Duration kMaxRenewalAge = milliseconds(2000);
 
-// Each job takes up to four entries of a transaction, and the store accepts at
+// Each job takes up to five entries of a transaction, and the store accepts at
 // most 100 entries.
-constexpr std::size_t kJobsPerCommit = 20;
+constexpr std::size_t kJobsPerCommit = 16;
 constexpr std::size_t kRemovalsPerCommit = 5;
 
 // Minimum time between two log lines about failed commits.
@@ -38,8 +38,9 @@
 }
 
 void SliceScheduler::StartCommit() {
-  if (commit_ || (transfer_ && transfer_->call) || now_ < commit_due_ ||
-      now_ < commit_retry_ || !restored_) {
+  const bool in_transfer = transfer_ && transfer_->call && !closing_;
+  if (commit_ || in_transfer || now_ < commit_due_ || now_ < commit_retry_ ||
+      !restored_) {
     return;
   }
   Commit commit;
@@ -59,6 +60,9 @@
   if (roster_due_) {
     CollectRoster(commit);
   }
+  if (closing_ && dirty_.empty()) {
+    CollectHandOver(commit);
+  }
   commit_due_ = dirty_.empty() ? core::TimePoint::max() : now_;
   if (commit.rows.puts.empty()) {
     // The ended runs changed no stored state.
@@ -84,6 +88,7 @@
         {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
         {.key = key, .value = EncodeProgress(job->ToProgress(states_.done))});
+    CollectPlaces(*job, commit);
     if (IsFinal(job->phase) && !HasRuns(*job)) {
       commit.rows.removals.push_back(JobRow(options_.slice.name, id));
       commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
@@ -100,10 +105,13 @@
   if (contact == "live" || !store_clock_.known()) {
     return false;
   }
-  const bool renewed =
-      term_end_ > now_ + SliceBoard::kOwnerGrace - kMaxRenewalAge;
-  return worker.leases_closed ||
-         (contact != "unconfirmed" && renewed && !MayGetLateLease(worker));
+  return worker.leases_closed || (contact != "unconfirmed" && WritesSucceed() &&
+                                  !MayGetLateLease(worker));
+}
+
+// Returns whether the store has stored the last renewals of the slice.
+bool SliceScheduler::WritesSucceed() const {
+  return term_end_ > now_ + SliceBoard::kOwnerGrace - kMaxRenewalAge;
 }
 
 // Collects the workers on which tasks of this slice may run. A worker that has
@@ -147,6 +155,10 @@
       worker->listed = false;
     }
     worker->in_roster = true;
+    if (const auto handed_over = handed_over_leases_.find(entry.id);
+        handed_over != handed_over_leases_.end()) {
+      worker->lease_end = std::min(worker->lease_end, handed_over->second);
+    }
     worker->leases_closed = entry.over_ms != 0;
     if (worker->leases_closed && clock_ms != 0) {
       worker->lease_end = std::min(
@@ -230,6 +242,7 @@
       worker.next_renewal = now_;
     }
   }
+  hand_over_stored_ |= commit.hand_over;
   if (commit.roster) {
     roster_version_ = version;
     placement_due_ = true;
@@ -243,6 +256,7 @@
   for (const std::string& id : commit.jobs) {
     if (Job* job = jobs_.Find(id)) {
       job->progress_version = version;
+      FinishPlaces(*job);
     }
   }
   for (const RowKey& removed : commit.rows.removals) {
--- /dev/null
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -0,0 +1,257 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "slice_scheduler_p.h"
+
+/// Runs of earlier owners: what an owner leaves behind for its successor, and
+/// which tasks wait for which workers after a takeover.
+namespace hickoryusher::jobs {
+namespace {
+
+// Usually two writes, of 4 ms each. A slice that is released later is without
+// starts and renewals for longer.
+constexpr core::Duration kHandOverTimeout = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+// Returns whether an earlier owner may have started the task on a worker that
+// has neither reported nor lost its lease.
+bool SliceScheduler::MayRunUnseen(const Task& task) const {
+  return task.unlocated || !task.last_workers.empty();
+}
+
+// Ends the waits for workers that have been heard of, or whose lease is over.
+void SliceScheduler::SettleTasks() {
+  const bool all_confirmed = AllConfirmed();
+  bool waiting = false;
+  jobs_.ForEach([&](Job& job) {
+    for (Task& task : job.tasks) {
+      if (!MayRunUnseen(task)) {
+        continue;
+      }
+      task.unlocated = task.unlocated && !all_confirmed;
+      std::erase_if(task.last_workers, [this](core::WorkerId id) {
+        return !IsUnconfirmed(workers_.Get(id));
+      });
+      waiting |= IsState(task, states_.ready) && MayRunUnseen(task);
+    }
+  });
+  if (waiting) {
+    LogUnconfirmed();
+  }
+}
+
+void SliceScheduler::InitLastWorkers(Job& job) {
+  if (handed_over_workers_) {
+    InitFromHandOver(job);
+    return;
+  }
+  // An earlier owner may have started the tasks on any worker of the roster.
+  for (Task& task : job.tasks) {
+    task.unlocated = job.restored;
+  }
+  const auto places = stored_places_.find(job.spec.id);
+  if (places != stored_places_.end()) {
+    InitFromPlaces(job, places->second);
+  } else if (!job.restored &&
+             std::ranges::any_of(job.spec.steps, KeepsPlaces)) {
+    // Tells a successor that no task has been started.
+    MarkDirty(job, /*urgent=*/false);
+  }
+}
+
+void SliceScheduler::InitFromHandOver(Job& job) {
+  for (Task& task : job.tasks) {
+    const auto found = handed_over_workers_->find(ToText(job.AddressOf(task)));
+    if (found != handed_over_workers_->end()) {
+      task.last_workers = WorkersNamed(found->second);
+    }
+  }
+}
+
+void SliceScheduler::InitFromPlaces(Job& job, const Places& places) {
+  for (Task& task : job.tasks) {
+    task.unlocated = task.unlocated && !KeepsPlaces(job.StepOf(task));
+  }
+  for (const TaskPlace& place : places.tasks) {
+    if (place.task >= job.tasks.size()) {
+      continue;
+    }
+    Task& task = job.tasks[place.task];
+    if (place.worker == kAnyWorker) {
+      task.unlocated = true;
+      continue;
+    }
+    std::ranges::copy(WorkersNamed(std::span(&place.worker, 1)),
+                      std::back_inserter(task.last_workers));
+  }
+}
+
+// Returns the workers with these ids, but for those that are not in the roster:
+// they run nothing.
+std::vector<core::WorkerId> SliceScheduler::WorkersNamed(
+    std::span<const std::string> ids) {
+  std::vector<core::WorkerId> workers;
+  for (const std::string& id : ids) {
+    if (const Worker* worker = workers_.Find(id)) {
+      workers.push_back(worker->id);
+    }
+  }
+  return workers;
+}
+
+// Returns whether a task whose place has been stored may start there now.
+bool SliceScheduler::MayStartThere(const Task& task) {
+  const Worker& worker = workers_.Get(task.worker);
+  return IsUsable(worker) && !MayRunPastTerm(worker);
+}
+
+void SliceScheduler::CollectPlaces(Job& job, Commit& commit) {
+  if (std::ranges::none_of(job.spec.steps, KeepsPlaces)) {
+    return;
+  }
+  const RowKey key = PlacesRow(options_.slice.name, job.spec.id);
+  if (IsFinal(job.phase) && !HasRuns(job)) {
+    commit.rows.removals.push_back(key);
+    return;
+  }
+  Places places{.epoch = options_.epoch};
+  for (Task& task : job.tasks) {
+    if (!KeepsPlaces(job.StepOf(task))) {
+      continue;
+    }
+    // Unknown while the write is in flight.
+    task.stored_place = core::WorkerId();
+    task.written_place = task.worker;
+    const auto add = [&](std::string worker) {
+      places.tasks.push_back(
+          {.task = task.number, .worker = std::move(worker)});
+    };
+    if (task.worker.valid()) {
+      add(workers_.Get(task.worker).entry.id);
+      continue;
+    }
+    if (task.unlocated) {
+      add(std::string(kAnyWorker));
+    }
+    for (const core::WorkerId id : task.last_workers) {
+      add(workers_.Get(id).entry.id);
+    }
+  }
+  commit.rows.puts.push_back({.key = key, .value = EncodePlaces(places)});
+}
+
+// Starts the tasks that wait for the write of their places.
+void SliceScheduler::FinishPlaces(Job& job) {
+  for (Task& task : job.tasks) {
+    task.stored_place = task.written_place;
+    if (IsState(task, states_.placing) && task.stored_place == task.worker) {
+      Dispatch(task, "place_stored");
+    }
+  }
+}
+
+// Ignores rows of owners before one that stored no places.
+void SliceScheduler::HandlePlaces(const Row& row) {
+  auto places = DecodePlaces(row.value);
+  if (!places) {
+    options_.log(core::LogLine("places_row_unreadable")
+                     .Add("slice", options_.slice.name)
+                     .Add("row", row.key.key));
+    return;
+  }
+  if (options_.places_since != 0 && places->epoch >= options_.places_since) {
+    std::string_view job = row.key.key;
+    job.remove_suffix(kPlacesSuffix.size());
+    stored_places_.insert_or_assign(std::string(job), *std::move(places));
+  }
+}
+
+void SliceScheduler::HandOver(core::TimePoint now) {
+  now_ = now;
+  closing_ = true;
+  closing_until_ = now + kHandOverTimeout;
+  commit_due_ = now;
+}
+
+bool SliceScheduler::handed_over() const {
+  return closing_ &&
+         (hand_over_stored_ || !restored_ || fenced_ || now_ >= closing_until_);
+}
+
+// Returns the tasks that may run on the worker as far as this owner knows.
+std::vector<std::string> SliceScheduler::TasksThatMayRunOn(
+    const Worker& worker) {
+  std::vector<std::string> tasks;
+  for (const Task* task : worker.tasks) {
+    tasks.push_back(ToText(task->job->AddressOf(*task)));
+  }
+  if (!IsUnconfirmed(worker)) {
+    return tasks;
+  }
+  jobs_.ForEach([&](const Job& job) {
+    for (const Task& task : job.tasks) {
+      if (task.unlocated || std::ranges::find(task.last_workers, worker.id) !=
+                                task.last_workers.end()) {
+        tasks.push_back(ToText(job.AddressOf(task)));
+      }
+    }
+  });
+  return tasks;
+}
+
+void SliceScheduler::CollectHandOver(Commit& commit) {
+  std::vector<HandedOverWorker> workers;
+  for (const auto& worker : workers_.all()) {
+    HandedOverWorker entry = {.id = worker->entry.id,
+                              .tasks = TasksThatMayRunOn(*worker)};
+    if (entry.tasks.empty()) {
+      continue;
+    }
+    if (store_clock_.known() && !MayGetLateLease(*worker)) {
+      entry.over_ms = store_clock_.LatestAt(LeaseEnd(*worker));
+    }
+    workers.push_back(std::move(entry));
+  }
+  commit.hand_over = true;
+  const std::vector<std::string> rows = EncodeHandOver(options_.epoch, workers);
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    commit.rows.puts.push_back(
+        {.key = HandOverRow(options_.slice.name, i), .value = rows[i]});
+  }
+  options_.log(core::LogLine("slice_handed_over")
+                   .Add("slice", options_.slice.name)
+                   .Add("epoch", options_.epoch)
+                   .Add("workers", workers.size())
+                   .Add("rows", rows.size()));
+}
+
+// Ignores rows of owners before the last one, which may have started tasks
+// since.
+void SliceScheduler::HandleHandOver(const Row& row, std::int64_t clock_ms) {
+  const auto hand_over = DecodeHandOver(row.value);
+  if (!hand_over) {
+    options_.log(core::LogLine("hand_over_row_unreadable")
+                     .Add("slice", options_.slice.name)
+                     .Add("row", row.key.key));
+    return;
+  }
+  if (hand_over->epoch + 1 != options_.epoch) {
+    return;
+  }
+  if (!handed_over_workers_) {
+    handed_over_workers_.emplace();
+  }
+  for (const HandedOverWorker& entry : hand_over->workers) {
+    for (const std::string& task : entry.tasks) {
+      (*handed_over_workers_)[task].push_back(entry.id);
+    }
+    if (entry.over_ms != 0 && clock_ms != 0) {
+      handed_over_leases_[entry.id] =
+          now_ + std::chrono::milliseconds(entry.over_ms - clock_ms);
+    }
+  }
+}
+
+}  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -61,10 +61,8 @@
 
 }  // namespace
 
-// A task that an earlier owner may have started waits until every worker of the
-// roster has reported or runs nothing any more.
 bool SliceScheduler::MayStart(const Task& task) const {
-  return IsState(task, states_.ready) && (all_confirmed_ || !task.unlocated);
+  return IsState(task, states_.ready) && !MayRunUnseen(task);
 }
 
 bool SliceScheduler::IsReady(const Task& task) const {
@@ -87,10 +85,7 @@
   if (config_ == nullptr || !restored_) {
     return;
   }
-  all_confirmed_ = AllConfirmed();
-  if (!all_confirmed_) {
-    LogUnconfirmed();
-  }
+  SettleTasks();
   std::vector<Candidate> candidates;
   jobs_.ForEach([&](Job& job) {
     if (job.halted) {
--- a/packages/jobs/src/slice_room.cc
+++ b/packages/jobs/src/slice_room.cc
@@ -226,6 +226,10 @@
 // several workers becomes available on that one for @p task.
 // @returns false if no such moves exist.
 bool SliceScheduler::MakeRoom(const Task& task) {
+  if (!WritesSucceed()) {
+    // The moved tasks could not start.
+    return false;
+  }
   const Job& job = *task.job;
   const RoomIndex rooms = IndexRooms();
   std::vector<Move> moves;
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -1,6 +1,6 @@
 #include <charconv>
 
-#include "jobs/slice_scheduler.h"
+#include "slice_scheduler_p.h"
 
 /// Keys and encodings of the rows that hold a slice's jobs.
 namespace hickoryusher::jobs {
@@ -11,6 +11,14 @@
 
 }  // namespace
 
+bool IsPlacesKey(std::string_view key) {
+  return key.ends_with(kPlacesSuffix);
+}
+
+bool IsHandOverKey(std::string_view key) {
+  return key.starts_with(kHandOverKey);
+}
+
 std::string JobTableName(std::string_view slice) {
   return "jobs_" + std::string(slice);
 }
@@ -40,6 +48,18 @@
           .key = "!roster"};
 }
 
+RowKey PlacesRow(std::string_view slice, std::string_view job) {
+  RowKey key = ProgressRow(slice, job);
+  key.key += kPlacesSuffix;
+  return key;
+}
+
+RowKey HandOverRow(std::string_view slice, std::size_t index) {
+  return {.table = std::string(kProgressTable),
+          .part = std::string(slice),
+          .key = std::string(kHandOverKey) + std::to_string(index)};
+}
+
 RowKey IncomingRow(std::string_view slice) {
   return JobRow(slice, "!incoming");
 }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -37,6 +37,7 @@
       ids_(ids),
       states_{.blocked = charts.task_run.FindState("blocked"),
               .ready = charts.task_run.FindState("ready"),
+              .placing = charts.task_run.FindState("placing"),
               .starting = charts.task_run.FindState("starting"),
               .running = charts.task_run.FindState("running"),
               .stopping = charts.task_run.FindState("stopping"),
@@ -87,6 +88,9 @@
 void SliceScheduler::Handle(const StoreEvent& event, core::TimePoint now) {
   now_ = now;
   const CallId call = CallOf(event);
+  if (closing_ && (!commit_ || commit_->rows.call != call)) {
+    return;
+  }
   if (progress_read_ == call) {
     progress_read_.reset();
     const auto* page = std::get_if<RowsRead>(&event);
@@ -121,6 +125,7 @@
   }
   restored_ = true;
   stored_progress_.clear();
+  stored_places_.clear();
   options_.log(core::LogLine("slice_restored")
                    .Add("slice", options_.slice.name)
                    .Add("epoch", options_.epoch)
@@ -148,6 +153,14 @@
       HandleRoster(row, page.clock_ms);
       continue;
     }
+    if (IsHandOverKey(row.key.key)) {
+      HandleHandOver(row, page.clock_ms);
+      continue;
+    }
+    if (IsPlacesKey(row.key.key)) {
+      HandlePlaces(row);
+      continue;
+    }
     auto progress = DecodeProgress(row.value);
     if (!progress) {
       options_.log(core::LogLine("progress_row_unreadable")
@@ -253,9 +266,7 @@
     ApplyProgress(job, found->second.progress);
     job.progress_version = found->second.version;
   }
-  for (Task& task : job.tasks) {
-    task.unlocated = job.restored;
-  }
+  InitLastWorkers(job);
   Unblock(job);
   options_.log(core::LogLine("job_taken")
                    .Add("job", job.spec.id)
@@ -343,6 +354,11 @@
 void SliceScheduler::Run(core::TimePoint now, std::int64_t unix_ms) {
   now_ = now;
   unix_ms_ = unix_ms;
+  if (closing_) {
+    StartCommit();
+    next_timer_ = now + kTick;
+    return;
+  }
   if (!progress_loaded_ && !progress_read_ && now >= progress_retry_) {
     progress_read_ = ids_.Next();
     store_commands_.push_back(
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -20,6 +20,21 @@
 inline constexpr core::Duration kNominationTime =
     std::chrono::milliseconds(2000);
 
+/// Prefix of the keys of the rows with the hand-over to the next owner. Sorts
+/// before all job ids.
+inline constexpr std::string_view kHandOverKey = "!handover";
+
+/// @returns true if @p key, of a row of the progress table, is a key of
+/// HandOverRow.
+bool IsHandOverKey(std::string_view key);
+
+/// Suffix of the keys of PlacesRow.
+inline constexpr std::string_view kPlacesSuffix = "!places";
+
+/// @returns true if @p key, of a row of the progress table, is a key of
+/// PlacesRow.
+bool IsPlacesKey(std::string_view key);
+
 inline bool IsServing(const Task& task) {
   return task.job->StepOf(task).latency_target > core::Duration();
 }
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -36,6 +36,13 @@
                return c.job().StepOf(c.task).long_running ||
                       c.task.failures.size() + 1 < c.job().queue.max_attempts;
              })
+      .Guard("place_known",
+             [](const Context& c) {
+               return !KeepsPlaces(c.job().StepOf(c.task)) ||
+                      c.task.stored_place == c.task.worker;
+             })
+      .Guard("may_start_there",
+             [](const Context& c) { return c.scheduler.MayStartThere(c.task); })
       .Guard("resends_left",
              [](const Context& c) {
                const Worker& worker = c.scheduler.workers_.Get(c.task.worker);
@@ -52,6 +59,11 @@
               })
       .Action("release",
               [](Context& c) { c.scheduler.DetachFromWorker(c.task); })
+      .Action("store_place",
+              [](Context& c) {
+                c.task.run_seen = true;
+                c.scheduler.MarkDirty(c.job(), /*urgent=*/true);
+              })
       .Action("send_start",
               [](Context& c) {
                 ++c.task.starts;
@@ -60,7 +72,6 @@
                 c.task.resends = 0;
                 c.task.percent = 0;
                 c.task.run_seen = false;
-                c.task.unlocated = false;
                 c.task.pace_percent = 100;
                 c.task.pace_unconfirmed = false;
                 c.task.slowed_since = core::TimePoint::max();
@@ -83,6 +94,7 @@
                 // An earlier owner starts a task again only after it has
                 // learned that the run before is over.
                 c.task.unlocated = false;
+                c.task.last_workers.clear();
                 c.scheduler.MarkRunning(c.task);
               })
       .Action("delay",
@@ -161,6 +173,9 @@
   worker.Release(task.job->StepOf(task));
   std::erase(worker.tasks, &task);
   task.oversubscribed = false;
+  if (KeepsPlaces(task.job->StepOf(task))) {
+    MarkDirty(*task.job, /*urgent=*/false);
+  }
   task.worker = core::WorkerId();
   task.settled = core::TimePoint::max();
   placement_due_ = true;
@@ -227,7 +242,8 @@
     return;
   }
   Task& task = job->tasks[call.number];
-  if (task.run != call.run || !task.worker.valid()) {
+  if (task.run != call.run || !task.worker.valid() ||
+      IsState(task, states_.placing)) {
     return;
   }
   Worker& worker = workers_.Get(task.worker);
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -96,8 +96,9 @@
       const bool leaving = worker->entry.draining;
       const bool movable =
           step.saves_progress || (leaving && step.long_running);
+      // A long-running task starts only if a write succeeds.
       if (!IsState(*task, states_.running) || !movable ||
-          (!slowed && !leaving)) {
+          (!slowed && !leaving) || (step.long_running && !WritesSucceed())) {
         continue;
       }
       const Worker* other =
@@ -188,7 +189,9 @@
 bool SliceScheduler::MayTransfer(const Job& job) const {
   return IsLongRunning(job) && MayStopAll(job) && !job.halted &&
          now_ >= job.known_since + kMinResidence &&
-         (std::ranges::none_of(job.tasks, &Task::unlocated) || AllConfirmed());
+         std::ranges::none_of(job.tasks, [this](const Task& task) {
+           return MayRunUnseen(task);
+         });
 }
 
 // Transfers another job so that a waiting task of @p job fits: the one with the
@@ -300,7 +303,8 @@
       .puts = {{.key = ProgressRow(to, id),
                 .value = EncodeProgress({.phase = job->phase})},
                {.key = JobRow(to, id), .value = job->stored_text}},
-      .removals = {ProgressRow(from, id), JobRow(from, id)},
+      .removals = {ProgressRow(from, id), PlacesRow(from, id),
+                   JobRow(from, id)},
       .several_parts = true});
 }
 
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -77,7 +77,7 @@
 void SliceScheduler::UpdateWorker(const WorkerEntry& entry,
                                   core::TimePoint now) {
   now_ = now;
-  if (entry.failure_domain != options_.slice.failure_domain) {
+  if (closing_ || entry.failure_domain != options_.slice.failure_domain) {
     return;
   }
   Worker* worker = workers_.Find(entry.id);
@@ -113,6 +113,9 @@
 
 void SliceScheduler::Handle(const WorkerEvent& event, core::TimePoint now) {
   now_ = now;
+  if (closing_) {
+    return;
+  }
   const CallId call = std::visit([](const auto& e) { return e.call; }, event);
   const auto found = calls_.find(call);
   if (found == calls_.end()) {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -119,5 +119,44 @@
   CHECK(model.CautiousRaise(kServing, light) >= model.Raise(kServing, light));
 }
 
+TEST_CASE("a hand-over is read as it was written", "[records]") {
+  std::vector<HandedOverWorker> workers;
+  for (int i = 0; i < 300; ++i) {
+    workers.push_back(
+        {.id = "w" + std::to_string(i),
+         .over_ms = i,
+         .tasks = std::vector<std::string>(20, "0123456789.0.0.7")});
+  }
+  workers.push_back({.id = "idle"});
+  std::vector<HandedOverWorker> read;
+  for (const std::string& row : EncodeHandOver(7, workers)) {
+    CHECK(row.size() < 65'536);
+    const auto hand_over = DecodeHandOver(row);
+    REQUIRE(hand_over.has_value());
+    CHECK(hand_over->epoch == 7);
+    std::ranges::copy(hand_over->workers, std::back_inserter(read));
+  }
+  CHECK(read == workers);
+  CHECK(EncodeHandOver(7, {}).size() == 1);
+  CHECK_FALSE(DecodeHandOver("").has_value());
+  CHECK_FALSE(DecodeHandOver("x\n").has_value());
+  CHECK_FALSE(DecodeHandOver("7\nw1\n").has_value());
+}
+
+TEST_CASE("places are read as they were written", "[records]") {
+  const Places places = {
+      .epoch = 3,
+      .tasks = {{.task = 0, .worker = "w1"},
+                {.task = 4, .worker = std::string(kAnyWorker)}}};
+  const auto read = DecodePlaces(EncodePlaces(places));
+  REQUIRE(read.has_value());
+  CHECK(read->epoch == 3);
+  CHECK(read->tasks == places.tasks);
+  CHECK(DecodePlaces(EncodePlaces({.epoch = 3})).has_value());
+  CHECK_FALSE(DecodePlaces("").has_value());
+  CHECK_FALSE(DecodePlaces("3\n0\n").has_value());
+  CHECK_FALSE(DecodePlaces("3\nw1 0\n").has_value());
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -246,6 +246,29 @@
   CHECK(far.gains.size() == 1);
 }
 
+// Guards against a place that counts although an owner of an earlier version,
+// which stores none, has started tasks since.
+TEST_CASE("a claim tells since when places are stored", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  Member b(cluster.store, "b", "yoff");
+  Member c(cluster.store, "c", "yoff");
+  cluster.Advance(2s, {&a});
+  REQUIRE(a.gains.size() == 1);
+  CHECK(a.gains[0].places_since == 0);
+  cluster.Advance(5s, {&b});
+  REQUIRE(b.gains.size() == 1);
+  CHECK(b.gains[0].places_since == a.gains[0].epoch);
+  const bool earlier_version = GENERATE(false, true);
+  if (earlier_version) {
+    cluster.store.Put({.table = SliceTableName(), .key = "yoff-0"},
+                      "7 old 1 0 0 0");
+  }
+  cluster.Advance(5s, {&c});
+  REQUIRE(c.gains.size() == 1);
+  CHECK(c.gains[0].places_since == (earlier_version ? 0 : a.gains[0].epoch));
+}
+
 TEST_CASE("a released slice is taken over at once", "[board]") {
   Cluster cluster;
   Member a(cluster.store, "a", "yoff");
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -156,6 +156,7 @@
        .fence_version = store.Find(FenceRow(kSlice))->version,
        .predecessor_ended = predecessor_ended,
        .predecessor_term_end = now_ + predecessor_term,
+       .places_since = places_since,
        .limits = {.longest_lease = longest_lease,
                   .keep_final_jobs = milliseconds(120'000)},
        .read_document = ReadSteps,
@@ -176,6 +177,10 @@
 }
 
 void SliceWorld::HandOver() {
+  owner->HandOver(now_);
+  while (!owner->handed_over()) {
+    Advance(kStep);
+  }
   TakeOver(/*predecessor_ended=*/true);
 }
 
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -97,6 +97,8 @@
   std::chrono::milliseconds longest_lease{6000};
   /// How long the term of the owner before lasts after a takeover.
   core::Duration predecessor_term = SliceBoard::kOwnerGrace;
+  /// Since this epoch, owners have stored the places of long-running tasks.
+  Epoch places_since = 1;
   std::size_t commits = 0;
 
   /// Log lines of all owners.
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -98,6 +98,7 @@
         board_->MarkFenced(id, now);
       }
     }
+    ReleaseSlices(now);
     PopNotices(now);
     SendCommands(now);
     LogSlowIteration(now);
@@ -105,6 +106,16 @@
   }
 }
 
+// Releases the slices once all have been handed over.
+void SchedulerDuty::ReleaseSlices(core::TimePoint now) {
+  const bool handed_over = std::ranges::all_of(
+      schedulers_, [](const auto& item) { return item.second->handed_over(); });
+  if (releasing_ && handed_over) {
+    releasing_ = false;
+    board_->ReleaseAll(now);
+  }
+}
+
 // Logs an iteration that has delayed renewals and answers.
 void SchedulerDuty::LogSlowIteration(core::TimePoint begun) {
   const core::TimePoint end = Now();
@@ -123,17 +134,21 @@
 }
 
 void SchedulerDuty::HandleInput(SchedulerInput&& input, core::TimePoint now) {
-  std::visit(
-      core::Overloaded{
-          [&](const jobs::QueueConfigPtr& config) {
-            config_ = config;
-            for (const auto& [id, scheduler] : schedulers_) {
-              scheduler->SetConfig(config, now);
-            }
-          },
-          [&](const http::UpstreamEvent& e) { HandleEvent(e, now); },
-          [&](const SliceReleaseRequested&) { board_->ReleaseAll(now); }},
-      std::move(input));
+  std::visit(core::Overloaded{
+                 [&](const jobs::QueueConfigPtr& config) {
+                   config_ = config;
+                   for (const auto& [id, scheduler] : schedulers_) {
+                     scheduler->SetConfig(config, now);
+                   }
+                 },
+                 [&](const http::UpstreamEvent& e) { HandleEvent(e, now); },
+                 [&](const SliceReleaseRequested&) {
+                   releasing_ = true;
+                   for (const auto& [id, scheduler] : schedulers_) {
+                     scheduler->HandOver(now);
+                   }
+                 }},
+             std::move(input));
 }
 
 void SchedulerDuty::HandleEvent(const http::UpstreamEvent& event,
@@ -220,6 +235,7 @@
        .predecessor_ended = gained.predecessor_ended,
        .predecessor_term_end = gained.predecessor_term_end,
        .earlier_term_end = gained.earlier_term_end,
+       .places_since = gained.places_since,
        .limits = options_.limits,
        .read_document = ports_.read_document,
        .log = options_.log},
@@ -246,6 +262,9 @@
   if (config_ != nullptr) {
     scheduler->SetConfig(config_, now);
   }
+  if (releasing_) {
+    scheduler->HandOver(now);
+  }
   schedulers_[gained.slice] = std::move(scheduler);
 }
 
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -78,6 +78,7 @@
                             core::TimePoint now);
   void PopNotices(core::TimePoint now);
   void PublishLoads();
+  void ReleaseSlices(core::TimePoint now);
   void StartScheduler(const jobs::SliceGained& gained, core::TimePoint now);
   void SendCommands(core::TimePoint now);
   void LogSlowIteration(core::TimePoint begun);
@@ -95,6 +96,7 @@
   std::unique_ptr<jobs::TableFollower> registry_rows_;
   std::map<std::string, jobs::WorkerEntry> registry_;
   jobs::QueueConfigPtr config_;
+  bool releasing_ = false;  ///< Once all slices have been handed over.
   runtime::Ring<SchedulerInput> inputs_;
   core::TimePoint next_slow_iteration_log_;
   http::Upstream* upstream_ = nullptr;
