Write the end of a lease into the roster when its renewal was delayed

After a worker had left with a long-running task, a new owner waited 6.3 s from its claim for it, and the next one again, although the worker had been silent for 4 s before the first claim and the roster should have said when its lease was over.

Cause: the roster has no time for a worker that may be given a lease by an order on the clock of its earlier life. The check compared the lease with the clock in the last report, not with the clock when it was granted, so that a renewal that had waited for ends to be stored (0.1 to 0.4 s) looked like one on another clock. It now compares with the clock as far as known at present, which a known restart sets back, too.

Test that failed before: "the roster has a time for a worker whose renewal was delayed" (no time).

--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -103,7 +103,7 @@
 // Returns whether an order that was granted on the clock of an earlier life of
 // the worker, and has not been answered, may still give this life a lease.
 bool SliceScheduler::MayGetLateLease(const Worker& worker) const {
-  return milliseconds(worker.granted_until_ms - worker.clock_ms) >
+  return milliseconds(worker.granted_until_ms - worker.ClockAt(now_)) >
          options_.limits.longest_lease;
 }
 
--- a/packages/jobs/tests/slice_roster_test.cc
+++ b/packages/jobs/tests/slice_roster_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <string>
 
 #include "slice_world.h"
 
@@ -94,5 +95,25 @@
   }
 }
 
+// Guards against long-running tasks that wait for over 9 s: a worker was lost
+// after a renewal that had waited for ends to be stored. Its lease then ended
+// by more than the longest one after the clock in the last report, as that of a
+// worker does which has restarted, so that the roster had no time for it.
+TEST_CASE("the roster has a time for a worker whose renewal was delayed",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.Submit("k", "c");
+  world.Advance(2s);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("k")) == "w1");
+  world.commit_delay = 200ms;
+  world.workers.End(SliceWorld::Task("k"), EndKind::kDone);
+  world.Advance(100ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kGone);
+  world.Advance(3s);
+  CHECK(world.store.Find(RosterRow(kSlice))->value.find('@') !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
