--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -446,5 +446,32 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
 }
 
+// Guards against one attempt too many: a new owner read the failed ends of a
+// task before the ends of the step that it waits for, and did not see that they
+// were all that are permitted.
+TEST_CASE("failures that are read before the step before is done count",
+          "[slice]") {
+  const TaskAddress second = SliceWorld::Task("j", 1);
+  SliceWorld world;
+  world.StartJob("cc");
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Drain("w1");
+  for (std::size_t run = 1; run <= 2; ++run) {
+    world.Advance(1s);
+    REQUIRE(world.workers.starts(second) == run);
+    REQUIRE(world.workers.WorkerOf(second) == "w2");
+    world.workers.End(second, EndKind::kFailed);
+  }
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.slow_worker = "w1";
+  world.TakeOver();
+  world.Advance(3s);
+  CHECK(world.workers.starts(second) == 2);
+  CHECK(world.PhaseOf("j") == JobPhase::kFailed);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
