Transfer long-running tasks to other slices by themselves

What is transferred is now a set of tasks: those that find no worker, also while they still run on one that leaves, or a few of another job that make room for them. The rest of the job stays and is not stopped. The part gets rows of its own in the target slice, with the key of the job and the number of its first task; in the row of the job its tasks are marked as done. A job of which all tasks wait moves as before. A job with tasks elsewhere is cancelled in each slice that may have one, in one write; the owner there removes the row if it concerns nothing. What does not arrive while the target holds room is given up, so that a task whose worker does not answer blocks no other transfer.

Gone: stopping the tasks that run well when one of their job finds no room, and the wait of a whole job for workers that have not reported.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -49,6 +49,7 @@
   bool stop_unanswered = false;
   /// An earlier owner may have started it on any worker that has not reported.
   bool unlocated = false;
+  bool transferring = false;  ///< To another slice.
   /// The same for these workers alone.
   std::vector<core::WorkerId> last_workers;
   /// Of a long-running task: where it may run by the stored row, if that is one
@@ -76,9 +77,18 @@
   ImageId image;
 };
 
+/// @returns the id of a part of the job @p id of which @p task is the first
+/// task. Parts that exist at the same time have no task in common.
+std::string PartId(std::string_view id, std::uint32_t task);
+
+/// @returns the id of the job of which @p id is the id, or that of a part.
+std::string_view CallerId(std::string_view id);
+
+/// A job, or the part of one that was transferred to this slice from the slice
+/// that has the job itself.
 struct Job {
-  JobSpec spec;
-  Queue queue;  ///< As last configured.
+  JobSpec spec;  ///< Its id is the key of the job's rows; see PartId.
+  Queue queue;   ///< As last configured.
   JobPhase phase = JobPhase::kQueued;
   bool halted = false;    ///< No task may start any more.
   bool restored = false;  ///< An earlier owner may have started tasks.
@@ -91,7 +101,6 @@
   /// long-running.
   std::string stored_text;
   std::uint64_t stored_version = 0;
-  bool transferring = false;  ///< To another slice.
   /// Since when a long-running task has not been placed.
   std::optional<core::TimePoint> unplaced_since;
   /// When to search again for tasks that could be moved or stopped to make room
@@ -117,13 +126,17 @@
   }
   TaskAddress AddressOf(const Task& task) const;
 
+  /// @returns the id under which the caller submitted the job.
+  std::string_view caller_id() const { return CallerId(spec.id); }
+
   /// @returns the task, or nullptr.
   Task* Find(const TaskAddress& address);
 
   /// @returns when occurrence @p occurrence is due, in Unix time.
   std::int64_t DueUnixMs(std::uint32_t occurrence) const;
 
-  Progress ToProgress(chart::StateId done_state) const;
+  /// @param closed the states of tasks that need not be run here any more.
+  Progress ToProgress(std::span<const chart::StateId> closed) const;
 };
 
 /// @returns true if the store says where the tasks of the step may run.
@@ -146,13 +159,23 @@
 /// The open jobs of one slice.
 class JobTable {
  public:
-  explicit JobTable(chart::StateId initial) : initial_(initial) {}
+  /// @param initial state of the tasks of a new job.
+  /// @param elsewhere state of tasks that belong to another slice.
+  JobTable(chart::StateId initial, chart::StateId elsewhere)
+      : initial_(initial), elsewhere_(elsewhere) {}
 
   /// Adds a job whose id is not in the table.
   Job& Add(JobSpec spec);
 
   /// @returns the job, or nullptr.
   Job* Find(std::string_view id);
+
+  /// @returns the task in the job or the part of it that it belongs to here, or
+  /// nullptr.
+  Task* FindTask(const TaskAddress& address);
+
+  /// @returns the job with this id and its parts.
+  std::vector<Job*> FindWithParts(std::string_view id);
   void Remove(std::string_view id);
 
   std::size_t size() const { return jobs_.size(); }
@@ -166,6 +189,7 @@
 
  private:
   chart::StateId initial_;
+  chart::StateId elsewhere_;
   std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
 };
 
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -57,6 +57,8 @@
   std::string queue;
   std::int64_t accepted_unix_ms = 0;
   std::string document;
+  /// Numbers of the tasks that belong to the slice; all if there are none.
+  std::vector<std::uint32_t> tasks;
 };
 
 std::string EncodeStoredJob(const StoredJob& job);
@@ -220,6 +222,13 @@
     std::optional<std::vector<core::WorkerId>> roster;
     std::vector<core::WorkerId> opened;  ///< Of these, those without a time.
     bool hand_over = false;              ///< Contains the rows of HandOver.
+    std::vector<std::string> stray_cancellations;
+  };
+
+  /// Tasks of one job, by number, and the slice that has room for them.
+  struct TransferPlan {
+    std::size_t target = 0;
+    std::vector<std::uint32_t> tasks;
   };
 
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
@@ -230,6 +239,9 @@
   void HandleRow(const Row& row);
   void HandleJobRow(const Row& row);
   void AddJob(const Row& row, JobSpec spec, const StoredJob& stored);
+  void DropTasks(Job& job, const StoredJob& stored);
+  void HandleCancellation(std::string_view id);
+  std::string JobText(const Job& job, std::span<const std::uint32_t> tasks);
   void ApplyProgress(Job& job, const Progress& progress);
   bool IsReadable(const RowsRead& page) const;
   void HandleProgressPage(const RowsRead& page);
@@ -372,14 +384,22 @@
 
   // Moves.
   void MoveTasks();
-  std::optional<std::size_t> ChooseSliceFor(const Job& job) const;
+  std::vector<std::uint32_t> WaitingTasks(const Job& job);
+  std::optional<TransferPlan> PlanTransfer(
+      const Job& job,
+      std::span<const std::uint32_t> tasks) const;
   void TransferJobs();
   bool MayTransfer(const Job& job) const;
   void TransferOtherFor(Job& job);
-  void BeginTransfer(Job& job, std::size_t target);
+  void BeginTransfer(Job& job, TransferPlan plan);
   void FinishAnnouncement(const StoreEvent& event);
   void ContinueTransfer();
+  CommitRows WriteOfTransfer(Job& job);
+  bool IsWholeJob(const Job& job, std::span<const std::uint32_t> tasks) const;
   void FinishTransfer(const StoreEvent& event);
+  bool HasMoved(std::span<const Row> present, const RowKey& own) const;
+  void FinishMove(Job& job, RowVersion version);
+  void EndTransfer();
 
   // Runs of earlier owners.
   bool MayRunUnseen(const Task& task) const;
@@ -402,6 +422,8 @@
   void FinishCommit(const StoreEvent& event);
   void CollectJobs(Commit& commit);
   void CollectRemovals(Commit& commit);
+  void CollectStrayCancellations(Commit& commit);
+  Progress ProgressOf(const Job& job) const;
   void CollectRoster(Commit& commit);
   void HandleConflict(const Commit& commit, const RowsConflicted& conflict);
   void MarkStored(const Commit& commit, RowVersion version);
@@ -432,6 +454,7 @@
     chart::StateId running;
     chart::StateId stopping;
     chart::StateId done;
+    chart::StateId elsewhere;
   };
   TaskStates states_;
   JobTable jobs_;
@@ -485,17 +508,23 @@
   std::optional<Commit> commit_;
   core::TimePoint commit_retry_;
   std::deque<std::pair<core::TimePoint, std::string>> final_jobs_;
+  /// Cancelled jobs; a part of one may be read later than its cancellation.
+  std::set<std::string, std::less<>> cancelled_jobs_;
+  /// Those of which neither the job nor a part was here when it was cancelled.
+  std::set<std::string> stray_cancellations_;
 
   /// By job whose rows this owner removed: rows up to this version come from a
   /// read that began before the removal, and are ignored.
   std::map<std::string, RowVersion, std::less<>> removed_jobs_;
 
-  /// The transfer of a job to another slice.
+  /// The transfer of tasks to another slice: of a whole job, or of a part.
   struct Transfer {
     std::string job;
-    std::size_t target = 0;
+    TransferPlan plan;
+    std::string new_id;  ///< In the target slice.
     RowVersion job_version = 0;
-    bool announced = false;  ///< The target slice holds room for the job.
+    bool announced = false;  ///< The target slice holds room for them.
+    core::TimePoint announced_at;
     std::optional<CallId> call;
     core::TimePoint not_before;
   };
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -438,16 +438,31 @@
   } else if (IsFinal(progress->phase)) {
     Answer(pending.call, CallDone());
   } else {
-    SendCancel(std::move(pending), row.version);
+    SendCancel(std::move(pending), *progress, row.version);
   }
 }
 
-void Intake::SendCancel(Pending pending, RowVersion version) {
-  const std::string& name = options_.slices[pending.slice].name;
-  pending.command = CommitRows{
-      .conditions = {{.key = ProgressRow(name, pending.job),
+// Cancels the job in all slices that may have a part of it. Tasks that are not
+// run in the slice of the job any more are done there.
+void Intake::SendCancel(Pending pending,
+                        const Progress& progress,
+                        RowVersion version) {
+  const bool may_have_parts =
+      std::ranges::find(progress.done, true) != progress.done.end();
+  const std::vector<std::size_t> slices =
+      may_have_parts ? CandidateSlices(pending.job, options_.slices.size())
+                     : std::vector{pending.slice};
+  CommitRows commit{
+      .conditions = {{.key = ProgressRow(options_.slices[pending.slice].name,
+                                         pending.job),
                       .version = version}},
-      .puts = {{.key = CancelRow(name, pending.job), .value = "cancelled"}}};
+      .several_parts = slices.size() > 1};
+  for (const std::size_t slice : slices) {
+    commit.puts.push_back(
+        {.key = CancelRow(options_.slices[slice].name, pending.job),
+         .value = "cancelled"});
+  }
+  pending.command = std::move(commit);
   Send(std::move(pending));
 }
 
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -6,9 +6,24 @@
 
 namespace hickoryusher::jobs {
 
+namespace {
+
+// Not part of a job id; sorts after the marks of rows that belong to a job.
+constexpr char kPartMark = '.';
+
+}  // namespace
+
+std::string PartId(std::string_view id, std::uint32_t task) {
+  return std::string(CallerId(id)) + kPartMark + std::to_string(task);
+}
+
+std::string_view CallerId(std::string_view id) {
+  return id.substr(0, id.find(kPartMark));
+}
+
 TaskAddress Job::AddressOf(const Task& task) const {
   const Group& group = groups[task.group];
-  return {.job = spec.id,
+  return {.job = std::string(caller_id()),
           .occurrence = group.occurrence,
           .step = group.step,
           .index = task.number - group.first};
@@ -31,13 +46,13 @@
                    std::int64_t{occurrence} * spec.interval_ms;
 }
 
-Progress Job::ToProgress(chart::StateId done_state) const {
+Progress Job::ToProgress(std::span<const chart::StateId> closed) const {
   Progress progress{.phase = phase};
   if (IsFinal(phase)) {
     return progress;
   }
   for (const Task& task : tasks) {
-    if (task.state == done_state) {
+    if (std::ranges::find(closed, task.state) != closed.end()) {
       progress.done.resize(task.number + 1);
       progress.done[task.number] = true;
     }
@@ -130,6 +145,29 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+Task* JobTable::FindTask(const TaskAddress& address) {
+  for (Job* job : FindWithParts(address.job)) {
+    Task* task = job->Find(address);
+    if (task != nullptr && task->state != elsewhere_) {
+      return task;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<Job*> JobTable::FindWithParts(std::string_view id) {
+  std::vector<Job*> found;
+  if (Job* job = Find(id)) {
+    found.push_back(job);
+  }
+  const std::string prefix = std::string(id) + kPartMark;
+  for (auto next = jobs_.lower_bound(prefix);
+       next != jobs_.end() && next->first.starts_with(prefix); ++next) {
+    found.push_back(next->second.get());
+  }
+  return found;
+}
+
 void JobTable::Remove(std::string_view id) {
   if (const auto found = jobs_.find(id); found != jobs_.end()) {
     jobs_.erase(found);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -63,8 +64,9 @@
   if (closing_ && dirty_.empty()) {
     CollectHandOver(commit);
   }
+  CollectStrayCancellations(commit);
   commit_due_ = dirty_.empty() ? core::TimePoint::max() : now_;
-  if (commit.rows.puts.empty()) {
+  if (commit.rows.puts.empty() && commit.rows.removals.empty()) {
     // The ended runs changed no stored state.
     MarkStored(commit, 0);
     return;
@@ -74,12 +76,16 @@
   commit_ = std::move(commit);
 }
 
+Progress SliceScheduler::ProgressOf(const Job& job) const {
+  return job.ToProgress(std::array{states_.done, states_.elsewhere});
+}
+
 void SliceScheduler::CollectJobs(Commit& commit) {
   while (!dirty_.empty() && commit.jobs.size() < kJobsPerCommit) {
     const std::string id = *dirty_.begin();
     dirty_.erase(dirty_.begin());
     Job* job = jobs_.Find(id);
-    if (job == nullptr || job->transferring) {
+    if (job == nullptr) {
       continue;
     }
     const RowKey key = ProgressRow(options_.slice.name, id);
@@ -87,11 +93,14 @@
     commit.rows.conditions.push_back(
         {.key = key, .version = job->progress_version});
     commit.rows.puts.push_back(
-        {.key = key, .value = EncodeProgress(job->ToProgress(states_.done))});
+        {.key = key, .value = EncodeProgress(ProgressOf(*job))});
     CollectPlaces(*job, commit);
     if (IsFinal(job->phase) && !HasRuns(*job)) {
       commit.rows.removals.push_back(JobRow(options_.slice.name, id));
-      commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
+      if (jobs_.FindWithParts(job->caller_id()).size() == 1) {
+        commit.rows.removals.push_back(
+            CancelRow(options_.slice.name, job->caller_id()));
+      }
     }
   }
 }
@@ -167,6 +176,21 @@
   }
 }
 
+// Removes the rows of cancellations that concern nothing in this slice. No part
+// of such a job arrives later: its transfer conflicts with the cancellation in
+// the slice that it comes from.
+void SliceScheduler::CollectStrayCancellations(Commit& commit) {
+  while (!stray_cancellations_.empty() &&
+         commit.stray_cancellations.size() < kRemovalsPerCommit) {
+    std::string id = std::move(
+        stray_cancellations_.extract(stray_cancellations_.begin()).value());
+    if (jobs_.FindWithParts(id).empty()) {
+      commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
+      commit.stray_cancellations.push_back(std::move(id));
+    }
+  }
+}
+
 void SliceScheduler::CollectRemovals(Commit& commit) {
   for (std::size_t i = 0; i < kRemovalsPerCommit && !final_jobs_.empty(); ++i) {
     const auto& [since, id] = final_jobs_.front();
@@ -208,6 +232,8 @@
                  conflict == nullptr ? 0 : conflict->present.size()));
   }
   dirty_.insert(commit.jobs.begin(), commit.jobs.end());
+  stray_cancellations_.insert(commit.stray_cancellations.begin(),
+                              commit.stray_cancellations.end());
   roster_due_ |= commit.roster.has_value();
   commit_due_ = now_;
   commit_retry_ = now_ + kCommitRetryDelay;
@@ -253,6 +279,9 @@
   for (const core::WorkerId id : commit.opened) {
     workers_.Get(id).leases_closed = false;
   }
+  for (const std::string& id : commit.stray_cancellations) {
+    cancelled_jobs_.erase(id);
+  }
   for (const std::string& id : commit.jobs) {
     if (Job* job = jobs_.Find(id)) {
       job->progress_version = version;
@@ -275,6 +304,9 @@
     dirty_.erase(removed.key);
     baseline_utilisations_.erase(removed.key);
     removed_jobs_[removed.key] = version;
+    if (jobs_.FindWithParts(job->caller_id()).size() == 1) {
+      cancelled_jobs_.erase(std::string(job->caller_id()));
+    }
     jobs_.Remove(removed.key);
   }
 }
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -49,7 +49,7 @@
   }
   // An earlier owner may have started the tasks on any worker of the roster.
   for (Task& task : job.tasks) {
-    task.unlocated = job.restored;
+    task.unlocated = job.restored && !IsState(task, states_.elsewhere);
   }
   const auto places = stored_places_.find(job.spec.id);
   if (places != stored_places_.end()) {
@@ -64,7 +64,8 @@
 void SliceScheduler::InitFromHandOver(Job& job) {
   for (Task& task : job.tasks) {
     const auto found = handed_over_workers_->find(ToText(job.AddressOf(task)));
-    if (found != handed_over_workers_->end()) {
+    if (found != handed_over_workers_->end() &&
+        !IsState(task, states_.elsewhere)) {
       task.last_workers = WorkersNamed(found->second);
     }
   }
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -62,7 +62,8 @@
 }  // namespace
 
 bool SliceScheduler::MayStart(const Task& task) const {
-  return IsState(task, states_.ready) && !MayRunUnseen(task);
+  return IsState(task, states_.ready) && !MayRunUnseen(task) &&
+         !task.transferring;
 }
 
 bool SliceScheduler::IsReady(const Task& task) const {
@@ -252,7 +253,10 @@
   }
   const auto same_step =
       std::ranges::count_if(worker.tasks, [&](const Task* other) {
-        return other->job == &job && &job.groups[other->group] == &group;
+        const Group& others = other->job->groups[other->group];
+        return other->job->caller_id() == job.caller_id() &&
+               others.step == group.step &&
+               others.occurrence == group.occurrence;
       });
   return same_step < std::int64_t{step.max_per_worker} ? Obstacle::kNone
                                                        : Obstacle::kSpread;
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -1,4 +1,5 @@
-#include <charconv>
+#include <sstream>
+#include <utility>
 
 #include "slice_scheduler_p.h"
 
@@ -65,8 +66,11 @@
 }
 
 std::string EncodeStoredJob(const StoredJob& job) {
-  return job.queue + '\n' + std::to_string(job.accepted_unix_ms) + '\n' +
-         job.document;
+  std::string text = job.queue + '\n' + std::to_string(job.accepted_unix_ms);
+  for (const std::uint32_t task : job.tasks) {
+    text += ' ' + std::to_string(task);
+  }
+  return text + '\n' + job.document;
 }
 
 std::optional<StoredJob> DecodeStoredJob(std::string_view text) {
@@ -77,13 +81,15 @@
   }
   StoredJob job{.queue = std::string(text.substr(0, first)),
                 .document = std::string(text.substr(second + 1))};
-  const char* end = text.data() + second;
-  const auto result =
-      std::from_chars(text.data() + first + 1, end, job.accepted_unix_ms);
-  if (result.ec != std::errc() || result.ptr != end) {
+  std::istringstream numbers(
+      std::string(text.substr(first + 1, second - first - 1)));
+  if (!(numbers >> job.accepted_unix_ms)) {
     return std::nullopt;
   }
-  return job;
+  for (std::uint32_t task = 0; numbers >> task;) {
+    job.tasks.push_back(task);
+  }
+  return numbers.eof() ? std::optional(std::move(job)) : std::nullopt;
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -21,10 +21,6 @@
 // from a worker.
 constexpr core::Duration kPredecessorDelay = milliseconds(4000);
 
-// A job that another slice has announced arrives once its tasks have stopped
-// (within 200 ms) and one write is done.
-constexpr core::Duration kIncomingTimeout = milliseconds(1500);
-
 constexpr core::Duration kReadRetryDelay = milliseconds(200);
 
 }  // namespace
@@ -41,8 +37,9 @@
               .starting = charts.task_run.FindState("starting"),
               .running = charts.task_run.FindState("running"),
               .stopping = charts.task_run.FindState("stopping"),
-              .done = charts.task_run.FindState("done")},
-      jobs_(charts.task_run.initial()),
+              .done = charts.task_run.FindState("done"),
+              .elsewhere = charts.task_run.FindState("elsewhere")},
+      jobs_(charts.task_run.initial(), states_.elsewhere),
       job_rows_({.table = JobTableName(options_.slice.name),
                  .part = options_.slice.name,
                  .wait = kJobFollowWait},
@@ -202,11 +199,23 @@
   const std::size_t mark = key.find('!');
   if (mark == std::string_view::npos) {
     HandleJobRow(row);
-  } else if (Job* job = jobs_.Find(key.substr(0, mark));
-             job != nullptr && (!job->halted || job->transferring)) {
-    options_.log(
-        core::LogLine("job_cancelled").Add("job", key.substr(0, mark)));
-    Halt(*job, JobPhase::kCancelled);
+  } else {
+    HandleCancellation(key.substr(0, mark));
+  }
+}
+
+void SliceScheduler::HandleCancellation(std::string_view id) {
+  cancelled_jobs_.emplace(id);
+  const std::vector<Job*> jobs = jobs_.FindWithParts(id);
+  if (jobs.empty()) {
+    stray_cancellations_.emplace(id);
+    commit_due_ = std::min(commit_due_, now_ + kTick);
+  }
+  for (Job* job : jobs) {
+    if (!job->halted) {
+      options_.log(core::LogLine("job_cancelled").Add("job", job->spec.id));
+      Halt(*job, JobPhase::kCancelled);
+    }
   }
 }
 
@@ -261,12 +270,16 @@
   job.objective = accepted + objective;
   // A job still earns value until three times its objective.
   job.useless_after = accepted + 3 * objective;
+  DropTasks(job, stored);
   if (const auto found = stored_progress_.find(job.spec.id);
       found != stored_progress_.end()) {
     ApplyProgress(job, found->second.progress);
     job.progress_version = found->second.version;
   }
   InitLastWorkers(job);
+  if (cancelled_jobs_.contains(job.caller_id()) && !job.halted) {
+    Halt(job, JobPhase::kCancelled);
+  }
   Unblock(job);
   options_.log(core::LogLine("job_taken")
                    .Add("job", job.spec.id)
@@ -278,6 +291,22 @@
   placement_due_ = true;
 }
 
+// Leaves a part of a job only its own tasks.
+void SliceScheduler::DropTasks(Job& job, const StoredJob& stored) {
+  if (stored.tasks.empty()) {
+    return;
+  }
+  if (!IsFinal(job.phase)) {
+    job.phase = JobPhase::kActive;
+  }
+  for (Task& task : job.tasks) {
+    if (std::ranges::find(stored.tasks, task.number) == stored.tasks.end()) {
+      task.state = states_.elsewhere;
+      --job.groups[task.group].open;
+    }
+  }
+}
+
 void SliceScheduler::ApplyProgress(Job& job, const Progress& progress) {
   job.phase = progress.phase;
   if (IsFinal(job.phase)) {
@@ -290,8 +319,10 @@
     if (task.number < progress.failures.size()) {
       task.failures = progress.failures[task.number];
     }
-    if (task.number < progress.done.size() && progress.done[task.number]) {
-      task.state = states_.done;
+    if (task.number < progress.done.size() && progress.done[task.number] &&
+        !IsState(task, states_.elsewhere)) {
+      task.state =
+          KeepsPlaces(job.StepOf(task)) ? states_.elsewhere : states_.done;
       --job.groups[task.group].open;
     }
   }
@@ -325,7 +356,6 @@
 }
 
 void SliceScheduler::Halt(Job& job, JobPhase phase) {
-  job.transferring = false;
   job.halted = true;
   job.phase = phase;
   for (Task& task : job.tasks) {
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -20,6 +20,11 @@
 inline constexpr core::Duration kNominationTime =
     std::chrono::milliseconds(2000);
 
+/// How long a slice holds room for tasks that another slice has announced. They
+/// arrive once they have stopped (within 200 ms) and one write is done.
+inline constexpr core::Duration kIncomingTimeout =
+    std::chrono::milliseconds(1500);
+
 /// Prefix of the keys of the rows with the hand-over to the next owner. Sorts
 /// before all job ids.
 inline constexpr std::string_view kHandOverKey = "!handover";
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -45,31 +45,35 @@
   });
 }
 
-/// @returns true if all tasks of the job fit into workers with @p free CPU
-/// millicores.
-bool FitsInto(const Job& job, std::vector<std::int64_t> free) {
-  for (const Group& group : job.groups) {
-    const StepSpec& step = job.StepOf(group);
+/// @returns those of the tasks that fit, one after the other, into workers with
+/// @p free CPU millicores.
+std::vector<std::uint32_t> FittingTasks(const Job& job,
+                                        std::span<const std::uint32_t> tasks,
+                                        std::vector<std::int64_t> free) {
+  std::vector<std::uint32_t> fitting;
+  std::map<std::uint32_t, std::vector<std::uint32_t>> placed_by_group;
+  for (const std::uint32_t number : tasks) {
+    const Task& task = job.tasks[number];
+    const StepSpec& step = job.StepOf(task);
     const std::int64_t need = Reservation(step).cpu_millis;
-    std::vector<std::uint32_t> placed(free.size());
-    for (std::uint32_t task = 0; task < group.count; ++task) {
-      const std::uint32_t max_on_worker =
-          step.max_per_worker == 0 ? group.count : step.max_per_worker;
-      std::size_t best = free.size();
-      for (std::size_t i = 0; i < free.size(); ++i) {
-        if (free[i] >= need && placed[i] < max_on_worker &&
-            (best == free.size() || free[i] > free[best])) {
-          best = i;
-        }
-      }
-      if (best == free.size()) {
-        return false;
+    auto& placed = placed_by_group[task.group];
+    placed.resize(free.size());
+    std::size_t best = free.size();
+    for (std::size_t i = 0; i < free.size(); ++i) {
+      const bool may_take =
+          step.max_per_worker == 0 || placed[i] < step.max_per_worker;
+      if (free[i] >= need && may_take &&
+          (best == free.size() || free[i] > free[best])) {
+        best = i;
       }
+    }
+    if (best != free.size()) {
       free[best] -= need;
       ++placed[best];
+      fitting.push_back(number);
     }
   }
-  return true;
+  return fitting;
 }
 
 }  // namespace
@@ -106,8 +110,11 @@
       if (other == nullptr || other == worker.get()) {
         if (leaving && step.long_running) {
           // Obtains room elsewhere while the worker still runs the task.
-          static_cast<void>(NominateWorker(*task) ||
-                            (MaySearch(*task->job) && MakeRoom(*task)));
+          if (!NominateWorker(*task) &&
+              !(MaySearch(*task->job) && MakeRoom(*task))) {
+            task->job->unplaced_since =
+                task->job->unplaced_since.value_or(now_);
+          }
         }
         continue;
       }
@@ -127,13 +134,41 @@
   }
 }
 
-// @returns the slice with the most free CPU among those where the job fits.
-std::optional<std::size_t> SliceScheduler::ChooseSliceFor(
-    const Job& job) const {
-  std::optional<std::size_t> best;
+// Returns the long-running tasks that wait for a worker, and those that run on
+// one that leaves while none is nominated for them.
+std::vector<std::uint32_t> SliceScheduler::WaitingTasks(const Job& job) {
+  std::vector<std::uint32_t> waiting;
+  for (const Task& task : job.tasks) {
+    const bool on_leaving =
+        IsState(task, states_.running) && !HasNominatedWorker(task) &&
+        workers_.Get(task.worker).entry.draining &&
+        charts_.worker_contact.StateName(workers_.Get(task.worker).contact) ==
+            "live";
+    if ((MayStart(task) || on_leaving) && job.StepOf(task).long_running) {
+      waiting.push_back(task.number);
+    }
+  }
+  return waiting;
+}
+
+bool SliceScheduler::IsWholeJob(const Job& job,
+                                std::span<const std::uint32_t> tasks) const {
+  return std::ranges::all_of(job.tasks, [&](const Task& task) {
+    return IsState(task, states_.elsewhere) ||
+           std::ranges::find(tasks, task.number) != tasks.end();
+  });
+}
+
+// @returns the slice where most of the tasks fit; of several, the one with the
+// most free CPU. A gang is not divided.
+std::optional<SliceScheduler::TransferPlan> SliceScheduler::PlanTransfer(
+    const Job& job,
+    std::span<const std::uint32_t> tasks) const {
+  const bool whole = std::ranges::any_of(job.spec.steps, &StepSpec::gang);
+  std::optional<TransferPlan> best;
   std::int64_t most_free = 0;
   for (const std::size_t candidate :
-       CandidateSlices(job.spec.id, options_.all_slices.size())) {
+       CandidateSlices(job.caller_id(), options_.all_slices.size())) {
     const bool own = candidate == options_.id.value();
     if (own || candidate >= loads_.size() || !loads_[candidate] ||
         !IsRecent(*loads_[candidate], unix_ms_)) {
@@ -141,15 +176,21 @@
     }
     const SliceLoad& load = *loads_[candidate];
     const std::int64_t free = load.capacity_millis - load.long_running_millis;
-    if (free > most_free && FitsInto(job, load.long_running_room_millis)) {
-      best = candidate;
-      most_free = free;
+    TransferPlan plan{
+        .target = candidate,
+        .tasks = FittingTasks(job, tasks, load.long_running_room_millis)};
+    const std::size_t most = best ? best->tasks.size() : 0;
+    if (plan.tasks.empty() || (whole && !IsWholeJob(job, plan.tasks)) ||
+        std::pair(plan.tasks.size(), free) <= std::pair(most, most_free)) {
+      continue;
     }
+    most_free = free;
+    best = std::move(plan);
   }
   return best;
 }
 
-// Transfers long-running jobs that have an unplaced task to slices with room.
+// Transfers long-running tasks that find no worker to slices with room.
 void SliceScheduler::TransferJobs() {
   std::erase_if(nominations_, [this](const auto& entry) {
     return now_ >= entry.second.until;
@@ -163,9 +204,8 @@
     if (transfer_ || !job.unplaced_since) {
       return;
     }
-    const bool all_placed = std::ranges::none_of(
-        job.tasks, [this](const Task& task) { return MayStart(task); });
-    if (all_placed || job.halted) {
+    const std::vector<std::uint32_t> waiting = WaitingTasks(job);
+    if (waiting.empty() || job.halted) {
       job.unplaced_since.reset();
       return;
     }
@@ -174,9 +214,8 @@
       return;
     }
     const bool may_transfer = MayTransfer(job);
-    const auto target = may_transfer ? ChooseSliceFor(job) : std::nullopt;
-    if (target) {
-      BeginTransfer(job, *target);
+    if (auto plan = may_transfer ? PlanTransfer(job, waiting) : std::nullopt) {
+      BeginTransfer(job, *std::move(plan));
     } else if ((may_transfer || !MayStopAll(job)) && !searched &&
                now_ >= job.next_swap) {
       searched = true;
@@ -188,15 +227,12 @@
 
 bool SliceScheduler::MayTransfer(const Job& job) const {
   return IsLongRunning(job) && MayStopAll(job) && !job.halted &&
-         now_ >= job.known_since + kMinResidence &&
-         std::ranges::none_of(job.tasks, [this](const Task& task) {
-           return MayRunUnseen(task);
-         });
+         now_ >= job.known_since + kMinResidence;
 }
 
-// Transfers another job so that a waiting task of @p job fits: the one with the
-// fewest tasks among those that would free enough room on a worker. @p job
-// itself may be ineligible, for example if not all its tasks may be stopped.
+// Transfers tasks of another job so that a waiting task of @p job fits: the
+// fewest that would free enough room on a worker. @p job itself may be
+// ineligible, for example if its tasks may not all be stopped.
 void SliceScheduler::TransferOtherFor(Job& job) {
   const auto waiting =
       std::ranges::find_if(job.tasks, [this](const Task& task) {
@@ -207,105 +243,170 @@
   }
   const Group& group = job.groups[waiting->group];
   const core::Resources need = Reservation(job.StepOf(group));
-  Job* smallest = nullptr;
+  Job* chosen = nullptr;
   const Worker* freed = nullptr;
-  std::size_t target = 0;
+  std::optional<TransferPlan> best;
   for (const auto& worker : workers_.all()) {
     if (nominations_.contains(worker->id) || !IsFeasible(*worker, job, group)) {
       continue;
     }
-    std::map<Job*, core::Resources> room_without;
+    std::map<Job*, std::vector<std::uint32_t>> tasks_by_job;
     for (const Task* task : worker->tasks) {
-      room_without.try_emplace(task->job, worker->long_running_room())
-          .first->second += Reservation(task->job->StepOf(*task));
+      tasks_by_job[task->job].push_back(task->number);
     }
-    for (const auto& [other, room] : room_without) {
-      const bool smaller =
-          smallest == nullptr || other->tasks.size() < smallest->tasks.size();
-      if (other == &job || !smaller || !Fits(need, room) ||
-          !MayTransfer(*other)) {
+    for (auto& [other, tasks] : tasks_by_job) {
+      core::Resources room = worker->long_running_room();
+      for (const std::uint32_t number : tasks) {
+        room += Reservation(other->StepOf(other->tasks[number]));
+      }
+      const bool fewer = !best || tasks.size() < best->tasks.size();
+      const bool movable =
+          other != &job && MayTransfer(*other) &&
+          std::ranges::none_of(other->tasks, [this](const Task& task) {
+            return MayRunUnseen(task);
+          });
+      if (!fewer || !movable || !Fits(need, room)) {
         continue;
       }
-      if (const auto slice = ChooseSliceFor(*other)) {
-        smallest = other;
+      std::ranges::sort(tasks);
+      auto plan = PlanTransfer(*other, tasks);
+      if (plan && plan->tasks.size() == tasks.size()) {
+        chosen = other;
         freed = worker.get();
-        target = *slice;
+        best = std::move(plan);
       }
     }
   }
-  if (smallest != nullptr) {
+  if (chosen != nullptr) {
     Nominate(*freed, *waiting);
-    BeginTransfer(*smallest, target);
+    BeginTransfer(*chosen, *std::move(best));
   }
 }
 
-// First announces the job in the target's incoming row. The write fails if
-// another job is in transfer there or has arrived since the target published
-// its load; then this job continues here.
-void SliceScheduler::BeginTransfer(Job& job, std::size_t target) {
-  const RowKey key = IncomingRow(options_.all_slices[target].name);
-  transfer_ = Transfer{.job = job.spec.id,
-                       .target = target,
-                       .job_version = job.stored_version,
-                       .call = ids_.Next()};
+// First announces the tasks in the target's incoming row. The write fails if
+// others are in transfer there or have arrived since the target published its
+// load; then these continue here.
+void SliceScheduler::BeginTransfer(Job& job, TransferPlan plan) {
+  const RowKey key = IncomingRow(options_.all_slices[plan.target].name);
   store_commands_.push_back(CommitRows{
-      .call = *transfer_->call,
-      .conditions = {{.key = key, .version = loads_[target]->incoming}},
+      .call = ids_.Next(),
+      .conditions = {{.key = key, .version = loads_[plan.target]->incoming}},
       .puts = {{.key = key, .value = job.spec.id}}});
-  // The load that the target published does not include this job.
-  loads_[target].reset();
+  // The load that the target published does not include these tasks.
+  loads_[plan.target].reset();
+  for (const std::uint32_t number : plan.tasks) {
+    job.tasks[number].transferring = true;
+  }
+  transfer_ = Transfer{.job = job.spec.id,
+                       .new_id = IsWholeJob(job, plan.tasks)
+                                     ? job.spec.id
+                                     : PartId(job.spec.id, plan.tasks.front()),
+                       .job_version = job.stored_version,
+                       .call = CallOf(store_commands_.back())};
+  transfer_->plan = std::move(plan);
+}
+
+void SliceScheduler::EndTransfer() {
+  if (Job* job = jobs_.Find(transfer_->job)) {
+    for (const std::uint32_t number : transfer_->plan.tasks) {
+      job->tasks[number].transferring = false;
+    }
+  }
+  transfer_.reset();
+  placement_due_ = true;
 }
 
 void SliceScheduler::FinishAnnouncement(const StoreEvent& event) {
   Job* job = jobs_.Find(transfer_->job);
   if (!std::holds_alternative<RowsCommitted>(event) || job == nullptr ||
       job->halted) {
-    transfer_.reset();
+    EndTransfer();
     return;
   }
-  options_.log(core::LogLine("job_transfer_begun")
-                   .Add("job", job->spec.id)
-                   .Add("from", options_.slice.name)
-                   .Add("to", options_.all_slices[transfer_->target].name));
+  options_.log(
+      core::LogLine("job_transfer_begun")
+          .Add("job", transfer_->new_id)
+          .Add("tasks", transfer_->plan.tasks.size())
+          .Add("from", options_.slice.name)
+          .Add("to", options_.all_slices[transfer_->plan.target].name));
   transfer_->announced = true;
+  transfer_->announced_at = now_;
   transfer_->call.reset();
-  job->transferring = true;
-  job->halted = true;
-  for (Task& task : job->tasks) {
-    Dispatch(task, "halt");
+  for (const std::uint32_t number : transfer_->plan.tasks) {
+    Task& task = job->tasks[number];
+    if (task.worker.valid()) {
+      Dispatch(task, "halt");
+    }
   }
 }
 
-// Writes the job to the target slice once none of its tasks runs any more.
+// Writes the tasks to the target slice once none of them runs any more.
 void SliceScheduler::ContinueTransfer() {
   if (!transfer_ || transfer_->call || now_ < transfer_->not_before) {
     return;
   }
   Job* job = jobs_.Find(transfer_->job);
-  if (job == nullptr || !job->transferring) {
-    transfer_.reset();
+  if (job == nullptr || job->halted) {
+    EndTransfer();
+    return;
+  }
+  const bool runs = std::ranges::any_of(
+      transfer_->plan.tasks,
+      [&](std::uint32_t number) { return job->tasks[number].worker.valid(); });
+  if (runs && now_ >= transfer_->announced_at + kIncomingTimeout) {
+    // The target holds the room no longer.
+    EndTransfer();
     return;
   }
-  if (HasRuns(*job) || commit_) {
+  if (runs || commit_) {
     return;
   }
+  CommitRows write = WriteOfTransfer(*job);
+  write.call = ids_.Next();
+  transfer_->call = write.call;
+  store_commands_.push_back(std::move(write));
+}
+
+// Returns the row of a job, or of a part of it, with these tasks.
+std::string SliceScheduler::JobText(const Job& job,
+                                    std::span<const std::uint32_t> tasks) {
+  StoredJob stored = *DecodeStoredJob(job.stored_text);
+  stored.tasks.clear();
+  if (tasks.size() < job.tasks.size()) {
+    stored.tasks.assign(tasks.begin(), tasks.end());
+  }
+  return EncodeStoredJob(stored);
+}
+
+CommitRows SliceScheduler::WriteOfTransfer(Job& job) {
   const std::string& from = options_.slice.name;
-  const std::string& to = options_.all_slices[transfer_->target].name;
-  const std::string& id = job->spec.id;
-  transfer_->call = ids_.Next();
-  store_commands_.push_back(CommitRows{
-      .call = *transfer_->call,
+  const std::string& to = options_.all_slices[transfer_->plan.target].name;
+  const std::string& id = job.spec.id;
+  const std::string& new_id = transfer_->new_id;
+  CommitRows write{
       .conditions = {{.key = FenceRow(from), .version = options_.fence_version},
                      {.key = ProgressRow(from, id),
-                      .version = job->progress_version},
-                     {.key = CancelRow(from, id), .version = 0},
-                     {.key = ProgressRow(to, id), .version = 0}},
-      .puts = {{.key = ProgressRow(to, id),
-                .value = EncodeProgress({.phase = job->phase})},
-               {.key = JobRow(to, id), .value = job->stored_text}},
-      .removals = {ProgressRow(from, id), PlacesRow(from, id),
-                   JobRow(from, id)},
-      .several_parts = true});
+                      .version = job.progress_version},
+                     {.key = CancelRow(from, job.caller_id()), .version = 0},
+                     {.key = ProgressRow(to, new_id), .version = 0}},
+      .puts = {{.key = ProgressRow(to, new_id),
+                .value = EncodeProgress({.phase = job.phase})},
+               {.key = JobRow(to, new_id),
+                .value = JobText(job, transfer_->plan.tasks)}},
+      .several_parts = true};
+  if (new_id == id) {
+    write.removals = {ProgressRow(from, id), PlacesRow(from, id),
+                      JobRow(from, id)};
+    return write;
+  }
+  Progress rest = ProgressOf(job);
+  for (const std::uint32_t number : transfer_->plan.tasks) {
+    rest.done.resize(std::max<std::size_t>(rest.done.size(), number + 1));
+    rest.done[number] = true;
+  }
+  write.puts.push_back(
+      {.key = ProgressRow(from, id), .value = EncodeProgress(rest)});
+  return write;
 }
 
 void SliceScheduler::FinishTransfer(const StoreEvent& event) {
@@ -316,40 +417,73 @@
   }
   transfer.call.reset();
   transfer.not_before = now_ + kTick;
+  Job& job = *jobs_.Find(transfer.job);
+  if (const auto* done = std::get_if<RowsCommitted>(&event)) {
+    FinishMove(job, done->version);
+    return;
+  }
   const auto* conflict = std::get_if<RowsConflicted>(&event);
-  bool moved = std::holds_alternative<RowsCommitted>(event);
-  if (conflict != nullptr) {
-    const auto version_of = [&](const RowKey& key) {
-      return VersionIn(conflict->present, key);
-    };
-    const std::string& from = options_.slice.name;
-    if (version_of(FenceRow(from)) != options_.fence_version) {
-      fenced_ = true;
-      return;
-    }
-    Job& job = *jobs_.Find(transfer.job);
-    job.progress_version = version_of(ProgressRow(from, transfer.job));
-    // Only this owner removes the row, so its absence shows that an earlier,
-    // unanswered attempt took effect.
-    moved = job.progress_version == 0;
-    if (!moved && version_of(CancelRow(from, transfer.job)) != 0) {
-      job.transferring = false;
-      Halt(job, JobPhase::kCancelled);
-      transfer_.reset();
-      return;
-    }
+  if (conflict == nullptr) {
+    return;
+  }
+  const std::string& from = options_.slice.name;
+  const auto version_of = [&](const RowKey& key) {
+    return VersionIn(conflict->present, key);
+  };
+  if (version_of(FenceRow(from)) != options_.fence_version) {
+    fenced_ = true;
+    return;
   }
-  if (moved) {
-    options_.log(core::LogLine("job_transferred")
-                     .Add("job", transfer.job)
-                     .Add("to", options_.all_slices[transfer.target].name));
-    dirty_.erase(transfer.job);
-    baseline_utilisations_.erase(transfer.job);
+  const RowKey own = ProgressRow(from, transfer.job);
+  job.progress_version = version_of(own);
+  // Only this owner writes the row, so that it shows whether an earlier,
+  // unanswered attempt took effect.
+  if (HasMoved(conflict->present, own)) {
+    FinishMove(job, job.progress_version);
+  } else if (version_of(CancelRow(from, job.caller_id())) != 0) {
+    const std::string id(job.caller_id());
+    EndTransfer();
+    HandleCancellation(id);
+  }
+}
+
+// Returns whether the job's row, among those of a conflict, shows that the
+// tasks in transfer belong to the target slice.
+bool SliceScheduler::HasMoved(std::span<const Row> present,
+                              const RowKey& own) const {
+  const auto row = std::ranges::find(present, own, &Row::key);
+  if (row == present.end() || row->version == 0) {
+    return transfer_->new_id == transfer_->job;
+  }
+  const auto progress = DecodeProgress(row->value);
+  return progress &&
+         std::ranges::all_of(transfer_->plan.tasks, [&](std::uint32_t number) {
+           return number < progress->done.size() && progress->done[number];
+         });
+}
+
+void SliceScheduler::FinishMove(Job& job, RowVersion version) {
+  options_.log(
+      core::LogLine("job_transferred")
+          .Add("job", transfer_->new_id)
+          .Add("tasks", transfer_->plan.tasks.size())
+          .Add("to", options_.all_slices[transfer_->plan.target].name));
+  if (transfer_->new_id == transfer_->job) {
+    dirty_.erase(transfer_->job);
+    baseline_utilisations_.erase(transfer_->job);
     // The job may be transferred back in a row with a later version.
-    removed_jobs_[transfer.job] = transfer.job_version;
-    jobs_.Remove(transfer.job);
+    removed_jobs_[transfer_->job] = transfer_->job_version;
+    jobs_.Remove(transfer_->job);
     transfer_.reset();
+    return;
+  }
+  job.progress_version = version;
+  for (const std::uint32_t number : transfer_->plan.tasks) {
+    Task& task = job.tasks[number];
+    Dispatch(task, "transferred");
+    --job.groups[task.group].open;
   }
+  EndTransfer();
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -213,8 +213,7 @@
   worker.last_end = end.number;
   // Stored with the next commit, even if nothing else changes.
   commit_due_ = std::min(commit_due_, now_ + kTick);
-  Job* job = jobs_.Find(end.task.job);
-  Task* task = job == nullptr ? nullptr : job->Find(end.task);
+  Task* task = jobs_.FindTask(end.task);
   options_.log(core::LogLine("run_ended")
                    .Add("task", ToText(end.task))
                    .Add("run", end.run)
@@ -224,6 +223,7 @@
   if (task == nullptr) {
     return;
   }
+  Job* job = task->job;
   const bool current = task->worker == worker.id && task->run == end.run;
   const bool counted =
       std::ranges::find(task->failures, end.run) != task->failures.end();
@@ -298,8 +298,7 @@
 }
 
 void SliceScheduler::HandleActive(Worker& worker, const ActiveRun& run) {
-  Job* job = jobs_.Find(run.task.job);
-  Task* task = job == nullptr ? nullptr : job->Find(run.task);
+  Task* task = jobs_.FindTask(run.task);
   if (task == nullptr) {
     StopUnknown(worker, run);
     return;
@@ -311,7 +310,7 @@
     task->run = run.run;
     task->worker = worker.id;
     Dispatch(*task, "adopt");
-    if (job->halted) {
+    if (task->job->halted) {
       Dispatch(*task, "halt");
     }
   }
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -304,6 +304,24 @@
   CHECK(world.TakeRefusal() == Refusal::kNoSuchJob);
 }
 
+// Guards against tasks of a cancelled job that go on in another slice, to which
+// they were transferred.
+TEST_CASE("a job with tasks elsewhere is cancelled in each slice", "[intake]") {
+  IntakeWorld world;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  world.Take();
+  const std::string slice = world.SliceOf("job1");
+  const bool elsewhere = GENERATE(false, true);
+  world.store.Put(
+      ProgressRow(slice, "job1"),
+      EncodeProgress({.phase = JobPhase::kActive, .done = {false, elsewhere}}));
+  world.Call(ClientVerb::kCancel, "/d/job1");
+  REQUIRE(std::holds_alternative<CallDone>(world.Take()));
+  CHECK(world.store.Find(CancelRow(slice, "job1")));
+  const std::string other = slice == "a-0" ? "b-0" : "a-0";
+  CHECK(world.store.Find(CancelRow(other, "job1")).has_value() == elsewhere);
+}
+
 TEST_CASE("a cancellation is stored for an open job only", "[intake]") {
   IntakeWorld world;
   world.Call(ClientVerb::kSubmit, "/d/job1");
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -57,6 +57,11 @@
       {'w', {.need = {.cpu_millis = 20'000}, .long_running = true}},
       {'z', {.count = 2, .need = {.cpu_millis = 20'000}, .long_running = true}},
       {'v', {.need = {.cpu_millis = 30'000}, .long_running = true}},
+      {'a',
+       {.count = 2,
+        .need = {.cpu_millis = 8'000},
+        .long_running = true,
+        .max_per_worker = 1}},
       {'k',
        {.need = {.cpu_millis = 20'000},
         .long_running = true,
@@ -209,6 +214,17 @@
   REQUIRE(std::holds_alternative<RowsCommitted>(*answer));
 }
 
+void SliceWorld::SubmitPart(const std::string& id,
+                            const std::string& steps,
+                            const std::vector<std::uint32_t>& tasks) {
+  const std::string part = PartId(id, tasks.front());
+  store.Put(ProgressRow(kSlice, part),
+            EncodeProgress({.phase = JobPhase::kActive}));
+  store.Put(
+      JobRow(kSlice, part),
+      EncodeStoredJob({.queue = "diary", .document = steps, .tasks = tasks}));
+}
+
 void SliceWorld::StartJob(const std::string& steps, const std::string& id) {
   AddWorker("w1");
   Submit(id, steps);
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -49,6 +49,7 @@
   /// - `s`: a long-running task of 20 cores with a target of 100 ms;
   /// - `p`: a long-running task of 8 cores with a target of 100 ms;
   /// - `z`: two long-running tasks of 20 cores;
+  /// - `a`: two long-running tasks of 8 cores, at most one per worker;
   /// - `x`: long-running tasks of 20 cores, at most one of a step per worker;
   /// - `l`, `m` and `f`: best-effort tasks of 1, 4 and 20 cores;
   /// - `g` and `q`: a best-effort task of 1 core and 100 or 20 GB;
@@ -56,6 +57,11 @@
   void Submit(const std::string& id, const std::string& steps);
   void Cancel(const std::string& id);
 
+  /// Stores a part of a job as another slice does that transfers these tasks.
+  void SubmitPart(const std::string& id,
+                  const std::string& steps,
+                  const std::vector<std::uint32_t>& tasks);
+
   /// Adds the worker w1, submits a job and lets w1 start its first tasks.
   void StartJob(const std::string& steps = "c", const std::string& id = "j");
 
