Give each part of a job an id of its own

The id of a part is that of what it is divided from with the number of its first task added. A task that has left does not return, so that the id is unique.

Test that failed before (crash after the same removal): "a part that is divided keeps the tasks that stay".

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -77,8 +77,8 @@
   ImageId image;
 };
 
-/// @returns the id of a part of the job @p id of which @p task is the first
-/// task. Parts that exist at the same time have no task in common.
+/// @returns the id of a part of the job, or part, @p id with the first task
+/// @p task. It is unique, since a task that has left @p id does not return.
 std::string PartId(std::string_view id, std::uint32_t task);
 
 /// @returns the id of the job of which @p id is the id, or that of a part.
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 std::string PartId(std::string_view id, std::uint32_t task) {
-  return std::string(CallerId(id)) + kPartMark + std::to_string(task);
+  return std::string(id) + kPartMark + std::to_string(task);
 }
 
 std::string_view CallerId(std::string_view id) {
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -29,6 +29,9 @@
 // and forth between slices without room.
 constexpr core::Duration kMinResidence = milliseconds(4000);
 
+// Each transfer of a part adds to its id, and a key has at most 200 bytes.
+constexpr std::size_t kMaxPartIdBytes = 150;
+
 // Minimum time between searches for another job to transfer in place of a
 // waiting one; each search examines all tasks of the slice.
 constexpr core::Duration kSwapSearchInterval = milliseconds(500);
@@ -227,6 +230,7 @@
 
 bool SliceScheduler::MayTransfer(const Job& job) const {
   return IsLongRunning(job) && MayStopAll(job) && !job.halted &&
+         job.spec.id.size() <= kMaxPartIdBytes &&
          now_ >= job.known_since + kMinResidence;
 }
 
--- a/packages/jobs/tests/slice_parts_test.cc
+++ b/packages/jobs/tests/slice_parts_test.cc
@@ -219,5 +219,30 @@
   CHECK(world.workers.starts(kSecond) == 0);
 }
 
+// Guards against a task that is lost: its part was divided, the tasks that left
+// had the id of the part itself, and the part was removed with the others.
+TEST_CASE("a part that is divided keeps the tasks that stay", "[slice]") {
+  const bool first_leaves = GENERATE(true, false);
+  const TaskAddress& leaves = first_leaves ? kFirst : kSecond;
+  const TaskAddress& stays = first_leaves ? kSecond : kFirst;
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.AddWorker("w2");
+  world.SubmitPart("j", "z", {0, 1});
+  world.Advance(5s);
+  const std::string lost = world.workers.WorkerOf(leaves);
+  world.Drain(lost);
+  world.workers.End(leaves, EndKind::kStopped);
+  world.Advance(100ms);
+  world.Remove(lost);
+  world.OfferRoomElsewhere();
+  world.Advance(2s);
+  const std::string part = first_leaves ? "j.0.0" : "j.0.1";
+  CHECK(TasksElsewhere(world, part) == Numbers{leaves.index});
+  CHECK(world.store.Find(JobRow(kSlice, "j.0")).has_value());
+  CHECK(world.workers.starts(stays) == 1);
+  CHECK_FALSE(world.workers.WorkerOf(stays).empty());
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
