Use all the room that a slice has published for transfers

Cause: after an announcement the load of the target counted as unknown until it published the next one, a second later. And tasks were moved off the leaving executors all at once, each into the same room, so that they ended without one.

The announcement's own version is the condition of the next one, and the room that a transfer takes is subtracted from the published load; an announcement by another slice still ends that. A worker is nominated for a task before the task is stopped on the worker that leaves.

Tests that failed before: "tasks of several jobs use the room that a slice has published" (1 == 3), "a task on a leaving worker runs until there is room for it" (0 == 1).

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -229,6 +229,7 @@
   struct TransferPlan {
     std::size_t target = 0;
     std::vector<std::uint32_t> tasks;
+    SliceLoad left;  ///< The target's load without the room of these tasks.
   };
 
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -48,11 +48,12 @@
   });
 }
 
-/// @returns those of the tasks that fit, one after the other, into workers with
-/// @p free CPU millicores.
+/// Takes the room of those of the tasks that fit, one after the other, into
+/// workers with @p free CPU millicores.
+/// @returns these tasks.
 std::vector<std::uint32_t> FittingTasks(const Job& job,
                                         std::span<const std::uint32_t> tasks,
-                                        std::vector<std::int64_t> free) {
+                                        std::span<std::int64_t> free) {
   std::vector<std::uint32_t> fitting;
   std::map<std::uint32_t, std::vector<std::uint32_t>> placed_by_group;
   for (const std::uint32_t number : tasks) {
@@ -128,6 +129,10 @@
               .Add("reason", leaving ? "worker_leaves" : "slowed")
               .Add("contact", charts_.worker_contact.StateName(worker->contact))
               .Add("pace", task->pace_percent));
+      if (leaving && step.long_running) {
+        // Keeps other tasks from being stopped for the same room.
+        Nominate(*other, *task);
+      }
       task->slowed_since = core::TimePoint::max();
       task->slow_moves += leaving ? 0 : 1;
       Dispatch(*task, "halt");
@@ -179,9 +184,8 @@
     }
     const SliceLoad& load = *loads_[candidate];
     const std::int64_t free = load.capacity_millis - load.long_running_millis;
-    TransferPlan plan{
-        .target = candidate,
-        .tasks = FittingTasks(job, tasks, load.long_running_room_millis)};
+    TransferPlan plan{.target = candidate, .left = load};
+    plan.tasks = FittingTasks(job, tasks, plan.left.long_running_room_millis);
     const std::size_t most = best ? best->tasks.size() : 0;
     if (plan.tasks.empty() || (whole && !IsWholeJob(job, plan.tasks)) ||
         std::pair(plan.tasks.size(), free) <= std::pair(most, most_free)) {
@@ -296,7 +300,7 @@
       .call = ids_.Next(),
       .conditions = {{.key = key, .version = loads_[plan.target]->incoming}},
       .puts = {{.key = key, .value = job.spec.id}}});
-  // The load that the target published does not include these tasks.
+  // Unknown until the announcement is answered.
   loads_[plan.target].reset();
   for (const std::uint32_t number : plan.tasks) {
     job.tasks[number].transferring = true;
@@ -322,8 +326,8 @@
 
 void SliceScheduler::FinishAnnouncement(const StoreEvent& event) {
   Job* job = jobs_.Find(transfer_->job);
-  if (!std::holds_alternative<RowsCommitted>(event) || job == nullptr ||
-      job->halted) {
+  const auto* done = std::get_if<RowsCommitted>(&event);
+  if (done == nullptr || job == nullptr || job->halted) {
     EndTransfer();
     return;
   }
@@ -335,6 +339,10 @@
           .Add("to", options_.all_slices[transfer_->plan.target].name));
   transfer_->announced = true;
   transfer_->announced_at = now_;
+  // Room is left for further tasks unless another slice announces some.
+  SliceLoad& left = transfer_->plan.left;
+  left.incoming = done->version;
+  loads_[transfer_->plan.target] = std::move(left);
   transfer_->call.reset();
   for (const std::uint32_t number : transfer_->plan.tasks) {
     Task& task = job->tasks[number];
@@ -472,6 +480,9 @@
           .Add("job", transfer_->new_id)
           .Add("tasks", transfer_->plan.tasks.size())
           .Add("to", options_.all_slices[transfer_->plan.target].name));
+  // Others may fit into the room that is left.
+  placement_due_ = true;
+  next_transfer_ = now_;
   if (transfer_->new_id == transfer_->job) {
     dirty_.erase(transfer_->job);
     baseline_utilisations_.erase(transfer_->job);
--- a/packages/jobs/tests/slice_parts_test.cc
+++ b/packages/jobs/tests/slice_parts_test.cc
@@ -244,5 +244,45 @@
   CHECK_FALSE(world.workers.WorkerOf(stays).empty());
 }
 
+// Guards against long-running tasks that wait for over 9 s in a full slice: it
+// had lost a quarter of its workers, and only one job a second could leave.
+TEST_CASE("tasks of several jobs use the room that a slice has published",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("v", "held");
+  for (const char* id : {"a", "b", "c", "d"}) {
+    world.Submit(id, "t");
+  }
+  world.Advance(5s);
+  // Room for three of them.
+  world.owner->SetLoads(
+      {SliceLoad{}, SliceLoad{.capacity_millis = 100'000,
+                              .long_running_room_millis = {25'000, 13'000}}});
+  world.Advance(800ms);
+  const auto left = std::ranges::count_if(
+      std::vector<std::string>{"a", "b", "c", "d"},
+      [&](const auto& id) { return TasksElsewhere(world, id).has_value(); });
+  CHECK(left == 3);
+}
+
+// Guards against tasks that are stopped although there is no room for them:
+// several were moved off a leaving worker into the room for one.
+TEST_CASE("a task on a leaving worker runs until there is room for it",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("t", "a");
+  world.Submit("b", "t");
+  world.Advance(500ms);
+  world.AddWorker("w2");
+  world.Submit("held", "w");
+  world.Advance(500ms);
+  REQUIRE(world.workers.runs("w1").size() == 2);
+  REQUIRE(world.workers.runs("w2").size() == 1);
+  world.Drain("w1");
+  world.Advance(1s);
+  CHECK(world.workers.runs("w1").size() == 1);
+  CHECK(world.workers.runs("w2").size() == 2);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
