--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -161,9 +161,7 @@
   void Finish(Pending pending, const StoreEvent& event);
   void FinishRead(Pending pending, const RowsRead& read);
   void FinishCount(const Pending& pending, const RowsRead& read);
-  void SendCancel(Pending pending,
-                  const Progress& progress,
-                  RowVersion version);
+  void SendCancel(Pending pending, bool has_parts, RowVersion version);
   void GiveUp(const Pending& pending);
   std::optional<std::string> FindCapacityShortage(
       std::span<const std::size_t> candidates,
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -398,11 +398,13 @@
   CommitRows WriteOfTransfer(Job& job);
   bool IsWholeJob(const Job& job, std::span<const std::uint32_t> tasks) const;
   void FinishTransfer(const StoreEvent& event);
-  bool HasMoved(std::span<const Row> present, const RowKey& own) const;
-  void FinishMove(Job& job, RowVersion version);
+  void FinishMove(const std::string& id, RowVersion version);
+  void MoveAway(Task& task);
+  void AdoptRow(const std::string& id, std::span<const Row> present);
   void EndTransfer();
 
   // Runs of earlier owners.
+  bool KnowsAllRuns() const;
   bool MayRunUnseen(const Task& task) const;
   void SettleTasks();
   void InitLastWorkers(Job& job);
@@ -482,7 +484,8 @@
       handed_over_workers_;
   /// By worker: when the leases that the predecessor has granted are over.
   std::map<std::string, core::TimePoint, std::less<>> handed_over_leases_;
-  bool closing_ = false;  ///< HandOver was called.
+  bool hand_over_rejected_ = false;  ///< A row of it cannot be read.
+  bool closing_ = false;             ///< HandOver was called.
   core::TimePoint closing_until_;
   bool hand_over_stored_ = false;
 
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -309,11 +309,17 @@
   pending.unread_slices.erase(pending.unread_slices.begin());
   const RowKey row =
       ProgressRow(options_.slices[pending.slice].name, pending.job);
-  pending.command = ReadRows{.table = row.table,
-                             .part = row.part,
-                             .from = row.key,
-                             .to = row.key + '!',
-                             .limit = 1};
+  // A cancellation needs to know, too, whether the job has a row of places.
+  const bool cancel = pending.call.verb == ClientVerb::kCancel;
+  pending.command = ReadRows{
+      .table = row.table,
+      .part = row.part,
+      .from = row.key,
+      .to = cancel ? PlacesRow(options_.slices[pending.slice].name, pending.job)
+                             .key +
+                         '!'
+                   : row.key + '!',
+      .limit = cancel ? 2U : 1U};
   Send(std::move(pending));
 }
 
@@ -415,7 +421,7 @@
     FinishCount(pending, read);
     return;
   }
-  if (read.rows.empty()) {
+  if (read.rows.empty() || read.rows.front().key.key != pending.job) {
     if (pending.unread_slices.empty()) {
       Refuse(pending.call, Refusal::kNoSuchJob);
     } else {
@@ -438,20 +444,20 @@
   } else if (IsFinal(progress->phase)) {
     Answer(pending.call, CallDone());
   } else {
-    SendCancel(std::move(pending), *progress, row.version);
+    const bool has_parts =
+        read.rows.size() > 1 &&
+        std::ranges::find(progress->done, true) != progress->done.end();
+    SendCancel(std::move(pending), has_parts, row.version);
   }
 }
 
-// Cancels the job in all slices that may have a part of it. Tasks that are not
-// run in the slice of the job any more are done there.
-void Intake::SendCancel(Pending pending,
-                        const Progress& progress,
-                        RowVersion version) {
-  const bool may_have_parts =
-      std::ranges::find(progress.done, true) != progress.done.end();
+// Cancels the job in all slices that may have a part of it.
+// @param has_parts long-running tasks of the job are done in its slice, since
+//     they belong to others.
+void Intake::SendCancel(Pending pending, bool has_parts, RowVersion version) {
   const std::vector<std::size_t> slices =
-      may_have_parts ? CandidateSlices(pending.job, options_.slices.size())
-                     : std::vector{pending.slice};
+      has_parts ? CandidateSlices(pending.job, options_.slices.size())
+                : std::vector{pending.slice};
   CommitRows commit{
       .conditions = {{.key = ProgressRow(options_.slices[pending.slice].name,
                                          pending.job),
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -39,7 +39,7 @@
 }
 
 void SliceScheduler::StartCommit() {
-  const bool in_transfer = transfer_ && transfer_->call && !closing_;
+  const bool in_transfer = transfer_ && transfer_->call;
   if (commit_ || in_transfer || now_ < commit_due_ || now_ < commit_retry_ ||
       !restored_) {
     return;
@@ -61,7 +61,7 @@
   if (roster_due_) {
     CollectRoster(commit);
   }
-  if (closing_ && dirty_.empty()) {
+  if (closing_ && dirty_.empty() && KnowsAllRuns()) {
     CollectHandOver(commit);
   }
   CollectStrayCancellations(commit);
@@ -97,10 +97,6 @@
     CollectPlaces(*job, commit);
     if (IsFinal(job->phase) && !HasRuns(*job)) {
       commit.rows.removals.push_back(JobRow(options_.slice.name, id));
-      if (jobs_.FindWithParts(job->caller_id()).size() == 1) {
-        commit.rows.removals.push_back(
-            CancelRow(options_.slice.name, job->caller_id()));
-      }
     }
   }
 }
@@ -251,9 +247,7 @@
     return;
   }
   for (const std::string& id : commit.jobs) {
-    if (Job* job = jobs_.Find(id)) {
-      job->progress_version = version_of(ProgressRow(options_.slice.name, id));
-    }
+    AdoptRow(id, conflict.present);
   }
   if (commit.roster) {
     roster_version_ = version_of(RosterRow(options_.slice.name));
@@ -304,10 +298,14 @@
     dirty_.erase(removed.key);
     baseline_utilisations_.erase(removed.key);
     removed_jobs_[removed.key] = version;
-    if (jobs_.FindWithParts(job->caller_id()).size() == 1) {
-      cancelled_jobs_.erase(std::string(job->caller_id()));
-    }
+    const std::string caller_id(job->caller_id());
     jobs_.Remove(removed.key);
+    // Of several parts that close together, each leaves the row to the others.
+    if (cancelled_jobs_.contains(caller_id) &&
+        jobs_.FindWithParts(caller_id).empty()) {
+      stray_cancellations_.insert(caller_id);
+      commit_due_ = std::min(commit_due_, now_ + kTick);
+    }
   }
 }
 
@@ -377,7 +375,10 @@
             charts_.worker_contact.StateName(worker->contact) == "live";
         return !stays && worker->used_by_long_running.cpu_millis > 0;
       });
-  const bool offers_room = !needs_room && now_ >= incoming_until_;
+  // A task that arrives might wait for workers that have not reported.
+  const bool settled = handed_over_workers_ || AllConfirmed() ||
+                       now_ >= gained_ + kPredecessorDelay;
+  const bool offers_room = settled && !needs_room && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
     if (IsUsable(*worker)) {
       load.capacity_millis += worker->entry.capacity.cpu_millis;
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -177,8 +177,15 @@
 }
 
 bool SliceScheduler::handed_over() const {
-  return closing_ &&
-         (hand_over_stored_ || !restored_ || fenced_ || now_ >= closing_until_);
+  return closing_ && (hand_over_stored_ || fenced_ || !KnowsAllRuns() ||
+                      now_ >= closing_until_);
+}
+
+// Returns whether no owner before may have started a job that this one has not
+// read.
+bool SliceScheduler::KnowsAllRuns() const {
+  return handed_over_workers_ || options_.predecessor_ended ||
+         now_ >= gained_ + kPredecessorDelay;
 }
 
 // Returns the tasks that may run on the worker as far as this owner knows.
@@ -236,9 +243,11 @@
     options_.log(core::LogLine("hand_over_row_unreadable")
                      .Add("slice", options_.slice.name)
                      .Add("row", row.key.key));
+    hand_over_rejected_ = true;
+    handed_over_workers_.reset();
     return;
   }
-  if (hand_over->epoch + 1 != options_.epoch) {
+  if (hand_over->epoch + 1 != options_.epoch || hand_over_rejected_) {
     return;
   }
   if (!handed_over_workers_) {
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -16,11 +16,6 @@
 // wait only limits how long a dead connection goes undetected.
 constexpr core::Duration kJobFollowWait = milliseconds(1500);
 constexpr core::Duration kPlacementInterval = milliseconds(500);
-// An earlier owner that is partly cut off from the store may still start jobs
-// until it learns that it is fenced, from a lease renewal (one a second) or
-// from a worker.
-constexpr core::Duration kPredecessorDelay = milliseconds(4000);
-
 constexpr core::Duration kReadRetryDelay = milliseconds(200);
 
 }  // namespace
@@ -85,7 +80,9 @@
 void SliceScheduler::Handle(const StoreEvent& event, core::TimePoint now) {
   now_ = now;
   const CallId call = CallOf(event);
-  if (closing_ && (!commit_ || commit_->rows.call != call)) {
+  const bool own_write = (commit_ && commit_->rows.call == call) ||
+                         (transfer_ && transfer_->call == call);
+  if (closing_ && restored_ && !own_write) {
     return;
   }
   if (progress_read_ == call) {
@@ -384,7 +381,7 @@
 void SliceScheduler::Run(core::TimePoint now, std::int64_t unix_ms) {
   now_ = now;
   unix_ms_ = unix_ms;
-  if (closing_) {
+  if (closing_ && restored_) {
     StartCommit();
     next_timer_ = now + kTick;
     return;
@@ -400,6 +397,10 @@
   if (auto command = job_rows_.Next(now)) {
     store_commands_.push_back(*std::move(command));
   }
+  if (closing_) {
+    next_timer_ = now + kTick;
+    return;
+  }
   jobs_.ForEach([this](Job& job) {
     if (job.spec.repeat_count > 0) {
       Unblock(job);
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -36,8 +36,12 @@
 // waiting one; each search examines all tasks of the slice.
 constexpr core::Duration kSwapSearchInterval = milliseconds(500);
 
+/// @returns true if all tasks are long-running and none waits for another step,
+/// which would take tasks of other slices for done.
 bool IsLongRunning(const Job& job) {
-  return std::ranges::all_of(job.spec.steps, &StepSpec::long_running);
+  return std::ranges::all_of(job.spec.steps, [](const StepSpec& step) {
+    return step.long_running && step.after.empty();
+  });
 }
 
 /// @returns true if all tasks of the job may be stopped at once, that is, if no
@@ -318,6 +322,8 @@
   if (Job* job = jobs_.Find(transfer_->job)) {
     for (const std::uint32_t number : transfer_->plan.tasks) {
       job->tasks[number].transferring = false;
+      // The task starts only after a write that a late transfer conflicts with.
+      job->tasks[number].stored_place = core::WorkerId();
     }
   }
   transfer_.reset();
@@ -327,7 +333,7 @@
 void SliceScheduler::FinishAnnouncement(const StoreEvent& event) {
   Job* job = jobs_.Find(transfer_->job);
   const auto* done = std::get_if<RowsCommitted>(&event);
-  if (done == nullptr || job == nullptr || job->halted) {
+  if (done == nullptr || job == nullptr || job->halted || closing_) {
     EndTransfer();
     return;
   }
@@ -395,6 +401,8 @@
   const std::string& to = options_.all_slices[transfer_->plan.target].name;
   const std::string& id = job.spec.id;
   const std::string& new_id = transfer_->new_id;
+  const bool whole = new_id == id;
+  Progress rest = ProgressOf(job);
   CommitRows write{
       .conditions = {{.key = FenceRow(from), .version = options_.fence_version},
                      {.key = ProgressRow(from, id),
@@ -402,16 +410,16 @@
                      {.key = CancelRow(from, job.caller_id()), .version = 0},
                      {.key = ProgressRow(to, new_id), .version = 0}},
       .puts = {{.key = ProgressRow(to, new_id),
-                .value = EncodeProgress({.phase = job.phase})},
+                .value = EncodeProgress(whole ? rest
+                                              : Progress{.phase = job.phase})},
                {.key = JobRow(to, new_id),
                 .value = JobText(job, transfer_->plan.tasks)}},
       .several_parts = true};
-  if (new_id == id) {
+  if (whole) {
     write.removals = {ProgressRow(from, id), PlacesRow(from, id),
                       JobRow(from, id)};
     return write;
   }
-  Progress rest = ProgressOf(job);
   for (const std::uint32_t number : transfer_->plan.tasks) {
     rest.done.resize(std::max<std::size_t>(rest.done.size(), number + 1));
     rest.done[number] = true;
@@ -429,74 +437,107 @@
   }
   transfer.call.reset();
   transfer.not_before = now_ + kTick;
-  Job& job = *jobs_.Find(transfer.job);
   if (const auto* done = std::get_if<RowsCommitted>(&event)) {
-    FinishMove(job, done->version);
+    FinishMove(transfer.job, done->version);
     return;
   }
-  const auto* conflict = std::get_if<RowsConflicted>(&event);
-  if (conflict == nullptr) {
+  if (const auto* conflict = std::get_if<RowsConflicted>(&event)) {
+    const std::string& from = options_.slice.name;
+    if (VersionIn(conflict->present, FenceRow(from)) !=
+        options_.fence_version) {
+      fenced_ = true;
+      return;
+    }
+    const std::string caller_id(CallerId(transfer.job));
+    AdoptRow(transfer.job, conflict->present);
+    if (transfer_) {
+      // The job was cancelled, or the target has a row of that name.
+      EndTransfer();
+    }
+    if (VersionIn(conflict->present, CancelRow(from, caller_id)) != 0) {
+      HandleCancellation(caller_id);
+    }
+  } else if (now_ >= transfer.announced_at + kIncomingTimeout) {
+    // If the write takes effect all the same, the next one for the job, which
+    // its tasks wait for, conflicts with it.
+    EndTransfer();
+  }
+}
+
+// Handles the row of a job, among those of a conflict. Only this owner writes
+// it, so that it shows whether a transfer without an answer took effect.
+void SliceScheduler::AdoptRow(const std::string& id,
+                              std::span<const Row> present) {
+  Job* job = jobs_.Find(id);
+  if (job == nullptr) {
     return;
   }
-  const std::string& from = options_.slice.name;
-  const auto version_of = [&](const RowKey& key) {
-    return VersionIn(conflict->present, key);
-  };
-  if (version_of(FenceRow(from)) != options_.fence_version) {
-    fenced_ = true;
+  const RowKey key = ProgressRow(options_.slice.name, id);
+  const auto row = std::ranges::find(present, key, &Row::key);
+  const bool exists = row != present.end() && row->version != 0;
+  if (!exists && !IsFinal(job->phase)) {
+    FinishMove(id, 0);
     return;
   }
-  const RowKey own = ProgressRow(from, transfer.job);
-  job.progress_version = version_of(own);
-  // Only this owner writes the row, so that it shows whether an earlier,
-  // unanswered attempt took effect.
-  if (HasMoved(conflict->present, own)) {
-    FinishMove(job, job.progress_version);
-  } else if (version_of(CancelRow(from, job.caller_id())) != 0) {
-    const std::string id(job.caller_id());
+  job->progress_version = exists ? row->version : 0;
+  const auto progress = exists ? DecodeProgress(row->value) : std::nullopt;
+  if (!progress) {
+    return;
+  }
+  bool moved = false;
+  for (Task& task : job->tasks) {
+    if (KeepsPlaces(job->StepOf(task)) && !IsState(task, states_.elsewhere) &&
+        task.number < progress->done.size() && progress->done[task.number]) {
+      MoveAway(task);
+      moved = true;
+    }
+  }
+  if (moved && transfer_ && transfer_->job == id) {
     EndTransfer();
-    HandleCancellation(id);
   }
 }
 
-// Returns whether the job's row, among those of a conflict, shows that the
-// tasks in transfer belong to the target slice.
-bool SliceScheduler::HasMoved(std::span<const Row> present,
-                              const RowKey& own) const {
-  const auto row = std::ranges::find(present, own, &Row::key);
-  if (row == present.end() || row->version == 0) {
-    return transfer_->new_id == transfer_->job;
-  }
-  const auto progress = DecodeProgress(row->value);
-  return progress &&
-         std::ranges::all_of(transfer_->plan.tasks, [&](std::uint32_t number) {
-           return number < progress->done.size() && progress->done[number];
-         });
+// Marks a task as one of another slice.
+void SliceScheduler::MoveAway(Task& task) {
+  if (IsState(task, states_.placing)) {
+    Dispatch(task, "lost");
+  }
+  Dispatch(task, "transferred");
+  if (IsState(task, states_.elsewhere)) {
+    --task.job->groups[task.group].open;
+  }
 }
 
-void SliceScheduler::FinishMove(Job& job, RowVersion version) {
-  options_.log(
-      core::LogLine("job_transferred")
-          .Add("job", transfer_->new_id)
-          .Add("tasks", transfer_->plan.tasks.size())
-          .Add("to", options_.all_slices[transfer_->plan.target].name));
+// Ends the transfer of the job, if there is one, with the version of its row
+// here; 0 if the whole job has left.
+void SliceScheduler::FinishMove(const std::string& id, RowVersion version) {
+  const bool current = transfer_ && transfer_->job == id;
+  const bool whole = !current || transfer_->new_id == id;
+  core::LogLine line("job_transferred");
+  line.Add("job", current ? transfer_->new_id : id);
+  if (current) {
+    line.Add("tasks", transfer_->plan.tasks.size())
+        .Add("to", options_.all_slices[transfer_->plan.target].name);
+  }
+  options_.log(line);
   // Others may fit into the room that is left.
   placement_due_ = true;
   next_transfer_ = now_;
-  if (transfer_->new_id == transfer_->job) {
-    dirty_.erase(transfer_->job);
-    baseline_utilisations_.erase(transfer_->job);
+  Job& job = *jobs_.Find(id);
+  if (whole) {
+    dirty_.erase(id);
+    baseline_utilisations_.erase(id);
     // The job may be transferred back in a row with a later version.
-    removed_jobs_[transfer_->job] = transfer_->job_version;
-    jobs_.Remove(transfer_->job);
-    transfer_.reset();
+    removed_jobs_[id] = job.stored_version;
+    if (current) {
+      transfer_.reset();
+    }
+    jobs_.Remove(id);
     return;
   }
   job.progress_version = version;
   for (const std::uint32_t number : transfer_->plan.tasks) {
-    Task& task = job.tasks[number];
-    Dispatch(task, "transferred");
-    --job.groups[task.group].open;
+    MoveAway(job.tasks[number]);
   }
   EndTransfer();
 }
--- a/packages/jobs/tests/slice_parts_test.cc
+++ b/packages/jobs/tests/slice_parts_test.cc
@@ -284,5 +284,28 @@
   CHECK(world.workers.runs("w2").size() == 2);
 }
 
+// Guards against tasks of a cancelled job that go on: the job itself had left
+// the slice after a part of it, and its new row did not tell that it has parts.
+TEST_CASE("a job that goes on tells that some of its tasks are elsewhere",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("v", "held");
+  world.Submit("j", "z");
+  world.store.Put(
+      ProgressRow(kSlice, "j"),
+      EncodeProgress({.phase = JobPhase::kActive, .done = {false, true}}));
+  world.TakeOver();
+  world.Advance(5s);
+  world.OfferRoomElsewhere();
+  world.Advance(2s);
+  CHECK(TasksElsewhere(world, "j") == Numbers{0});
+  const auto row = world.store.Find(ProgressRow(kOtherSlice, "j"));
+  REQUIRE(row.has_value());
+  const std::vector<bool> done = DecodeProgress(row->value)->done;
+  REQUIRE(done.size() > 1);
+  CHECK_FALSE(done[0]);
+  CHECK(done[1]);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_release_test.cc
+++ b/packages/jobs/tests/slice_release_test.cc
@@ -228,5 +228,19 @@
   CHECK(world.workers.HoldsLease("w1", world.now()));
 }
 
+// Guards against a task that runs twice: an owner left soon after it had taken
+// the slice over, and had not read a job that the owner before, still at work,
+// had started.
+TEST_CASE("no hand-over is stored while an earlier owner may start jobs",
+          "[slice]") {
+  const bool ended = GENERATE(false, true);
+  SliceWorld world;
+  world.StartJob();
+  world.TakeOver(ended);
+  world.Advance(1s);
+  world.HandOver();
+  CHECK(world.store.Find(HandOverRow(kSlice, 0)).has_value() == ended);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
