--- a/packages/jobs/tests/slice_parts_test.cc
+++ b/packages/jobs/tests/slice_parts_test.cc
@@ -305,6 +305,7 @@
   REQUIRE(done.size() > 1);
   CHECK_FALSE(done[0]);
   CHECK(done[1]);
+  CHECK(world.store.Find(PlacesRow(kOtherSlice, "j")).has_value());
 }
 
 }  // namespace
