Release the tasks of a job that has left as a whole

An owner that learns from a conflict that a job has left removes it. Its tasks may wait for a write of their places by then, so that a worker would keep them. Found by reading; no test reaches this state.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -49,9 +49,9 @@
   bool stop_unanswered = false;
   /// An earlier owner may have started it on any worker that has not reported.
   bool unlocated = false;
-  bool transferring = false;  ///< To another slice.
   /// The same for these workers alone.
   std::vector<core::WorkerId> last_workers;
+  bool transferring = false;  ///< To another slice.
   /// Of a long-running task: where it may run by the stored row, if that is one
   /// worker, and by the row in the write in flight.
   core::WorkerId stored_place;
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -147,6 +147,9 @@
   next_transfer_ = now_;
   Job& job = *jobs_.Find(id);
   if (whole) {
+    for (Task& task : job.tasks) {
+      MoveAway(task);
+    }
     dirty_.erase(id);
     baseline_utilisations_.erase(id);
     // The job may be transferred back in a row with a later version.
