Soak hand-overs, restarts in turn, and slices without room

The soak restarted one process at a time, with a store that answered, and its slices always had room, so that no task was ever transferred.

The check for lasting tasks saw only those that were down at the end. In plays of planned faults alone (PLANNED) it now sees every gap of over 9 s.

A restart ends with the first line now.

--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -12,8 +12,8 @@
 LASTING = {"a": (1, [1, 2])}  # Step 1 lasts and has two tasks.
 
 
-def run(task, ended=None):
-    return types.SimpleNamespace(task=task, ended=ended)
+def run(task, ended=None, begun=0):
+    return types.SimpleNamespace(task=task, ended=ended, begun=begun, number=1)
 
 
 def lost(*runs, answers=None):
@@ -45,6 +45,22 @@
         self.assertEqual(lost(answers={"a": [503, 0]}), [])
 
 
+class LongGaps(unittest.TestCase):
+    @staticmethod
+    def gaps(begun, answers=None, task="a.0.1.0"):
+        runs = [run(task, begun=begun), run(task, 20000, 10000), run(task, 15000, 12000)]
+        return len(list(soak.long_gaps(runs, answers or ANSWERS, LASTING)))
+
+    def test_down_between_runs(self):
+        self.assertEqual(self.gaps(29000), 0)
+        self.assertEqual(self.gaps(29001), 1)
+
+    def test_only_lasting_tasks_of_accepted_jobs(self):
+        self.assertEqual(self.gaps(29001, task="a.0.0.0"), 0)
+        self.assertEqual(self.gaps(29001, task="b.0.1.0"), 0)
+        self.assertEqual(self.gaps(29001, answers={"a": [503]}), 0)
+
+
 class OwnEnds(unittest.TestCase):
     def test_status(self):
         def ends(status, expected=None):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,10 +6,12 @@
 the record of the executors is checked: no task ran twice at the same time or
 after an end as done that was acknowledged, no job ran of which every attempt
 was refused, every accepted job has started, every lasting task of an accepted
-job runs, and no process has ended by itself.
+job runs, and no process has ended by itself. If all faults are of PLANNED, no
+lasting task was down for over 9 s at any time.
 
 Usage: soak.py SEED SECONDS FAULT[,FAULT...] [--rate JOBS_PER_S] [--work MIN,MAX]
-               [--hold MS] [--program PATH] [--folder FOLDER]
+               [--lasting SHARE] [--cpu MILLIS] [--hold MS]
+               [--program PATH] [--folder FOLDER]
 Build the program first, with the line `build` of deploy/system.toml or, for
 --program, in any other build folder.
 Exit code: 0 if all rules held, 1 if one was broken, 2 if it could not run.
@@ -27,13 +29,19 @@
 import standin  # noqa: E402
 from standin import HEARTBEAT_MS, CannotRun, Reset, World, ms  # noqa: E402
 
-CPU_OF_EXECUTORS = (32000, 32000, 32000, 32000)
+EXECUTORS_OF_ZONE = 4
 # Entries of the registry lag behind the start of an executor by up to 800 ms.
 REGISTRY_LAGS_MS = (0, 300, 800)
 # The bounds that the program relies on: until a successor claims a slice, the lease of a
 # worker, and the term of an owner. Faults last for less, for about as long, and for longer.
 BOUNDS_S = (2.8, 6, 12)
 AROUND = ((0.5, 0.85), (0.85, 1.15), (1.15, 1.4))
+# How long an owner that ends may take for the hand-over of its slice.
+HAND_OVER_S = 1
+# Between restarts in turn: none, shorter than a lease, about as long, and longer.
+PAUSES_S = ((0, 0), (1, 3), (5, 7), (7, 9))
+# In plays of these faults alone no lasting task may be down for LASTING_GAP_MS at any time.
+PLANNED = {"term", "turns", "release", "release_turns", "shrink"}
 # RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
 LASTING_GAP_MS = 9000
 
@@ -47,6 +55,7 @@
         self.own_ends = []
 
     async def run(self, name, end):
+        self.end = end
         while ms() < end:
             await asyncio.sleep(self.rng.uniform(0.2, 3))
             if ms() < end:
@@ -134,10 +143,7 @@
             await asyncio.sleep(self.rng.uniform(0.5, 3))
             await executor.leave()
             await asyncio.sleep(self.rng.uniform(1, 3))
-            executor.state = "ready"
-            executor.id += "x"
-            await executor.start()
-            self.disturbed.discard(executor)
+            await self.replace(executor)
 
     async def with_handler(self, executor, handle, until):
         plain, executor.server.handle = executor.handle, handle
@@ -271,17 +277,23 @@
             self.send_signal(process, signal.SIGCONT)
         self.disturbed.difference_update(picked)
 
+    async def drain(self, executor):
+        executor.state = "draining"
+        executor.announce()
+        await asyncio.sleep(self.rng.uniform(2, 3))
+        await executor.leave()
+
+    async def replace(self, executor):
+        executor.state = "ready"
+        executor.id += "x"
+        await executor.start()
+        self.disturbed.discard(executor)
+
     async def release(self):
         """Executors drain, leave and are replaced."""
         for executor in self.pick(self.world.executors, 3):
-            executor.state = "draining"
-            executor.announce()
-            await asyncio.sleep(self.rng.uniform(2, 3))
-            await executor.leave()
-            executor.state = "ready"
-            executor.id += "x"
-            await executor.start()
-            self.disturbed.discard(executor)
+            await self.drain(executor)
+            await self.replace(executor)
 
     async def store_slow(self):
         slowest_s = self.rng.uniform(0.06, 0.24)
@@ -301,15 +313,85 @@
         await self.with_store_fault(picked, lose, self.rng.uniform(1, 4))
         self.disturbed.difference_update(picked)
 
+    async def release_turns(self):
+        """Executors are released one after the other beside restarts in turn."""
+        turns = asyncio.create_task(self.turns())
+        while not turns.done():
+            await self.release()
+            await asyncio.sleep(self.rng.uniform(0, 1))
+
+    async def shrink(self):
+        """Executors of a zone leave one after the other, and are replaced later."""
+        zone = self.rng.choice(standin.ZONES)
+        picked = self.pick([e for e in self.world.executors if e.zone == zone], 3)
+        for executor in picked:
+            await self.drain(executor)
+        await asyncio.sleep(self.rng.uniform(2, 8))
+        for executor in picked:
+            await self.replace(executor)
+
+    async def restart_process(self, process, number, down_s):
+        ended = own_end(process)
+        await process.end(number)
+        self.own_ends += ended or own_end(process, 0 if number == signal.SIGTERM else -number)
+        await asyncio.sleep(down_s)
+        log = os.path.join(self.world.folder, process.name + ".log")
+        size = os.path.getsize(log)
+
+        async def has_logged():
+            return os.path.getsize(log) > size
+        await process.start()
+        # SIGTERM before that may come before the process handles signals, and ends it with -15.
+        await standin.until(has_logged, 5)
+        self.disturbed.discard(process)
+
     async def end_process(self, number, down_s):
         for process in self.pick(self.world.entries):
-            ended = own_end(process)
-            await process.end(number)
-            self.own_ends += ended or own_end(
-                process, 0 if number == signal.SIGTERM else -number)
-            await asyncio.sleep(down_s)
-            await process.start()
-            self.disturbed.discard(process)
+            await self.restart_process(process, number, down_s)
+
+    async def turns(self):
+        """Processes are restarted by SIGTERM in turn, or all at once."""
+        pause_s = self.rng.choice(PAUSES_S)
+        restarts = []
+        for process in self.rng.sample(self.world.entries, len(self.world.entries)):
+            if process not in self.disturbed and ms() < self.end:
+                self.disturbed.add(process)
+                restarts.append(asyncio.create_task(self.restart_process(
+                    process, signal.SIGTERM, self.rng.uniform(0.1, 2))))
+                await asyncio.sleep(self.rng.uniform(*pause_s))
+        await asyncio.gather(*restarts)
+
+    async def term_with(self, fault):
+        """One process, or all without another fault, get SIGTERM beside `fault`."""
+        picked = self.pick(self.world.entries)
+        if self.rng.random() < 0.5:
+            picked += [e for e in self.world.entries if e not in self.disturbed]
+            self.disturbed.update(picked)
+        await asyncio.gather(fault(picked), *(
+            self.restart_process(p, signal.SIGTERM, self.rng.uniform(0.1, 2)) for p in picked))
+
+    async def term_denied(self):
+        """The store refuses, hangs, or carries writes out late, for about a hand-over."""
+        async def late(request):
+            if request.path == "/api/rows-tx":
+                await asyncio.sleep(self.around(HAND_OVER_S))
+        deny = self.rng.choice([self.denial(), self.denial(["/api/rows-tx"]), late])
+
+        async def fault(picked):
+            await asyncio.sleep(self.rng.choice([0, 0.01, 0.05]))
+            await self.with_store_fault(picked, deny, self.around(HAND_OVER_S))
+        await self.term_with(fault)
+
+    async def term_frozen(self):
+        """Frozen right after SIGTERM, for about a hand-over or one of the bounds."""
+        async def fault(picked):
+            await asyncio.sleep(self.rng.choice([0, 0.01, 0.05]))
+            for process in picked:
+                self.send_signal(process, signal.SIGSTOP)
+            await asyncio.sleep(self.around(self.rng.choice((HAND_OVER_S, *BOUNDS_S))))
+            for process in picked:
+                self.send_signal(process, signal.SIGCONT)
+        await self.term_with(fault)
 
     async def kill(self):
         await self.end_process(signal.SIGKILL, self.rng.uniform(0.1, 4))
@@ -335,9 +417,9 @@
 class Callers:
     """Hand in jobs at random times, each with up to four attempts at any process."""
 
-    def __init__(self, world, rng, seed, rate, work_ms):
-        self.world, self.rng, self.seed = world, rng, seed
-        self.rate, self.work_ms = rate, work_ms
+    def __init__(self, world, rng, options):
+        self.world, self.rng, self.seed = world, rng, options.seed
+        self.rate, self.work_ms, self.share = options.rate, options.work, options.lasting
         self.answers = {}  # Statuses by job.
         self.lasting = {}  # Number of the step and its tasks, by job.
         self.stopped = False
@@ -352,10 +434,15 @@
             await asyncio.sleep(self.rng.expovariate(self.rate))
         await asyncio.gather(*calls)
 
+    def has_room(self):
+        """Lasting tasks, of 1 CPU each, take half of the CPU at most."""
+        tasks = sum(counts[-1] for _, counts in self.lasting.values())
+        return 2000 * tasks < sum(e.cpu for e in self.world.executors)
+
     async def submit(self, job):
         spec, steps = {"steps": {}}, []
         for step in range(self.rng.choice([1, 1, 2])):
-            lasts = self.rng.random() < 0.03
+            lasts = self.rng.random() < self.share and self.has_room()
             spec["steps"][str(step)] = {
                 "ms": 1e9 if lasts else self.rng.randint(*self.work_ms), "cpu": 1000}
             steps.append({"count": self.rng.randint(1, 4), "cpu": 1000, "mem_mb": 256,
@@ -437,6 +524,19 @@
                        (f"has not run for {idle_ms:.0f} ms" if task in ends else "never ran"))
 
 
+def long_gaps(runs, answers, lasting):
+    """Lasting tasks of accepted jobs that were down for LASTING_GAP_MS between two runs."""
+    last = {}
+    for run in sorted(runs, key=lambda run: run.begun):
+        job, _, step, _ = run.task.split(".")
+        if job in lasting and int(step) == lasting[job][0] and 200 in answers[job]:
+            gap_ms = run.begun - last.get(run.task, run.begun)
+            if gap_ms > LASTING_GAP_MS:
+                yield (f"LOST: {run.task} lasts and did not run for {gap_ms:.0f} ms "
+                       f"before run {run.number}")
+            last[run.task] = max(last.get(run.task, 0), run.ended or ms())
+
+
 def broken_rules(world, answers, lasting):
     broken = [f"TWICE: {a.task} run {a.number} on {world.where(a).id} ({a.how}) and run "
               f"{b.number} on {world.where(b).id} ({b.how}) at the same time for {overlap_ms:.0f} ms"
@@ -463,7 +563,7 @@
     standin.HOLD_MAX_MS = options.hold
     standin.SETTINGS = standin.SETTINGS.replace("hold_max_ms: 6000",
                                                 f"hold_max_ms: {options.hold}")
-    world = World(folder, per_zone=2, cpus=CPU_OF_EXECUTORS)
+    world = World(folder, per_zone=2, cpus=(options.cpu,) * EXECUTORS_OF_ZONE)
     for executor in world.executors:
         # Not among the ports that the system gives to other sockets while it is down.
         executor.server.port = standin.free_port()
@@ -471,7 +571,7 @@
         watch_lease(executor)
     try:
         await world.start()
-        callers = Callers(world, rng, options.seed, options.rate, options.work)
+        callers = Callers(world, rng, options)
         calling = asyncio.create_task(callers.run())
         await asyncio.sleep(4)
         faults = Faults(world, rng)
@@ -483,6 +583,9 @@
         # Longer than a term and the start of a task after it.
         await asyncio.sleep(16)
         broken = broken_rules(world, callers.answers, callers.lasting) + faults.own_ends
+        if PLANNED.issuperset(options.faults):
+            broken += long_gaps([r for e in world.executors for r in e.runs],
+                                callers.answers, callers.lasting)
         for process in world.entries:
             broken += own_end(process)
         accepted = sum(200 in statuses for statuses in callers.answers.values())
@@ -506,6 +609,8 @@
     parser.add_argument("--rate", type=float, default=6, help="jobs a second")
     parser.add_argument("--work", type=lambda text: tuple(map(int, text.split(","))),
                         default=(100, 2500), help="shortest and longest task in ms")
+    parser.add_argument("--lasting", type=float, default=0.03, help="share of lasting steps")
+    parser.add_argument("--cpu", type=int, default=32000, help="CPU of an executor, in 1/1000")
     parser.add_argument("--hold", type=int, default=6000, help="longest lease in ms")
     parser.add_argument("--folder", default="/tmp", help="where the record is written")
     parser.add_argument("--program", type=os.path.abspath,
