Transfer long-running tasks that follow short-lived steps

A job may be divided once its other steps are done, if no step waits for a long-running one. A job with tasks elsewhere is not completed.

Test that failed before: "a long-running step leaves the slice after the short-lived ones".

--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -249,8 +249,11 @@
   job.restored = row.version < options_.fence_version ||
                  now_ < gained_ + kPredecessorDelay;
   job.accepted_unix_ms = stored.accepted_unix_ms;
-  if (std::ranges::all_of(job.spec.steps, &StepSpec::long_running)) {
+  if (std::ranges::all_of(job.spec.steps, &StepSpec::long_running) ||
+      !stored.tasks.empty()) {
     incoming_until_ = now_;
+  }
+  if (std::ranges::any_of(job.spec.steps, &StepSpec::long_running)) {
     job.stored_text = row.value;
     job.stored_version = row.version;
   }
@@ -369,9 +372,14 @@
     MarkDirty(job, /*urgent=*/true);
     return;
   }
-  if (std::ranges::all_of(job.groups,
-                          [](const Group& g) { return g.open == 0; }) &&
-      !HasRuns(job)) {
+  const bool open =
+      std::ranges::any_of(job.tasks,
+                          [this](const Task& task) {
+                            return IsState(task, states_.elsewhere);
+                          }) ||
+      std::ranges::any_of(job.groups,
+                          [](const Group& g) { return g.open > 0; });
+  if (!open && !HasRuns(job)) {
     job.phase = JobPhase::kCompleted;
     job.halted = true;
     MarkDirty(job, /*urgent=*/true);
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -36,12 +36,20 @@
 // waiting one; each search examines all tasks of the slice.
 constexpr core::Duration kSwapSearchInterval = milliseconds(500);
 
-/// @returns true if all tasks are long-running and none waits for another step,
-/// which would take tasks of other slices for done.
+/// @returns true if the tasks that are left are long-running, and no step waits
+/// for one of them, which would take tasks of other slices for done.
 bool IsLongRunning(const Job& job) {
-  return std::ranges::all_of(job.spec.steps, [](const StepSpec& step) {
-    return step.long_running && step.after.empty();
-  });
+  const auto& steps = job.spec.steps;
+  return std::ranges::all_of(job.groups,
+                             [&](const Group& group) {
+                               return job.StepOf(group).long_running ||
+                                      group.open == 0;
+                             }) &&
+         std::ranges::none_of(steps, [&](const StepSpec& step) {
+           return std::ranges::any_of(step.after, [&](std::uint32_t before) {
+             return steps[before].long_running;
+           });
+         });
 }
 
 /// @returns true if all tasks of the job may be stopped at once, that is, if no
@@ -227,8 +235,8 @@
     const bool may_transfer = MayTransfer(job);
     if (auto plan = may_transfer ? PlanTransfer(job, waiting) : std::nullopt) {
       BeginTransfer(job, *std::move(plan));
-    } else if ((may_transfer || !MayStopAll(job)) && !searched &&
-               now_ >= job.next_swap) {
+    } else if ((may_transfer || !MayStopAll(job) || !IsLongRunning(job)) &&
+               !searched && now_ >= job.next_swap) {
       searched = true;
       job.next_swap = now_ + kSwapSearchInterval;
       TransferOtherFor(job);
@@ -264,7 +272,9 @@
     }
     std::map<Job*, std::vector<std::uint32_t>> tasks_by_job;
     for (const Task* task : worker->tasks) {
-      tasks_by_job[task->job].push_back(task->number);
+      if (task->job->StepOf(*task).long_running) {
+        tasks_by_job[task->job].push_back(task->number);
+      }
     }
     for (auto& [other, tasks] : tasks_by_job) {
       core::Resources room = worker->long_running_room();
--- a/packages/jobs/tests/slice_parts_test.cc
+++ b/packages/jobs/tests/slice_parts_test.cc
@@ -308,5 +308,42 @@
   CHECK(world.store.Find(PlacesRow(kOtherSlice, "j")).has_value());
 }
 
+// Guards against a long-running task that is down for over 9 s beside a slice
+// with room: its job had a short-lived step before it, and was never divided.
+TEST_CASE("a long-running step leaves the slice after the short-lived ones",
+          "[slice]") {
+  const TaskAddress lasts = SliceWorld::Task("j", 1);
+  SliceWorld world;
+  world.StartJob("v", "held");
+  world.AddWorker("w2");
+  world.Submit("j", "cw");
+  world.Advance(1s);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(4s);
+  REQUIRE(world.workers.WorkerOf(lasts) == "w2");
+  world.OfferRoomElsewhere();
+  world.Drain("w2");
+  world.Advance(2s);
+  CHECK(TasksElsewhere(world, "j.1") == Numbers{1});
+  // Neither done nor started again here.
+  const bool next_owner = GENERATE(false, true);
+  if (next_owner) {
+    world.TakeOver();
+  }
+  world.AddWorker("w3");
+  world.Advance(5s);
+  CHECK(world.PhaseOf("j") == JobPhase::kActive);
+  CHECK(world.workers.starts(lasts) == 1);
+}
+
+TEST_CASE("a part that follows a short-lived step starts", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.SubmitPart("j", "cw", {1});
+  world.Advance(2s);
+  CHECK(world.workers.starts(SliceWorld::Task("j", 0)) == 0);
+  CHECK(world.workers.starts(SliceWorld::Task("j", 1)) == 1);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
