Look a job up once more before it counts as unknown

The job was transferred as a whole just then: intake reads the slices that may have it one after the other, and the job went from one that had not been read to one that had.

Intake reads all candidate slices twice before it answers that there is no such job; a job stays in a slice for 4 s at least. Test that failed before: "a job that moves while it is looked up is found".

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -137,6 +137,7 @@
     std::size_t slice = 0;
     /// Candidate slices in which the job has not been looked up yet.
     std::vector<std::size_t> unread_slices;
+    bool read_again = false;  ///< All of them have been read once.
     StoreCommand command;
     bool in_flight = true;
     core::TimePoint send_at;
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -45,18 +45,18 @@
   std::uint32_t slow_moves = 0;  ///< Moves because it was slowed.
   bool oversubscribed = false;   ///< Started where serving tasks leave no room.
   core::WorkerId last_failed_on;
+  /// Of a long-running task: where it may run by the stored row, if that is one
+  /// worker, and by the row in the write in flight.
+  core::WorkerId stored_place;
+  core::WorkerId written_place;
   core::TimePoint not_before;  ///< No order is sent before this.
   bool stop_unanswered = false;
+  bool transferring = false;  ///< To another slice.
+  bool run_seen = false;      ///< No start is on its way that nobody has seen.
   /// An earlier owner may have started it on any worker that has not reported.
   bool unlocated = false;
   /// The same for these workers alone.
   std::vector<core::WorkerId> last_workers;
-  bool transferring = false;  ///< To another slice.
-  /// Of a long-running task: where it may run by the stored row, if that is one
-  /// worker, and by the row in the write in flight.
-  core::WorkerId stored_place;
-  core::WorkerId written_place;
-  bool run_seen = false;     ///< No start is on its way that nobody has seen.
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -475,7 +475,11 @@
   std::map<std::string, Places, std::less<>> stored_places_;
   RowVersion roster_version_ = 0;
   bool roster_due_ = false;
-  bool restored_ = false;        ///< All jobs and their progress are known.
+  bool restored_ = false;  ///< All jobs and their progress are known.
+  bool closing_ = false;   ///< HandOver was called.
+  bool hand_over_stored_ = false;
+  bool hand_over_rejected_ =
+      false;                     ///< A row of the predecessor is unreadable.
   std::vector<Row> early_rows_;  ///< Read before the progress.
 
   /// Where the predecessor's tasks may run, by the text of their addresses;
@@ -484,10 +488,7 @@
       handed_over_workers_;
   /// By worker: when the leases that the predecessor has granted are over.
   std::map<std::string, core::TimePoint, std::less<>> handed_over_leases_;
-  bool hand_over_rejected_ = false;  ///< A row of it cannot be read.
-  bool closing_ = false;             ///< HandOver was called.
   core::TimePoint closing_until_;
-  bool hand_over_stored_ = false;
 
   std::unordered_map<CallId, PendingCall> calls_;
   core::NameTable<ImageId> images_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -422,10 +422,16 @@
     return;
   }
   if (read.rows.empty() || read.rows.front().key.key != pending.job) {
-    if (pending.unread_slices.empty()) {
-      Refuse(pending.call, Refusal::kNoSuchJob);
-    } else {
+    if (!pending.unread_slices.empty()) {
+      ReadNextSlice(std::move(pending));
+    } else if (!pending.read_again) {
+      // The job may have moved to a slice that had been read already.
+      pending.read_again = true;
+      pending.unread_slices =
+          CandidateSlices(pending.job, options_.slices.size());
       ReadNextSlice(std::move(pending));
+    } else {
+      Refuse(pending.call, Refusal::kNoSuchJob);
     }
     return;
   }
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -192,9 +192,9 @@
 std::vector<std::string> SliceScheduler::TasksThatMayRunOn(
     const Worker& worker) {
   std::vector<std::string> tasks;
-  for (const Task* task : worker.tasks) {
-    tasks.push_back(ToText(task->job->AddressOf(*task)));
-  }
+  std::ranges::transform(
+      worker.tasks, std::back_inserter(tasks),
+      [](const Task* task) { return ToText(task->job->AddressOf(*task)); });
   if (!IsUnconfirmed(worker)) {
     return tasks;
   }
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fake_store.h"
 
@@ -77,6 +78,7 @@
   }
 
   Intake& intake() { return intake_; }
+  core::TimePoint now() const { return now_; }
 
   FakeStore store;
   std::optional<ClientResult> last;
@@ -304,6 +306,36 @@
   CHECK(world.TakeRefusal() == Refusal::kNoSuchJob);
 }
 
+// Guards against an accepted job that is said not to exist: it was transferred
+// to a slice that had been read already, out of one that had not.
+TEST_CASE("a job that moves while it is looked up is found", "[intake]") {
+  IntakeWorld world;
+  const auto candidates = CandidateSlices("job1", 2);
+  const std::vector<std::string> slices = {"a-0", "b-0"};
+  const std::string first = slices[candidates[0]];
+  const std::string second = slices[candidates[1]];
+  world.store.Put(ProgressRow(second, "job1"),
+                  EncodeProgress({.phase = JobPhase::kActive}));
+  world.intake().Take({.request = core::RequestId(1),
+                       .verb = ClientVerb::kQuery,
+                       .host = "h",
+                       .path = "/d/job1",
+                       .give_up = world.now() + 2s},
+                      world.now(), 77);
+  for (const StoreCommand& command : world.intake().PopCommands()) {
+    const StoreEvent answer = *world.store.Run(command);
+    world.store.Run(CommitRows{
+        .puts = {{.key = ProgressRow(first, "job1"),
+                  .value = EncodeProgress({.phase = JobPhase::kActive})}},
+        .removals = {ProgressRow(second, "job1")}});
+    world.intake().Handle(answer, world.now());
+  }
+  world.Advance(100ms);
+  REQUIRE(std::holds_alternative<JobState>(world.Take()));
+  world.Call(ClientVerb::kQuery, "/d/job2");
+  CHECK(world.TakeRefusal() == Refusal::kNoSuchJob);
+}
+
 // Guards against tasks of a cancelled job that go on in another slice, to which
 // they were transferred.
 TEST_CASE("a job with tasks elsewhere is cancelled in each slice", "[intake]") {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -121,6 +121,7 @@
 
 TEST_CASE("a hand-over is read as it was written", "[records]") {
   std::vector<HandedOverWorker> workers;
+  workers.reserve(301);
   for (int i = 0; i < 300; ++i) {
     workers.push_back(
         {.id = "w" + std::to_string(i),
