--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -312,8 +312,8 @@
   IntakeWorld world;
   const auto candidates = CandidateSlices("job1", 2);
   const std::vector<std::string> slices = {"a-0", "b-0"};
-  const std::string first = slices[candidates[0]];
-  const std::string second = slices[candidates[1]];
+  const std::string& first = slices[candidates[0]];
+  const std::string& second = slices[candidates[1]];
   world.store.Put(ProgressRow(second, "job1"),
                   EncodeProgress({.phase = JobPhase::kActive}));
   world.intake().Take({.request = core::RequestId(1),
