Give orders to each life of a worker a higher fencing token

Cause: the token of an order was the epoch of its owner, and a new life of a worker has seen no token. Orders that were held back on their way to a life that had ended counted in the next one: a start ran a task beside its next run, or again after its end; an acknowledgement made the new life forget ends that nobody had read; a renewal on the earlier clock gave it a full lease. An unanswered start was sent up to three times and then stopped, and each copy could arrive later.

Change: the token is the epoch above a generation of the worker, which rises when the owner learns of another life, when a lease is over, and when an order gets no answer. A worker counts as confirmed only by a report that answers an order of its present life's generation: no earlier order is carried out after that, and what was carried out before is in the report. An unanswered start is not sent again; the report that follows with a higher token tells whether it was carried out, or never will be in that life. A run that a late start began in the next life is adopted. An acknowledgement is sent while no start there is unanswered, and a start after one has a higher token. Sending again (`resends`) and the check for answers of earlier lives are gone.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -34,7 +34,6 @@
   RunNumber run = 0;
   std::uint32_t starts = 0;  ///< By this owner.
   FailedRuns failures;
-  std::uint32_t resends = 0;  ///< Of the current order.
   std::string checkpoint;
   std::uint32_t percent = 0;
   double usage = 0;                  ///< As in ActiveRun.
@@ -57,6 +56,11 @@
   bool unlocated = false;
   /// The same for these workers alone.
   std::vector<core::WorkerId> last_workers;
+  /// Where a start was neither answered nor, by the next report, carried out.
+  /// Should a later life of the worker get it, the task must not run elsewhere.
+  core::WorkerId lost_start_on;
+  /// Generation of the worker's last order for the run.
+  Generation ordered = 0;
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -78,10 +78,10 @@
 
 /// Runs the jobs of one slice on the slice's workers, as its owner.
 ///
-/// @remarks What runs is recorded by the workers, not in the store: a worker's
-/// first answer to an order with this owner's epoch lists every run that can
-/// still be on it. Starting a task therefore needs no write. The end of a run
-/// is acknowledged to the worker once it is stored.
+/// @remarks What runs is recorded by the workers, not in the store: the first
+/// answer of a worker's life to an order with a token that this life was given
+/// lists every run that can still be on it. Starting a task therefore needs no
+/// write. The end of a run is acknowledged to the worker once it is stored.
 class SliceScheduler {
  public:
   struct Options {
@@ -163,11 +163,13 @@
     std::string job;
     std::uint32_t number = 0;
     RunNumber run = 0;
-    std::uint32_t life = 0;  ///< Of the worker, as known then.
+    core::WorkerId worker;
+    Generation generation = 0;
   };
   struct RenewalCall {
     core::WorkerId worker;
-    std::uint32_t life = 0;
+    Generation generation = 0;
+    core::TimePoint sent;
     std::uint64_t acknowledged = 0;
   };
   struct PaceCall {
@@ -209,7 +211,7 @@
   /// The ends of a worker's life up to a number.
   struct EndsOfWorker {
     core::WorkerId worker;
-    std::uint32_t life = 0;
+    Generation life = 0;
     std::uint64_t last = 0;
   };
 
@@ -268,13 +270,20 @@
   void HandlePaceAnswer(const TaskCall& run, const OrderAnswered& answer);
   void HandleStopAnswer(Task& task, const OrderAnswered& answer);
   void HandleRenewal(const RenewalCall& call, const LeaseAnswered& answer);
-  static bool IsFromEarlierLife(const Worker& worker,
-                                const RenewalCall& call,
-                                const LeaseAnswered& answer);
+  FencingToken NextToken(const Worker& worker) const;
+  static void BeginGeneration(Worker& worker);
   void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
-  void HandleActive(Worker& worker, const ActiveRun& run);
-  void DropMissing(Worker& worker, const WorkerReport& report);
+  void HandleActive(Worker& worker,
+                    const ActiveRun& run,
+                    const WorkerReport& report);
+  void AdoptRunOfOtherLife(const Worker& worker,
+                           Task& task,
+                           const ActiveRun& run,
+                           const WorkerReport& report);
+  void DropMissing(Worker& worker,
+                   const RenewalCall& call,
+                   const WorkerReport& report);
   void LoseRun(const Worker& worker, Task& task, std::string_view cause);
   void StopUnknown(Worker& worker, const ActiveRun& run);
   void UpdateQuarantine(Worker& worker, EndKind kind, std::string_view job);
--- a/packages/jobs/include/jobs/types.h
+++ b/packages/jobs/include/jobs/types.h
@@ -17,10 +17,26 @@
 /// Identifies a command to the store or to a worker, and its answer.
 using CallId = core::Handle<struct CallTag, std::uint64_t>;
 
-/// Fencing number of a slice's owner. A worker refuses orders of epochs older
-/// than the latest that it has seen.
+/// Fencing number of a slice's owner.
 using Epoch = std::uint64_t;
 
+/// Counts the orders to a worker under one epoch in spans: a span ends when the
+/// worker begins another life, or leaves an order without an answer.
+using Generation = std::uint32_t;
+
+/// Fencing number of an order to a worker. A worker does nothing for a lower
+/// one than the highest that it has seen in its present life.
+using FencingToken = std::uint64_t;
+
+/// Tokens of an epoch are above those of all earlier epochs. An epoch lasts for
+/// less than 10^9 generations, and tokens stay below 2^53, up to which parsers
+/// that read numbers as floating point are exact, for 9 million epochs.
+inline constexpr FencingToken kTokensPerEpoch = 1'000'000'000;
+
+constexpr FencingToken TokenOf(Epoch epoch, Generation generation) {
+  return epoch * kTokensPerEpoch + generation;
+}
+
 /// Number of one run of a task. Later runs have larger numbers, also after a
 /// change of the slice's owner.
 using RunNumber = std::uint64_t;
--- a/packages/jobs/include/jobs/worker_calls.h
+++ b/packages/jobs/include/jobs/worker_calls.h
@@ -22,7 +22,7 @@
 struct StartRun {
   CallId call;
   Destination to;
-  Epoch epoch = 0;
+  FencingToken token = 0;
   TaskAddress task;
   RunNumber run = 0;
   std::string payload;
@@ -33,7 +33,7 @@
 struct StopRun {
   CallId call;
   Destination to;
-  Epoch epoch = 0;
+  FencingToken token = 0;
   TaskAddress task;
   RunNumber run = 0;
 };
@@ -43,7 +43,7 @@
 struct RenewLease {
   CallId call;
   Destination to;
-  Epoch epoch = 0;
+  FencingToken token = 0;
   std::optional<std::int64_t> lease_until_ms;  ///< On the worker's clock.
   std::uint64_t acknowledged = 0;  ///< Ended runs up to this number are stored.
   core::Duration wait{};           ///< How long the answer may wait for an end.
@@ -53,7 +53,7 @@
 struct SetPace {
   CallId call;
   Destination to;
-  Epoch epoch = 0;
+  FencingToken token = 0;
   TaskAddress task;
   RunNumber run = 0;
   std::uint32_t percent = 100;
@@ -94,7 +94,7 @@
   kNoRoom,
   kSuperseded,  ///< The worker had a run with this or a higher number.
   kTooLate,
-  kFenced,            ///< The worker has seen a later epoch.
+  kFenced,            ///< The worker has seen a higher token.
   kOtherIncarnation,  ///< The worker has restarted with another identity.
   kRefused,           ///< Not done, for another reason.
   kUnreachable,       ///< Not done: no connection.
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -51,15 +51,20 @@
   std::int64_t best_effort_demand = 0;
   std::vector<Task*> tasks;
 
-  /// Counts the lives and leases that have ended. The numbers of ends below
-  /// belong to the present one.
-  std::uint32_t life = 0;
+  /// Generation of the next order. Once the worker has answered one of it, no
+  /// order of an earlier generation is carried out in that life any more.
+  Generation generation = 1;
+  /// The generation that began when the present life was learned of, or when
+  /// the last lease was over. Answers to earlier orders say nothing about this
+  /// life. The numbers of ends below belong to it.
+  Generation life = 1;
+  /// Generation of the last order with an acknowledgement.
+  Generation acknowledging = 0;
   std::uint64_t last_end = 0;  ///< Highest number of an end that was handled.
   std::uint64_t acknowledged = 0;  ///< Ends up to this one are durable.
   std::uint64_t forgotten = 0;     ///< The worker lists no ends up to this one.
 
-  std::optional<CallId> renewal;
-  core::TimePoint renewal_sent;
+  std::optional<CallId> renewal;  ///< The last one, until it is answered.
   core::TimePoint next_renewal;
 
   /// Interference that each serving task can still tolerate (`rooms`), and CPU
@@ -93,6 +98,13 @@
   /// Records that the worker's clock showed @p millis no later than @p now.
   void SetClock(std::int64_t millis, core::TimePoint now);
 
+  /// @returns whether no start is on its way that nobody has seen carried out.
+  bool AllRunsSeen() const;
+
+  /// @returns whether a start has not been answered, and the next report tells
+  /// whether it was carried out.
+  bool HasUnansweredStart() const;
+
   /// @returns the worker's clock at @p now as far as known.
   std::int64_t ClockAt(core::TimePoint now) const;
 
--- a/packages/jobs/src/slice_interference.cc
+++ b/packages/jobs/src/slice_interference.cc
@@ -302,7 +302,7 @@
                                   .run = task.run}};
   worker_commands_.push_back(jobs::SetPace{.call = call,
                                            .to = DestinationOf(worker),
-                                           .epoch = options_.epoch,
+                                           .token = NextToken(worker),
                                            .task = task.job->AddressOf(task),
                                            .run = task.run,
                                            .percent = percent});
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -78,9 +78,9 @@
 // A start that nobody has seen carried out may have reached a life of the
 // worker that the owner does not know.
 core::TimePoint SliceScheduler::LeaseEnd(const Worker& worker) const {
-  const bool seen = std::ranges::all_of(worker.tasks, &Task::run_seen);
-  return seen ? worker.lease_end
-              : std::max(worker.lease_end, worker.lease_end_after_restart);
+  return worker.AllRunsSeen()
+             ? worker.lease_end
+             : std::max(worker.lease_end, worker.lease_end_after_restart);
 }
 
 // Returns whether an order that grants a lease now may give the worker one that
@@ -88,8 +88,7 @@
 // restarted unnoticed unless all its runs have been seen: the end of the lease
 // then counts on a clock that has started anew.
 bool SliceScheduler::MayOutliveTerm(const Worker& worker) const {
-  const bool seen = !worker.tasks.empty() &&
-                    std::ranges::all_of(worker.tasks, &Task::run_seen);
+  const bool seen = !worker.tasks.empty() && worker.AllRunsSeen();
   const core::TimePoint lease_over =
       LeaseOver(now_, options_.limits.longest_lease) - kClockMargin;
   return !seen && std::min(lease_over, now_ + SliceBoard::kOwnerGrace -
@@ -115,7 +114,7 @@
 }
 
 // Handles the clock that an answer shows. An order that was granted on the
-// clock of an earlier life, and is carried out late, counts on this one.
+// clock of an earlier life may have been carried out by this one.
 void SliceScheduler::HandleClock(Worker& worker, std::int64_t clock_ms) {
   worker.SetClock(clock_ms, now_);
   const core::Duration left =
@@ -194,16 +193,19 @@
 void SliceScheduler::RenewLease(Worker& worker) {
   const CallId call = ids_.Next();
   jobs::RenewLease order{
-      .call = call, .to = DestinationOf(worker), .epoch = options_.epoch};
+      .call = call, .to = DestinationOf(worker), .token = NextToken(worker)};
   const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
   // Sent until it is confirmed, and not again: the worker may restart at any
   // time, and would forget the ends of its new life. A worker that has not
-  // answered may have done so already, and has to report its life first.
-  if (live && worker.acknowledged > worker.forgotten) {
+  // answered may have done so already, and has to report its life first. A
+  // start on its way may reach such a life before this order does.
+  if (live && worker.acknowledged > worker.forgotten && worker.AllRunsSeen()) {
     order.acknowledged = worker.acknowledged;
+    worker.acknowledging = worker.generation;
   }
   calls_[call] = RenewalCall{.worker = worker.id,
-                             .life = worker.life,
+                             .generation = worker.generation,
+                             .sent = now_,
                              .acknowledged = order.acknowledged};
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
@@ -212,12 +214,14 @@
     const std::int64_t until = LeaseUntil(worker);
     RecordLease(worker, until);
     order.lease_until_ms = until;
-    if (worker.last_end == worker.acknowledged) {
+    // A worker that lists ends answers at once.
+    const bool lists_ends =
+        worker.last_end > std::max(worker.forgotten, order.acknowledged);
+    if (!lists_ends && !worker.HasUnansweredStart()) {
       order.wait = Serves(worker) ? kServingReportWait : kReportWait;
     }
   }
   worker.renewal = call;
-  worker.renewal_sent = now_;
   worker_commands_.push_back(std::move(order));
 }
 
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -292,6 +292,12 @@
                                      const Group& group,
                                      const Task& task) {
   const StepSpec& step = job.StepOf(group);
+  if (task.lost_start_on.valid()) {
+    Worker& worker = workers_.Get(task.lost_start_on);
+    if (FindObstacle(worker, job, group, task) == Obstacle::kNone) {
+      return &worker;
+    }
+  }
   Worker* best = nullptr;
   double best_score = 0;
   candidates_evaluated_ += workers_.all().size();
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -9,10 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// How often a start that a worker did not answer is sent again before the run
-// is stopped there.
-constexpr std::uint32_t kMaxResends = 2;
-
 // Delay after a refused start, in which the worker reports its free capacity.
 // Also the delay before an unanswered stop is sent again.
 constexpr core::Duration kOrderRetryDelay = milliseconds(150);
@@ -43,12 +39,6 @@
              })
       .Guard("may_start_there",
              [](const Context& c) { return c.scheduler.MayStartThere(c.task); })
-      .Guard("resends_left",
-             [](const Context& c) {
-               const Worker& worker = c.scheduler.workers_.Get(c.task.worker);
-               return c.task.resends < kMaxResends &&
-                      c.scheduler.MayGrantLease(worker);
-             })
       .Guard("job_halted", [](const Context& c) { return c.job().halted; });
   bindings
       .Action("reserve",
@@ -69,7 +59,6 @@
                 ++c.task.starts;
                 c.task.run = (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
                              c.task.starts;
-                c.task.resends = 0;
                 c.task.percent = 0;
                 c.task.run_seen = false;
                 c.task.pace_percent = 100;
@@ -78,10 +67,14 @@
                 c.task.tail.Reset();
                 c.scheduler.SendStart(c.task);
               })
-      .Action("resend_start",
+      .Action("begin_generation",
               [](Context& c) {
-                ++c.task.resends;
-                c.scheduler.SendStart(c.task);
+                Worker& worker = c.scheduler.workers_.Get(c.task.worker);
+                BeginGeneration(worker);
+                // The report is requested at once, beside a renewal that waits
+                // for an end.
+                worker.renewal.reset();
+                worker.next_renewal = c.scheduler.now_;
               })
       .Action("send_stop", [](Context& c) { c.scheduler.SendStop(c.task); })
       .Action("note_started",
@@ -154,6 +147,7 @@
 void SliceScheduler::MarkRunning(Task& task) {
   AccrueLoad(workers_.Get(task.worker));
   task.run_seen = true;
+  task.lost_start_on = core::WorkerId();
   task.started = now_;
   task.advanced = now_;
   task.settled = now_;
@@ -187,32 +181,38 @@
 void SliceScheduler::SendStart(Task& task) {
   Worker& worker = workers_.Get(task.worker);
   const Job& job = *task.job;
+  if (worker.acknowledging == worker.generation) {
+    // Otherwise an acknowledgement on its way could reach another life after
+    // this start, and make it forget the end of the run.
+    BeginGeneration(worker);
+  }
   const CallId call = ids_.Next();
   calls_[call] = TaskCall{.job = job.spec.id,
                           .number = task.number,
                           .run = task.run,
-                          .life = worker.life};
+                          .worker = worker.id,
+                          .generation = worker.generation};
+  task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
   RecordLease(worker, until);
   worker.runs_nothing = false;
   worker_commands_.push_back(StartRun{.call = call,
                                       .to = DestinationOf(worker),
-                                      .epoch = options_.epoch,
+                                      .token = NextToken(worker),
                                       .task = job.AddressOf(task),
                                       .run = task.run,
                                       .payload = job.spec.payload,
                                       .checkpoint = task.checkpoint,
                                       .lease_until_ms = until});
-  if (task.resends == 0) {
-    options_.log(
-        core::LogLine("task_placed")
-            .Add("task", ToText(job.AddressOf(task)))
-            .Add("run", task.run)
-            .Add("worker", worker.entry.id)
-            .Add("free_millis", worker.free().cpu_millis)
-            .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)));
-  }
+  options_.log(
+      core::LogLine("task_placed")
+          .Add("task", ToText(job.AddressOf(task)))
+          .Add("run", task.run)
+          .Add("worker", worker.entry.id)
+          .Add("generation", worker.generation)
+          .Add("free_millis", worker.free().cpu_millis)
+          .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)));
 }
 
 void SliceScheduler::SendStop(Task& task) {
@@ -222,18 +222,21 @@
   calls_[call] = TaskCall{.job = task.job->spec.id,
                           .number = task.number,
                           .run = task.run,
-                          .life = worker.life};
+                          .worker = worker.id,
+                          .generation = worker.generation};
+  task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   worker_commands_.push_back(StopRun{.call = call,
                                      .to = DestinationOf(worker),
-                                     .epoch = options_.epoch,
+                                     .token = NextToken(worker),
                                      .task = task.job->AddressOf(task),
                                      .run = task.run});
 }
 
 void SliceScheduler::HandleOrderAnswer(const TaskCall& call,
                                        const OrderAnswered& answer) {
-  if (answer.outcome == OrderOutcome::kFenced) {
+  if (answer.outcome == OrderOutcome::kFenced &&
+      call.generation == workers_.Get(call.worker).generation) {
     fenced_ = true;
     return;
   }
@@ -247,14 +250,14 @@
     return;
   }
   Worker& worker = workers_.Get(task.worker);
-  if (answer.clock_ms != 0) {
+  if (answer.clock_ms != 0 && call.generation >= worker.life) {
     // The clock of a worker that was idle is as old as its last report, and the
     // renewal that follows a start would grant a short lease.
     HandleClock(worker, answer.clock_ms);
   }
   // Says nothing about a life that was learned of since.
   if (answer.outcome == OrderOutcome::kOtherIncarnation &&
-      worker.life == call.life) {
+      call.generation >= worker.life) {
     DispatchContact(worker, "life_over");
     return;
   }
@@ -271,8 +274,7 @@
       }
       break;
     case OrderOutcome::kSuperseded:
-      // An earlier, unanswered order for the same run was carried out first.
-      // The next report says whether the run is there or has ended.
+      // The next report says whether the run has ended there.
       task.settled = now_;
       worker.next_renewal = now_;
       break;
@@ -283,11 +285,6 @@
       DispatchContact(worker, "no_answer");
       [[fallthrough]];
     default:
-      if (task.resends > 0) {
-        // An earlier order of this run may still be carried out.
-        Dispatch(task, "halt");
-        break;
-      }
       options_.log(core::LogLine("start_refused")
                        .Add("task", ToText(job->AddressOf(task)))
                        .Add("worker", worker.entry.id)
@@ -322,6 +319,9 @@
     worker.next_renewal = now_;
     return;
   }
+  if (answer.outcome == OrderOutcome::kUnanswered) {
+    BeginGeneration(worker);
+  }
   // Sent again with the worker's next renewal.
   task.not_before = now_ + kOrderRetryDelay;
   task.stop_unanswered = true;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -40,7 +40,8 @@
                 });
               })
       .Action("reset_ends", [](ContactContext& c) {
-        ++c.worker.life;
+        BeginGeneration(c.worker);
+        c.worker.life = c.worker.generation;
         c.worker.last_end = 0;
         c.worker.acknowledged = 0;
         c.worker.forgotten = 0;
@@ -64,6 +65,7 @@
         core::LogLine("worker_contact")
             .Add("worker", worker.entry.id)
             .Add("born", worker.born_unix_ms)
+            .Add("generation", worker.generation)
             .Add("cause", event)
             .Add("from", charts_.worker_contact.StateName(before))
             .Add("state", charts_.worker_contact.StateName(worker.contact))
@@ -140,10 +142,16 @@
 void SliceScheduler::HandleRenewal(const RenewalCall& call,
                                    const LeaseAnswered& answer) {
   Worker& worker = workers_.Get(call.worker);
-  worker.renewal.reset();
-  if (answer.outcome == OrderOutcome::kFenced) {
+  if (worker.renewal == answer.call) {
+    worker.renewal.reset();
+  } else if (!answer.report) {
+    return;
+  }
+  const bool fenced = answer.outcome == OrderOutcome::kFenced;
+  if (fenced && call.generation == worker.generation) {
     fenced_ = true;
-  } else if (IsFromEarlierLife(worker, call, answer)) {
+  } else if (fenced || call.generation < worker.life) {
+    // A later order was first, or the answer may be that of an earlier life.
     worker.next_renewal = now_;
   } else if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     DispatchContact(worker, "life_over");
@@ -152,22 +160,23 @@
     HandleReport(call, *answer.report);
   } else {
     worker.next_renewal = now_ + kSilentRetryPause;
+    if (answer.outcome == OrderOutcome::kUnanswered) {
+      BeginGeneration(worker);
+    }
     DispatchContact(worker, "no_answer");
   }
 }
 
-// Returns whether a renewal that was sent before the worker's present life was
-// learned of is answered by another life. The next renewal tells which one is
-// the later.
-bool SliceScheduler::IsFromEarlierLife(const Worker& worker,
-                                       const RenewalCall& call,
-                                       const LeaseAnswered& answer) {
-  if (worker.life == call.life) {
-    return false;
-  }
-  return answer.outcome == OrderOutcome::kOtherIncarnation ||
-         (answer.report && answer.report->born_unix_ms != 0 &&
-          answer.report->born_unix_ms != worker.born_unix_ms);
+FencingToken SliceScheduler::NextToken(const Worker& worker) const {
+  return TokenOf(options_.epoch, worker.generation);
+}
+
+// Lets the orders that have been sent to the worker count only until it gets
+// one that is sent from now on. The next report is requested with that one, so
+// that it shows all that the earlier orders have done, or will ever do in the
+// worker's present life.
+void SliceScheduler::BeginGeneration(Worker& worker) {
+  ++worker.generation;
 }
 
 void SliceScheduler::HandleReport(const RenewalCall& call,
@@ -175,15 +184,23 @@
   Worker& worker = workers_.Get(call.worker);
   if (report.born_unix_ms != 0 && worker.born_unix_ms != 0 &&
       report.born_unix_ms != worker.born_unix_ms) {
+    worker.born_unix_ms = report.born_unix_ms;
+    HandleClock(worker, report.clock_ms);
+    // The life still accepts the orders that an earlier one has been sent. It
+    // is asked again, with a token that turns them away.
     DispatchContact(worker, "other_life");
+    worker.next_renewal = now_;
+    return;
   }
   if (report.born_unix_ms != 0) {
     worker.born_unix_ms = report.born_unix_ms;
   }
-  if (worker.life == call.life) {
-    worker.forgotten = std::max(worker.forgotten, call.acknowledged);
-  }
+  worker.forgotten = std::max(worker.forgotten, call.acknowledged);
   HandleClock(worker, report.clock_ms);
+  // Orders on the clock of an earlier life count no more.
+  worker.granted_until_ms =
+      std::min(worker.granted_until_ms,
+               report.clock_ms + core::ToMillis(options_.limits.longest_lease));
   if (!restored_ || config_ == nullptr) {
     // Without the restored jobs or the configuration, neither the tasks nor
     // their permitted failures are known. The report is requested again.
@@ -192,16 +209,18 @@
   }
   std::ranges::for_each(report.ended,
                         [&](const EndedRun& end) { HandleEnd(worker, end); });
-  std::ranges::for_each(
-      report.running, [&](const ActiveRun& run) { HandleActive(worker, run); });
-  DropMissing(worker, report);
+  std::ranges::for_each(report.running, [&](const ActiveRun& run) {
+    HandleActive(worker, run, report);
+  });
+  DropMissing(worker, call, report);
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
   DispatchContact(worker, "report");
   AdjustPace(worker);
   worker.next_renewal = now_;
   if (worker.last_end > worker.acknowledged) {
     worker.next_renewal += kUnstoredEndPause;
-  } else if (worker.tasks.empty() || !MayGrantLease(worker)) {
+  } else if (worker.tasks.empty() || !MayGrantLease(worker) ||
+             (worker.last_end > worker.forgotten && !worker.AllRunsSeen())) {
     worker.next_renewal += kTick;
   }
 }
@@ -297,16 +316,21 @@
                    .Add("pause_ms", core::ToMillis(pause)));
 }
 
-void SliceScheduler::HandleActive(Worker& worker, const ActiveRun& run) {
+void SliceScheduler::HandleActive(Worker& worker,
+                                  const ActiveRun& run,
+                                  const WorkerReport& report) {
   Task* task = jobs_.FindTask(run.task);
   if (task == nullptr) {
     StopUnknown(worker, run);
     return;
   }
+  AdoptRunOfOtherLife(worker, *task, run, report);
   const bool idle =
       IsState(*task, states_.blocked) || IsState(*task, states_.ready);
-  if (idle && run.run > task->run) {
-    // The run was started by an earlier owner.
+  const bool late = !task->job->StepOf(*task).gang;
+  if (idle && (late || run.run > task->run)) {
+    // The run was started by an earlier owner, or late by another life of the
+    // worker.
     task->run = run.run;
     task->worker = worker.id;
     Dispatch(*task, "adopt");
@@ -331,6 +355,29 @@
   task->usage = run.usage;
 }
 
+// Handles a start that was meant for an earlier life of the worker, which
+// another one has carried out, after the task was started again in the earlier
+// one. The later run ended with that life, so that the earlier one goes on.
+void SliceScheduler::AdoptRunOfOtherLife(const Worker& worker,
+                                         Task& task,
+                                         const ActiveRun& run,
+                                         const WorkerReport& report) {
+  if (task.worker != worker.id || task.run == run.run ||
+      task.ordered >= worker.life || IsState(task, states_.placing)) {
+    return;
+  }
+  const bool both = std::ranges::any_of(report.running, [&](const auto& other) {
+    return other.task == run.task && other.run == task.run;
+  });
+  if (both) {
+    return;
+  }
+  task.run = run.run;
+  if (IsState(task, states_.stopping)) {
+    SendStop(task);
+  }
+}
+
 void SliceScheduler::StopUnknown(Worker& worker, const ActiveRun& run) {
   options_.log(core::LogLine("unknown_run_stopped")
                    .Add("task", ToText(run.task))
@@ -338,14 +385,17 @@
                    .Add("worker", worker.entry.id));
   worker_commands_.push_back(StopRun{.call = ids_.Next(),
                                      .to = DestinationOf(worker),
-                                     .epoch = options_.epoch,
+                                     .token = NextToken(worker),
                                      .task = run.task,
                                      .run = run.run});
 }
 
 // Treats a run as lost if the report lists it neither as running nor as ended,
-// and the last order for it was answered before the report was requested.
-void SliceScheduler::DropMissing(Worker& worker, const WorkerReport& report) {
+// and the last order for it was answered before the report was requested, or is
+// turned away since.
+void SliceScheduler::DropMissing(Worker& worker,
+                                 const RenewalCall& call,
+                                 const WorkerReport& report) {
   if (report.ended.size() >= kEndsPerReport) {
     return;
   }
@@ -357,7 +407,7 @@
           return run.run == task->run && run.task == address;
         });
     if (!runs && task->worker == worker.id &&
-        task->settled < worker.renewal_sent) {
+        (task->settled < call.sent || task->ordered < call.generation)) {
       LoseRun(worker, *task, "not_reported");
     }
   }
@@ -371,9 +421,13 @@
                    .Add("run", task.run)
                    .Add("worker", worker.entry.id)
                    .Add("born", worker.born_unix_ms)
+                   .Add("seen", task.run_seen)
                    .Add("cause", cause)
                    .Add("ends", worker.last_end)
                    .Add("acknowledged", worker.acknowledged));
+  if (!task.run_seen) {
+    task.lost_start_on = worker.id;
+  }
   Dispatch(task, "lost");
 }
 
--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -9,6 +9,10 @@
 
 std::optional<WorkerEvent> FakeWorkers::Handle(const WorkerCommand& command,
                                                core::TimePoint now) {
+  if (hold_ && hold_(command)) {
+    held_.push_back(command);
+    return std::nullopt;
+  }
   return std::visit(
       [&](const auto& order) -> std::optional<WorkerEvent> {
         using Order = std::remove_cvref_t<decltype(order)>;
@@ -48,7 +52,7 @@
             return LeaseAnswered{.call = order.call};
           }
         }
-        if (order.epoch < worker.epoch) {
+        if (order.token < worker.token) {
           if constexpr (kRenewal) {
             return LeaseAnswered{.call = order.call,
                                  .outcome = OrderOutcome::kFenced};
@@ -56,7 +60,7 @@
           return OrderAnswered{.call = order.call,
                                .outcome = OrderOutcome::kFenced};
         }
-        worker.epoch = order.epoch;
+        worker.token = order.token;
         if constexpr (kRenewal) {
           return Report(worker, order, clock);
         } else {
@@ -73,6 +77,25 @@
       command);
 }
 
+std::optional<WorkerEvent> FakeWorkers::DeliverOldest(core::TimePoint now) {
+  std::ranges::reverse(held_);
+  auto answer = DeliverNewest(now);
+  std::ranges::reverse(held_);
+  return answer;
+}
+
+std::optional<WorkerEvent> FakeWorkers::DeliverNewest(core::TimePoint now) {
+  if (held_.empty()) {
+    return std::nullopt;
+  }
+  const WorkerCommand command = std::move(held_.back());
+  held_.pop_back();
+  const auto hold = std::exchange(hold_, {});
+  auto answer = Handle(command, now);
+  hold_ = hold;
+  return answer;
+}
+
 OrderOutcome FakeWorkers::Execute(Worker& worker,
                                   const StartRun& order,
                                   core::TimePoint now) {
@@ -182,7 +205,7 @@
 void FakeWorkers::ExecuteLateCommands(const std::string& worker) {
   Worker& target = workers_[worker];
   for (const StartRun& order : std::exchange(target.late, {})) {
-    if (order.epoch >= target.epoch) {
+    if (order.token >= target.token) {
       Execute(target, order, core::TimePoint());
     }
   }
@@ -197,7 +220,7 @@
   const std::int64_t until =
       std::exchange(order.lease_until_ms, {}).value_or(0);
   if (!worker.replaced && worker.fault != Fault::kSilent &&
-      worker.fault != Fault::kGone && order.epoch >= worker.epoch) {
+      worker.fault != Fault::kGone && order.token >= worker.token) {
     Extend(found->second, until, now - worker.clock_behind);
   }
 }
@@ -206,7 +229,7 @@
                                     core::TimePoint now) {
   Worker& target = workers_[worker];
   for (const RenewLease& order : std::exchange(late_renewals_[worker], {})) {
-    if (order.epoch >= target.epoch) {
+    if (order.token >= target.token) {
       Report(target, order, now - target.clock_behind);
     }
   }
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -2,9 +2,11 @@
 #define JOBS_TESTS_FAKE_WORKERS_H_
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,17 @@
     workers_[worker].fault = fault;
   }
 
+  /// Holds back the orders that match @p filter, on their way to any worker.
+  void Hold(std::function<bool(const WorkerCommand&)> filter) {
+    hold_ = std::move(filter);
+  }
+
+  /// Delivers the oldest or newest order that is held back to the life that its
+  /// worker has now. @returns the answer; nothing if none is held back.
+  std::optional<WorkerEvent> DeliverOldest(core::TimePoint now);
+  std::optional<WorkerEvent> DeliverNewest(core::TimePoint now);
+  std::span<const WorkerCommand> held() const { return held_; }
+
   /// @returns the answer, or nothing if there is none yet.
   std::optional<WorkerEvent> Handle(const WorkerCommand& command,
                                     core::TimePoint now);
@@ -118,7 +131,7 @@
     std::vector<StartRun> late;
     std::uint64_t next_end = 1;
     std::uint64_t acknowledged = 0;
-    Epoch epoch = 0;
+    FencingToken token = 0;
     std::int64_t born = 1;
     std::int64_t lease_until_ms = 0;
     core::Duration clock_behind{};
@@ -140,6 +153,8 @@
 
   void Extend(Worker& worker, std::int64_t until_ms, core::TimePoint now) const;
 
+  std::function<bool(const WorkerCommand&)> hold_;
+  std::vector<WorkerCommand> held_;  ///< In the order in which they were sent.
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::vector<RenewLease>> late_renewals_;
   std::vector<TaskAddress> started_;
--- a/packages/jobs/tests/slice_failure_test.cc
+++ b/packages/jobs/tests/slice_failure_test.cc
@@ -138,7 +138,6 @@
   // The new life shortens the lease to 10 s on its own clock.
   world.Advance(10s);
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
-  // Unanswered starts are sent again for 2 s.
   world.Advance(3s);
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
@@ -339,7 +338,7 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
-TEST_CASE("an unanswered start is sent again to the same worker", "[slice]") {
+TEST_CASE("a start whose answer is lost stays on its worker", "[slice]") {
   SliceWorld world;
   world.AddWorker("w1");
   world.workers.SetFault("w1", FakeWorkers::Fault::kLoseAnswer);
--- a/packages/jobs/tests/slice_takeover_test.cc
+++ b/packages/jobs/tests/slice_takeover_test.cc
@@ -153,8 +153,9 @@
 TEST_CASE("an owner whose epoch is refused is fenced", "[slice]") {
   SliceWorld world;
   world.StartJob();
-  world.workers.Handle(RenewLease{.to = {.worker = "w1"}, .epoch = 99},
-                       core::TimePoint());
+  world.workers.Handle(
+      RenewLease{.to = {.worker = "w1"}, .token = TokenOf(99, 1)},
+      core::TimePoint());
   world.Advance(3s);
   CHECK(world.owner->fenced());
 }
@@ -245,7 +246,7 @@
   world.Submit("j", "c");
   world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
   world.workers.Handle(StartRun{.to = {.worker = "w1"},
-                                .epoch = 1,
+                                .token = TokenOf(1, 1),
                                 .task = SliceWorld::Task("j"),
                                 .run = 1},
                        core::TimePoint());
--- a/packages/jobs/tests/slice_transfer_test.cc
+++ b/packages/jobs/tests/slice_transfer_test.cc
@@ -380,7 +380,7 @@
   world.workers.SetFault("w2", FakeWorkers::Fault::kNone);
   world.workers.Handle(
       StartRun{.to = {.worker = "w2"},
-               .epoch = 1,
+               .token = TokenOf(1, 1),
                .task = SliceWorld::Task("k"),
                .run = 1,
                .lease_until_ms =
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -189,7 +189,7 @@
                   EncodeStoredJob({.queue = "diary", .document = "c"}));
   world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
   world.workers.Handle(StartRun{.to = {.worker = "w1"},
-                                .epoch = 1,
+                                .token = TokenOf(1, 1),
                                 .task = SliceWorld::Task("j"),
                                 .run = 1,
                                 .lease_until_ms = core::ToMillis(
