Give up the seen runs of a lost worker before an unseen one

Cause: a start that nobody has seen carried out may have reached a later life of its worker, with the longest lease that the platform permits. All runs on the worker waited for the end of that lease, although the ones that had been seen end with the lease of the life that reported them.

Change: on a silent worker, runs that have been seen are given up at the end of the recorded lease; only the unseen start waits for longer.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -289,6 +289,7 @@
   void UpdateQuarantine(Worker& worker, EndKind kind, std::string_view job);
   void RenewLeases();
   void RenewLease(Worker& worker);
+  void LoseSeenRuns(Worker& worker);
   void RecordLease(Worker& worker, std::int64_t until_ms);
   core::TimePoint LeaseEnd(const Worker& worker) const;
   void HandleClock(Worker& worker, std::int64_t clock_ms);
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -159,6 +159,8 @@
   for (const auto& worker : workers_.all()) {
     if (now_ >= LeaseEnd(*worker)) {
       DispatchContact(*worker, "lease_over");
+    } else if (now_ >= worker->lease_end) {
+      LoseSeenRuns(*worker);
     }
     if (worker->in_roster && HasLeft(*worker)) {
       worker->in_roster = false;
@@ -177,6 +179,20 @@
   }
 }
 
+// Gives up the runs of a silent worker that have been seen while a start there
+// has not: only that one may have reached a later life, with a longer lease.
+void SliceScheduler::LoseSeenRuns(Worker& worker) {
+  if (charts_.worker_contact.StateName(worker.contact) != "silent") {
+    return;
+  }
+  const std::vector<Task*> tasks = worker.tasks;
+  for (Task* task : tasks) {
+    if (task->run_seen) {
+      LoseRun(worker, *task, "lease_over");
+    }
+  }
+}
+
 bool SliceScheduler::NeedsRenewal(const Worker& worker) const {
   if (!worker.tasks.empty() || worker.last_end > worker.forgotten) {
     return true;
