Ask a worker for reports while a start there may still be carried out

Cause: a start without an answer is turned away in the life that answers a later order. If the worker restarts once more, an idle one is not called until its registry entry shows the new life, and a copy that arrives before that runs the task beside its next run, or again after its end.

Change: for 12 s after a start without an answer, the worker is asked for a report each 0.3 s, and no request waits for the one before, so that a new life has most likely seen a higher token when the start arrives. No order can be made conditional on a life, so that this narrows the window and does not close it.

Test: "a late start finds that a new life has been asked" (not fenced before).

--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -64,7 +64,12 @@
   std::uint64_t acknowledged = 0;  ///< Ends up to this one are durable.
   std::uint64_t forgotten = 0;     ///< The worker lists no ends up to this one.
 
+  /// Until then, a start without an answer may reach a later life, which does
+  /// nothing for it once it has answered an order of a later generation.
+  core::TimePoint late_start_until;
+
   std::optional<CallId> renewal;  ///< The last one, until it is answered.
+  core::TimePoint answered;  ///< When the last one with an answer was sent.
   core::TimePoint next_renewal;
 
   /// Interference that each serving task can still tolerate (`rooms`), and CPU
@@ -101,10 +106,6 @@
   /// @returns whether no start is on its way that nobody has seen carried out.
   bool AllRunsSeen() const;
 
-  /// @returns whether a start has not been answered, and the next report tells
-  /// whether it was carried out.
-  bool HasUnansweredStart() const;
-
   /// @returns the worker's clock at @p now as far as known.
   std::int64_t ClockAt(core::TimePoint now) const;
 
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -18,6 +18,9 @@
 // The same on a worker with serving tasks: the reaction to interference has to
 // take effect well before harm_ms, 4 s at present.
 constexpr core::Duration kServingReportWait = milliseconds(700);
+// Interval of the requests for a report while a start may be carried out late.
+// They do not wait for each other: some may be late as well.
+constexpr core::Duration kLateStartInterval = milliseconds(300);
 // The longest lease that is granted, whatever the platform permits. A worker
 // that leaves or is lost keeps its tasks for its lease, and a long-running task
 // must run again 9 s after its last run, of which finding room takes up to 2 s.
@@ -172,7 +175,8 @@
         Dispatch(*task, "unanswered");
       }
     }
-    if (NeedsRenewal(*worker) && !worker->renewal &&
+    const bool late = now_ < worker->late_start_until;
+    if (NeedsRenewal(*worker) && (!worker->renewal || late) &&
         now_ >= worker->next_renewal) {
       RenewLease(*worker);
     }
@@ -194,7 +198,8 @@
 }
 
 bool SliceScheduler::NeedsRenewal(const Worker& worker) const {
-  if (!worker.tasks.empty() || worker.last_end > worker.forgotten) {
+  if (!worker.tasks.empty() || worker.last_end > worker.forgotten ||
+      now_ < worker.late_start_until) {
     return true;
   }
   const std::string_view contact =
@@ -233,11 +238,12 @@
     // A worker that lists ends answers at once.
     const bool lists_ends =
         worker.last_end > std::max(worker.forgotten, order.acknowledged);
-    if (!lists_ends && !worker.HasUnansweredStart()) {
+    if (!lists_ends && now_ >= worker.late_start_until) {
       order.wait = Serves(worker) ? kServingReportWait : kReportWait;
     }
   }
   worker.renewal = call;
+  worker.next_renewal = now_ + kLateStartInterval;
   worker_commands_.push_back(std::move(order));
 }
 
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -13,6 +13,10 @@
 // Also the delay before an unanswered stop is sent again.
 constexpr core::Duration kOrderRetryDelay = milliseconds(150);
 
+// How long after it was sent an order without an answer may still be carried
+// out. The platform says seconds.
+constexpr core::Duration kLateStartTime = milliseconds(12'000);
+
 // Run numbers of an owner are above those of all earlier owners: each epoch has
 // this many numbers, far more than the starts of a task under one owner.
 constexpr RunNumber kRunsPerEpoch = 10'000;
@@ -71,6 +75,7 @@
               [](Context& c) {
                 Worker& worker = c.scheduler.workers_.Get(c.task.worker);
                 BeginGeneration(worker);
+                worker.late_start_until = c.scheduler.now_ + kLateStartTime;
                 // The report is requested at once, beside a renewal that waits
                 // for an end.
                 worker.renewal.reset();
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -144,8 +144,11 @@
   Worker& worker = workers_.Get(call.worker);
   if (worker.renewal == answer.call) {
     worker.renewal.reset();
-  } else if (!answer.report) {
-    return;
+  }
+  if (answer.report) {
+    worker.answered = std::max(worker.answered, call.sent);
+  } else if (call.sent < worker.answered) {
+    return;  // A later one has been answered.
   }
   const bool fenced = answer.outcome == OrderOutcome::kFenced;
   if (fenced && call.generation == worker.generation) {
@@ -216,6 +219,7 @@
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
   DispatchContact(worker, "report");
   AdjustPace(worker);
+  const core::TimePoint requested = worker.next_renewal;
   worker.next_renewal = now_;
   if (worker.last_end > worker.acknowledged) {
     worker.next_renewal += kUnstoredEndPause;
@@ -223,6 +227,9 @@
              (worker.last_end > worker.forgotten && !worker.AllRunsSeen())) {
     worker.next_renewal += kTick;
   }
+  if (now_ < worker.late_start_until) {
+    worker.next_renewal = std::max(worker.next_renewal, requested);
+  }
 }
 
 void SliceScheduler::HandleEnd(Worker& worker, const EndedRun& end) {
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -25,12 +25,6 @@
   return std::ranges::all_of(tasks, &Task::run_seen);
 }
 
-bool Worker::HasUnansweredStart() const {
-  return std::ranges::any_of(tasks, [this](const Task* task) {
-    return !task->run_seen && task->ordered < generation;
-  });
-}
-
 void Worker::SetClock(std::int64_t millis, core::TimePoint now) {
   clock_ms = millis;
   clock_at = now;
--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -107,6 +107,28 @@
   CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
 }
 
+// Guards against a task that runs again after it is done: its first start,
+// which had no answer, reached a life of the worker that the owner had not
+// called, since the worker was idle and not in the registry yet.
+TEST_CASE("a late start finds that a new life has been asked", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Hold(IsStart);
+  world.Submit("j", "c");
+  world.Advance(100ms);
+  REQUIRE(world.workers.held().size() == 1);
+  world.workers.Hold({});
+  world.Advance(2s);
+  REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(500ms);
+  REQUIRE(world.PhaseOf("j") == JobPhase::kCompleted);
+  world.workers.Restart("w1", 2);
+  world.Advance(400ms);
+  CHECK(IsFenced(world.workers.DeliverOldest(world.now())));
+}
+
 // Guards against a task that runs again after it is done: its start reached
 // another life of the worker, and an acknowledgement for the earlier life, sent
 // before or after the start, made that life forget the end.
