Confirm a worker only by a report that lists all of its ends

A report lists at most 500 ends. A new owner that read 500 unstored ends took the worker for confirmed, and started the tasks of the others again.

A report with as many ends as one may hold is now the event `partial_report` of the chart worker_contact: the worker stays, or is again, unconfirmed, and restored tasks go on waiting for it. No run counts as missing after such a report, as before. So that the worker lists the rest, the ends read are acknowledged while it is unconfirmed, once they are stored; its runs keep their leases meanwhile. Both need a report of the present life, which the number of the last end shows: it is 0 from a takeover or a new life until the first report.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -330,6 +330,7 @@
   bool WritesSucceed() const;
   bool MayGetLateLease(const Worker& worker) const;
   bool MayRunPastTerm(const Worker& worker) const;
+  bool Answers(const Worker& worker) const;
   bool IsUnconfirmed(const Worker& worker) const;
   bool AllConfirmed() const;
   bool IsUsable(const Worker& worker) const;
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -215,12 +215,13 @@
   const CallId call = ids_.Next();
   jobs::RenewLease order{
       .call = call, .to = DestinationOf(worker), .token = NextToken(worker)};
-  const bool live = charts_.worker_contact.StateName(worker.contact) == "live";
+  const bool answers = Answers(worker);
   // Sent until it is confirmed, and not again: the worker may restart at any
   // time, and would forget the ends of its new life. A worker that has not
   // answered may have done so already, and has to report its life first. A
   // start on its way may reach such a life before this order does.
-  if (live && worker.acknowledged > worker.forgotten && worker.AllRunsSeen()) {
+  if (answers && worker.acknowledged > worker.forgotten &&
+      worker.AllRunsSeen()) {
     order.acknowledged = worker.acknowledged;
     worker.acknowledging = worker.generation;
   }
@@ -231,7 +232,7 @@
   // A renewal without an answer may still extend the lease. A silent worker is
   // therefore only queried; otherwise its lease would never expire and its
   // tasks could never be treated as ended.
-  if (!worker.tasks.empty() && live && MayGrantLease(worker)) {
+  if (!worker.tasks.empty() && answers && MayGrantLease(worker)) {
     const std::int64_t until = LeaseUntil(worker);
     RecordLease(worker, until);
     order.lease_until_ms = until;
@@ -247,6 +248,14 @@
   worker_commands_.push_back(std::move(order));
 }
 
+// Returns whether the worker has answered the last call with a report of its
+// present life. Until it has reported all ends, it is unconfirmed.
+bool SliceScheduler::Answers(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  return contact == "live" || (contact == "unconfirmed" && worker.last_end > 0);
+}
+
 // Returns whether tasks of earlier owners may run on the worker. None run on a
 // worker that is not in the roster.
 bool SliceScheduler::IsUnconfirmed(const Worker& worker) const {
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -26,6 +26,11 @@
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
 constexpr core::Duration kEarlyFailure = milliseconds(1000);
 
+// Returns whether the worker may have ends that the report does not list.
+bool MayBePartial(const WorkerReport& report) {
+  return report.ended.size() >= kEndsPerReport;
+}
+
 }  // namespace
 
 chart::Bindings<SliceScheduler::ContactContext>
@@ -217,7 +222,7 @@
   });
   DropMissing(worker, call, report);
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
-  DispatchContact(worker, "report");
+  DispatchContact(worker, MayBePartial(report) ? "partial_report" : "report");
   AdjustPace(worker);
   const core::TimePoint requested = worker.next_renewal;
   worker.next_renewal = now_;
@@ -403,7 +408,7 @@
 void SliceScheduler::DropMissing(Worker& worker,
                                  const RenewalCall& call,
                                  const WorkerReport& report) {
-  if (report.ended.size() >= kEndsPerReport) {
+  if (MayBePartial(report)) {
     return;
   }
   const std::vector<Task*> tasks = worker.tasks;
