--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -70,6 +70,11 @@
     return found != workers_.end() && !found->second.ends.empty();
   }
 
+  /// @returns the number of unacknowledged ends.
+  std::size_t ends(const std::string& worker) {
+    return workers_[worker].ends.size();
+  }
+
   /// Ends the run of a task on whichever worker runs it.
   void End(const TaskAddress& task, EndKind kind, std::string checkpoint = {});
   void ExecuteLateCommands(const std::string& worker);
--- a/packages/jobs/tests/slice_handover_test.cc
+++ b/packages/jobs/tests/slice_handover_test.cc
@@ -201,6 +201,46 @@
   }));
 }
 
+// Guards against ends that are never read: a worker lists the rest of its ends
+// only once the first ones are acknowledged, which happened after it had
+// reported all of them. Its runs must keep their lease meanwhile.
+TEST_CASE("all ends of a worker are read in several reports", "[slice]") {
+  constexpr int kJobs = 560;
+  SliceWorld world;
+  world.workers.ends_per_report = 500;
+  world.AddWorker("w1");
+  for (int i = 0; i < kJobs; ++i) {
+    world.Submit("j" + std::to_string(i), "c");
+  }
+  world.Advance(500ms);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  while (world.workers.ends("w1") <= 500) {
+    world.Advance(600ms);
+    const auto runs = world.workers.runs("w1");
+    for (const FakeWorkers::Run& run : runs) {
+      world.workers.End(run.task, EndKind::kDone);
+    }
+  }
+  world.Advance(600ms);
+  const auto running = world.workers.runs("w1");
+  REQUIRE(world.workers.ends("w1") > 500);
+  REQUIRE_FALSE(running.empty());
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.commit_delay = 200ms;
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(5s);
+  REQUIRE(world.workers.ends("w1") > 0);
+  world.Advance(5s);
+  CHECK(world.workers.ends("w1") == 0);
+  CHECK(world.workers.HoldsLease("w1", world.now()));
+  CHECK(std::ranges::all_of(running, [&](const FakeWorkers::Run& run) {
+    return world.workers.starts(run.task) == 1;
+  }));
+  world.AddWorker("w2");
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j559")) == 1);
+}
+
 // Guards against long-running tasks that wait for over 9 s: a worker answered
 // once and was silent again before the roster without its time was stored, so
 // that the roster never said again when its last lease was over.
