Read the job table before a run without a known job is settled

An owner that has not learned yet that it is fenced may read a job that was stored after its successor's claim, and run it on a worker that the successor has not reached. The successor then met a run or an end of a job that it had not read. It stopped the run, or acknowledged the end, and started the job when it had read it.

A job is stored before its tasks start. A read of the job table that is sent after a report therefore returns the jobs of all runs in it that are stored. Ends of unknown jobs are not acknowledged, nor the ends after them, and unknown runs are not stopped, before such a read has been answered. If it returns the job, its runs are adopted and its ends are applied; if not, the job is closed or belongs to another slice, and the runs are stopped and the ends acknowledged. Jobs that are known to have ended are not waited for. An owner with such a run does not take its hand-over for complete.

A wait of some seconds after the takeover was ruled out: it delays the ends of closed jobs, and does not bound how long the job stays unread.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -274,6 +274,7 @@
   static void BeginGeneration(Worker& worker);
   void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
+  void ApplyEnd(Worker& worker, Task& task, const EndedRun& end);
   void HandleActive(Worker& worker,
                     const ActiveRun& run,
                     const WorkerReport& report);
@@ -414,6 +415,15 @@
   void AdoptRow(const std::string& id, std::span<const Row> present);
   void EndTransfer();
 
+  // Runs of tasks whose job this owner has not read.
+  bool IsClosed(std::string_view job) const;
+  void HoldUnknownEnd(Worker& worker, const EndedRun& end);
+  void HandleUnknownRun(Worker& worker, const ActiveRun& run);
+  static void ForgetUnlistedRuns(Worker& worker, const WorkerReport& report);
+  void HandleRunsOfNewJob();
+  void SettleUnknownRuns();
+  bool HasUnreadRuns() const;
+
   // Runs of earlier owners.
   bool KnowsAllRuns() const;
   bool MayRunUnseen(const Task& task) const;
--- a/packages/jobs/include/jobs/table_follower.h
+++ b/packages/jobs/include/jobs/table_follower.h
@@ -54,6 +54,13 @@
   std::optional<TableUpdate> Handle(const StoreEvent& event,
                                     core::TimePoint now);
 
+  /// Reads without waiting for a change until the rows stored up to @p now are
+  /// complete. A call that waits is abandoned.
+  void Refresh(core::TimePoint now);
+
+  /// @returns a time; all rows that were stored before it have been reported.
+  core::TimePoint complete_until() const { return complete_until_; }
+
   /// @returns when to call Next; max() while a call is in flight.
   core::TimePoint next_timer() const;
 
@@ -73,11 +80,16 @@
   CallIds& ids_;
   Phase phase_ = Phase::kReading;
   std::optional<CallId> call_;
+  core::TimePoint call_sent_;
+  bool call_waits_ = false;  ///< For a change.
+  core::TimePoint complete_until_;
+  core::TimePoint refresh_until_;
   core::TimePoint not_before_;
   core::TimePoint last_answer_;
   std::vector<Row> pages_;
   std::string read_from_;
   std::optional<RowVersion> first_page_version_;
+  core::TimePoint first_page_sent_;
   RowVersion version_ = 0;
 };
 
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -64,6 +64,22 @@
   std::uint64_t acknowledged = 0;  ///< Ends up to this one are durable.
   std::uint64_t forgotten = 0;     ///< The worker lists no ends up to this one.
 
+  /// Of a task whose job this owner has not read. An earlier owner may have
+  /// read and started it.
+  struct UnknownRun {
+    ActiveRun run;
+    /// When it was reported first; nothing once the job table has been read
+    /// since, without this job.
+    std::optional<core::TimePoint> unread_since;
+  };
+  struct UnknownEnd {
+    EndedRun end;
+    core::TimePoint unread_since;
+  };
+  std::vector<UnknownRun> unknown_runs;  ///< In the last report.
+  /// Not acknowledged before the job table has been read; by number.
+  std::vector<UnknownEnd> unknown_ends;
+
   /// Until then, a start without an answer may reach a later life, which does
   /// nothing for it once it has answered an order of a later generation.
   core::TimePoint late_start_until;
@@ -109,6 +125,9 @@
   /// @returns the worker's clock at @p now as far as known.
   std::int64_t ClockAt(core::TimePoint now) const;
 
+  /// @returns up to which number ends may be acknowledged once they are stored.
+  std::uint64_t last_known_end() const;
+
   void Reserve(const StepSpec& step);
   void Release(const StepSpec& step);
 
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -184,8 +184,9 @@
 // Returns whether no owner before may have started a job that this one has not
 // read.
 bool SliceScheduler::KnowsAllRuns() const {
-  return handed_over_workers_ || options_.predecessor_ended ||
-         now_ >= gained_ + kPredecessorDelay;
+  return !HasUnreadRuns() &&
+         (handed_over_workers_ || options_.predecessor_ended ||
+          now_ >= gained_ + kPredecessorDelay);
 }
 
 // Returns the tasks that may run on the worker as far as this owner knows.
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -109,6 +109,7 @@
     std::ranges::for_each(rows, [this](const Row& row) { HandleRow(row); });
     FinishRestore();
   }
+  SettleUnknownRuns();
 }
 
 // The jobs and their progress are read concurrently and may finish in either
@@ -281,6 +282,7 @@
     Halt(job, JobPhase::kCancelled);
   }
   Unblock(job);
+  HandleRunsOfNewJob();
   options_.log(core::LogLine("job_taken")
                    .Add("job", job.spec.id)
                    .Add("queue", job.queue.name)
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -50,6 +50,8 @@
         c.worker.last_end = 0;
         c.worker.acknowledged = 0;
         c.worker.forgotten = 0;
+        c.worker.unknown_runs.clear();
+        c.worker.unknown_ends.clear();
       });
   return bindings;
 }
@@ -217,6 +219,7 @@
   }
   std::ranges::for_each(report.ended,
                         [&](const EndedRun& end) { HandleEnd(worker, end); });
+  ForgetUnlistedRuns(worker, report);
   std::ranges::for_each(report.running, [&](const ActiveRun& run) {
     HandleActive(worker, run, report);
   });
@@ -252,50 +255,55 @@
                    .Add("how", ToString(end.kind))
                    .Add("known", task != nullptr));
   if (task == nullptr) {
-    return;
+    HoldUnknownEnd(worker, end);
+  } else {
+    ApplyEnd(worker, *task, end);
   }
-  Job* job = task->job;
-  const bool current = task->worker == worker.id && task->run == end.run;
+}
+
+void SliceScheduler::ApplyEnd(Worker& worker, Task& task, const EndedRun& end) {
+  Job* job = task.job;
+  const bool current = task.worker == worker.id && task.run == end.run;
   const bool counted =
-      std::ranges::find(task->failures, end.run) != task->failures.end();
-  if (!current && task->worker.valid() && end.kind != EndKind::kDone) {
+      std::ranges::find(task.failures, end.run) != task.failures.end();
+  if (!current && task.worker.valid() && end.kind != EndKind::kDone) {
     // This is the end of an earlier run; the current run continues.
     if (end.kind == EndKind::kFailed && !counted) {
-      CountFailure(*task, end.run);
+      CountFailure(task, end.run);
     }
     return;
   }
   // A long-running task may fail at any time. Only a failure soon after its
   // start counts against the worker.
   const bool late_failure =
-      job->StepOf(*task).long_running && now_ > task->started + kEarlyFailure;
+      job->StepOf(task).long_running && now_ > task.started + kEarlyFailure;
   if (end.kind == EndKind::kDone ||
       (end.kind == EndKind::kFailed && !late_failure)) {
     UpdateQuarantine(worker, end.kind, end.task.job);
   }
   if (end.kind == EndKind::kFailed) {
-    task->last_failed_on = worker.id;
+    task.last_failed_on = worker.id;
   }
   switch (end.kind) {
     case EndKind::kDone:
-      if (job->StepOf(*task).gang) {
+      if (job->StepOf(task).gang) {
         // The successful end of one member counts for the whole gang.
-        for (Task& member : job->TasksOf(job->groups[task->group])) {
+        for (Task& member : job->TasksOf(job->groups[task.group])) {
           Dispatch(member, "ended_done", &end);
         }
       } else {
-        Dispatch(*task, "ended_done", &end);
+        Dispatch(task, "ended_done", &end);
       }
       Unblock(*job);
       UpdatePhase(*job);
       break;
     case EndKind::kFailed:
       if (!counted) {
-        Dispatch(*task, "ended_failed", &end);
+        Dispatch(task, "ended_failed", &end);
       }
       break;
     default:
-      Dispatch(*task, "ended_early", &end);
+      Dispatch(task, "ended_early", &end);
   }
   placement_due_ = true;
 }
@@ -333,7 +341,7 @@
                                   const WorkerReport& report) {
   Task* task = jobs_.FindTask(run.task);
   if (task == nullptr) {
-    StopUnknown(worker, run);
+    HandleUnknownRun(worker, run);
     return;
   }
   AdoptRunOfOtherLife(worker, *task, run, report);
--- a/packages/jobs/src/table_follower.cc
+++ b/packages/jobs/src/table_follower.cc
@@ -20,16 +20,26 @@
     return std::nullopt;
   }
   call_ = ids_.Next();
+  call_sent_ = now;
+  call_waits_ = false;
   if (phase_ == Phase::kReading) {
     return ReadRows{.call = *call_,
                     .table = options_.table,
                     .part = options_.part,
                     .from = read_from_};
   }
+  call_waits_ = complete_until_ > refresh_until_;
   return FollowRows{.call = *call_,
                     .table = options_.table,
                     .after = version_,
-                    .wait = options_.wait};
+                    .wait = call_waits_ ? options_.wait : core::Duration()};
+}
+
+void TableFollower::Refresh(core::TimePoint now) {
+  refresh_until_ = now;
+  if (call_ && call_waits_) {
+    call_.reset();
+  }
 }
 
 std::optional<TableUpdate> TableFollower::Handle(const StoreEvent& event,
@@ -48,6 +58,7 @@
           [&](const RowsChanged& change) -> std::optional<TableUpdate> {
             answered();
             version_ = std::max(version_, change.version);
+            complete_until_ = call_sent_;
             if (change.rows.empty()) {
               return std::nullopt;
             }
@@ -68,6 +79,7 @@
 std::optional<TableUpdate> TableFollower::HandlePage(const RowsRead& page) {
   if (!first_page_version_) {
     first_page_version_ = page.version;
+    first_page_sent_ = call_sent_;
   }
   std::ranges::copy(page.rows, std::back_inserter(pages_));
   if (page.more && !page.rows.empty()) {
@@ -76,6 +88,7 @@
     return std::nullopt;
   }
   version_ = *first_page_version_;
+  complete_until_ = first_page_sent_;
   phase_ = Phase::kFollowing;
   return TableSnapshot{.rows = std::exchange(pages_, {})};
 }
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -34,6 +34,10 @@
   return clock_ms + core::ToMillis(now - clock_at);
 }
 
+std::uint64_t Worker::last_known_end() const {
+  return unknown_ends.empty() ? last_end : unknown_ends.front().end.number - 1;
+}
+
 void Worker::Reserve(const StepSpec& step) {
   headrooms_valid = false;
   used += Reservation(step);
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -168,6 +168,97 @@
   }
 }
 
+// Lets the owner of epoch 1 run the task of a job on w1.
+void StartByFirstOwner(SliceWorld& world, const std::string& job) {
+  world.workers.Handle(StartRun{.to = {.worker = "w1"},
+                                .token = TokenOf(1, 1),
+                                .task = SliceWorld::Task(job),
+                                .run = 1,
+                                .lease_until_ms = core::ToMillis(
+                                    (world.now() + 5s).time_since_epoch())},
+                       world.now());
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task(job)) == "w1");
+}
+
+// Stores a job while the store refuses all calls of the owner.
+void StoreJob(SliceWorld& world, const std::string& job) {
+  world.store.Put(ProgressRow(kSlice, job), EncodeProgress(Progress()));
+  world.store.Put(JobRow(kSlice, job),
+                  EncodeStoredJob({.queue = "diary", .document = "c"}));
+}
+
+// Guards against a task that runs twice: an earlier owner ran a job that was
+// stored after its successor's claim. The successor read it after the worker
+// had reported the run, which was taken for one of no job and stopped, and
+// started it again at once.
+TEST_CASE("a run that is reported before its job is read goes on", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.AddWorker("w2");
+  world.Advance(300ms);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.Advance(100ms);
+  StoreJob(world, "j");
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  StartByFirstOwner(world, "j");
+  world.Advance(2s);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(3s);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.workers.HoldsLease("w1", world.now()));
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(500ms);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
+// Guards against a run that nobody stops, and against an end that is never
+// acknowledged, because their job is not stored any more. The job table is read
+// once more for them, without waiting for a change.
+TEST_CASE("runs and ends of a job that is not stored are settled", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  StartByFirstOwner(world, "ended");
+  StartByFirstOwner(world, "running");
+  world.workers.End(SliceWorld::Task("ended"), EndKind::kDone);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.Advance(300ms);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("running")).empty());
+  world.Advance(500ms);
+  CHECK_FALSE(world.workers.HasEnds("w1"));
+}
+
+// Guards against a task that runs twice: an owner released the slice before it
+// had read the job of a reported run, and its successor took the hand-over for
+// complete.
+TEST_CASE("a hand-over is complete only if the jobs of all runs are known",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.AddWorker("w2");
+  world.Advance(5s);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.Advance(100ms);
+  StoreJob(world, "j");
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  StartByFirstOwner(world, "j");
+  world.Advance(1500ms);
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.slow_worker = "w1";
+  world.HandOver();
+  world.Advance(2s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+}
+
 // Guards against a task that runs again after it is done: an earlier owner, in
 // its term, read a job that its successor could not read yet, and ran it on a
 // worker that the successor had not reached. The successor acknowledged the end
