Test that a new job waits for workers an earlier owner may reach

Found while the reading of unknown runs was designed: an earlier owner whose renewals alone are refused runs jobs until its term of 12 s ends, on workers that its successor has not reached. The successor takes it for fenced 4 s after the claim, and starts a job that it reads later at once.

Not mended: to wait until no worker is unconfirmed, in place of the 4 s, would delay new jobs for up to the rest of the term after a takeover with a lost worker, which has to be measured.

--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -259,6 +259,26 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
 }
 
+// Guards against a task that runs twice: an earlier owner, which was cut off
+// from its own renewals only, ran a job in its term, over 4 s after its
+// successor's claim, on a worker that the successor had not reached.
+TEST_CASE("a new job waits for workers that an earlier owner may still reach",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.TakeOver(/*predecessor_ended=*/false);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.AddWorker("w2");
+  world.Advance(5s);
+  world.Submit("j", "c");
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  StartByFirstOwner(world, "j");
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
 // Guards against a task that runs again after it is done: an earlier owner, in
 // its term, read a job that its successor could not read yet, and ran it on a
 // worker that the successor had not reached. The successor acknowledged the end
