Learn of another life of a worker from the clock in its answers

Cause: a worker that restarted unnoticed answered a start, so that all its runs counted as seen. The next renewal acknowledged ends of the life before, and the new life forgot the end of the run that it had carried out: the task started again after it was done. No order has to be late for this; an end that waits for the store, and a restart before the next report, are enough.

Change: the answer to an order shows the worker's clock, which starts anew with each life. One that shows less than the life before did when the order was sent tells of another life. It costs no call.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -165,6 +165,8 @@
     RunNumber run = 0;
     core::WorkerId worker;
     Generation generation = 0;
+    /// The least that the worker's clock showed when the order was sent.
+    std::int64_t clock_ms = 0;
   };
   struct RenewalCall {
     core::WorkerId worker;
@@ -294,6 +296,8 @@
   void RecordLease(Worker& worker, std::int64_t until_ms);
   core::TimePoint LeaseEnd(const Worker& worker) const;
   void HandleClock(Worker& worker, std::int64_t clock_ms);
+  void HandleClock(const TaskCall& call, std::int64_t clock_ms);
+  std::int64_t LeastClockOf(const Worker& worker) const;
   std::int64_t LeaseUntil(const Worker& worker) const;
   core::TimePoint PredecessorLeaseEnd() const;
   void AccrueLoad(Worker& worker) const;
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -126,6 +126,28 @@
   worker.lease_end = std::max(worker.lease_end, LeaseOver(now_, left));
 }
 
+// Handles the clock that the answer to an order for a task shows. The clock of
+// another life starts anew. Otherwise the ends of the life before would be
+// acknowledged to this one, which has carried out the order.
+void SliceScheduler::HandleClock(const TaskCall& call, std::int64_t clock_ms) {
+  Worker& worker = workers_.Get(call.worker);
+  HandleClock(worker, clock_ms);
+  if (clock_ms < call.clock_ms) {
+    worker.born_unix_ms = 0;
+    worker.renewal.reset();
+    worker.next_renewal = now_;
+    DispatchContact(worker, "other_life");
+  }
+}
+
+// Returns the least that the worker's clock shows now if it has not restarted
+// since its last answer.
+std::int64_t SliceScheduler::LeastClockOf(const Worker& worker) const {
+  const auto passed = std::chrono::duration_cast<core::Duration>(
+      (now_ - worker.clock_at) * (2 - kSlowClockFactor));
+  return worker.clock_ms + core::ToMillis(passed - kClockMargin);
+}
+
 // Returns whether the worker gets no task any more because it leaves or has
 // left.
 bool SliceScheduler::IsLeaving(const Worker& worker) {
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -196,7 +196,8 @@
                           .number = task.number,
                           .run = task.run,
                           .worker = worker.id,
-                          .generation = worker.generation};
+                          .generation = worker.generation,
+                          .clock_ms = LeastClockOf(worker)};
   task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
@@ -228,7 +229,8 @@
                           .number = task.number,
                           .run = task.run,
                           .worker = worker.id,
-                          .generation = worker.generation};
+                          .generation = worker.generation,
+                          .clock_ms = LeastClockOf(worker)};
   task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   worker_commands_.push_back(StopRun{.call = call,
@@ -258,7 +260,7 @@
   if (answer.clock_ms != 0 && call.generation >= worker.life) {
     // The clock of a worker that was idle is as old as its last report, and the
     // renewal that follows a start would grant a short lease.
-    HandleClock(worker, answer.clock_ms);
+    HandleClock(call, answer.clock_ms);
   }
   // Says nothing about a life that was learned of since.
   if (answer.outcome == OrderOutcome::kOtherIncarnation &&
--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -240,5 +240,27 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
 }
 
+// Guards against a task that runs again after it is done: the worker restarted
+// unnoticed, and carried out a start. The acknowledgement of the ends of the
+// life before, which the store had kept waiting, made it forget the end.
+TEST_CASE("an acknowledgement forgets no end of a life that was not noticed",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "done");
+  world.Advance(1s);
+  world.commit_delay = 300ms;
+  world.workers.End(SliceWorld::Task("done"), EndKind::kDone);
+  world.Advance(100ms);
+  world.workers.Restart("w1", 2);
+  world.workers.SetBackClock("w1", world.now().time_since_epoch() - 1s);
+  world.Submit("j", "c");
+  world.Advance(50ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(3s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
