Turn away an unanswered start for a task that is done meanwhile

Cause: the answer of a start counted only for the run that its task still has. Where the end of an earlier run as done closed the task, the start on its way to another worker was forgotten. It could begin seconds later there, after the job was completed, and an idle worker was not asked for its end.

Change: an order without an answer begins a generation of its worker, and requests a report, also if its task has gone on.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -268,6 +268,8 @@
 
   // Workers.
   void DispatchContact(Worker& worker, std::string_view event);
+  void TurnAwayOrders(Worker& worker);
+  bool IsCurrent(const TaskCall& call, const Task& task) const;
   void HandleOrderAnswer(const TaskCall& call, const OrderAnswered& answer);
   void HandlePaceAnswer(const TaskCall& run, const OrderAnswered& answer);
   void HandleStopAnswer(Task& task, const OrderAnswered& answer);
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -73,13 +73,8 @@
               })
       .Action("begin_generation",
               [](Context& c) {
-                Worker& worker = c.scheduler.workers_.Get(c.task.worker);
-                BeginGeneration(worker);
-                worker.late_start_until = c.scheduler.now_ + kLateStartTime;
-                // The report is requested at once, beside a renewal that waits
-                // for an end.
-                worker.renewal.reset();
-                worker.next_renewal = c.scheduler.now_;
+                c.scheduler.TurnAwayOrders(
+                    c.scheduler.workers_.Get(c.task.worker));
               })
       .Action("send_stop", [](Context& c) { c.scheduler.SendStop(c.task); })
       .Action("note_started",
@@ -240,6 +235,22 @@
                                      .run = task.run});
 }
 
+// Lets no order that has been sent to the worker be carried out after its next
+// report, which is requested at once, beside a renewal that waits for an end.
+void SliceScheduler::TurnAwayOrders(Worker& worker) {
+  BeginGeneration(worker);
+  worker.late_start_until = now_ + kLateStartTime;
+  worker.runs_nothing = false;
+  worker.renewal.reset();
+  worker.next_renewal = now_;
+}
+
+// Returns whether the order was for the run that the task has now.
+bool SliceScheduler::IsCurrent(const TaskCall& call, const Task& task) const {
+  return task.run == call.run && task.worker == call.worker &&
+         !IsState(task, states_.placing);
+}
+
 void SliceScheduler::HandleOrderAnswer(const TaskCall& call,
                                        const OrderAnswered& answer) {
   if (answer.outcome == OrderOutcome::kFenced &&
@@ -247,16 +258,17 @@
     fenced_ = true;
     return;
   }
+  Worker& worker = workers_.Get(call.worker);
   Job* job = jobs_.Find(call.job);
-  if (job == nullptr) {
+  if (job == nullptr || !IsCurrent(call, job->tasks[call.number])) {
+    if (answer.outcome == OrderOutcome::kUnanswered &&
+        call.generation == worker.generation) {
+      // The end of an earlier run may have closed the task meanwhile.
+      TurnAwayOrders(worker);
+    }
     return;
   }
   Task& task = job->tasks[call.number];
-  if (task.run != call.run || !task.worker.valid() ||
-      IsState(task, states_.placing)) {
-    return;
-  }
-  Worker& worker = workers_.Get(task.worker);
   if (answer.clock_ms != 0 && call.generation >= worker.life) {
     // The clock of a worker that was idle is as old as its last report, and the
     // renewal that follows a start would grant a short lease.
--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -262,5 +262,29 @@
   CHECK(world.PhaseOf("j") == JobPhase::kCompleted);
 }
 
+// Guards against a task that starts after it is done, on a worker that is not
+// asked again: its start was on its way when the end of an earlier run, on a
+// worker that had been silent, closed the job. The answer of the start was not
+// missed any more.
+TEST_CASE("a start for a task that is done meanwhile is turned away",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.workers.Hold(IsStart);
+  while (world.workers.held().empty()) {
+    world.Advance(10ms);
+  }
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.Advance(5s);
+  REQUIRE(world.PhaseOf("j") == JobPhase::kCompleted);
+  REQUIRE(world.workers.held().size() == 1);
+  CHECK(IsFenced(world.workers.DeliverOldest(world.now())));
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
