Adopt a run of an earlier start also while its task is being moved

Cause: a run that another life of a worker had begun was adopted only if the last order for the task was sent before that life was learned of. A stop sent since, as for a worker that drains, excluded it: the later run counted as lost, and the task started elsewhere beside the earlier run. The check for missing runs also took a place that was being stored for a run, which is not listed, and gave it up at each report.

Change: one condition tells whether a run is missing. If the report lists another run of the task in its stead, that one is adopted, else the run is lost. A task whose place is being stored has no run.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -281,11 +281,17 @@
   void ApplyEnd(Worker& worker, Task& task, const EndedRun& end);
   void HandleActive(Worker& worker,
                     const ActiveRun& run,
+                    const RenewalCall& call,
                     const WorkerReport& report);
+  void HandleActive(Worker& worker, Task& task, const ActiveRun& run);
   void AdoptRunOfOtherLife(const Worker& worker,
                            Task& task,
                            const ActiveRun& run,
+                           const RenewalCall& call,
                            const WorkerReport& report);
+  bool IsMissing(const Task& task,
+                 const RenewalCall& call,
+                 const WorkerReport& report) const;
   void DropMissing(Worker& worker,
                    const RenewalCall& call,
                    const WorkerReport& report);
--- a/packages/jobs/src/slice_unknown_runs.cc
+++ b/packages/jobs/src/slice_unknown_runs.cc
@@ -60,12 +60,12 @@
         worker->unknown_runs, [this](const auto& unknown) {
           return jobs_.FindTask(unknown.run.task) == nullptr;
         });
-    WorkerReport report;
-    std::ranges::transform(known, std::back_inserter(report.running),
+    std::vector<ActiveRun> runs;
+    std::ranges::transform(known, std::back_inserter(runs),
                            &Worker::UnknownRun::run);
     worker->unknown_runs.erase(known.begin(), known.end());
-    for (const ActiveRun& run : report.running) {
-      HandleActive(*worker, run, report);
+    for (const ActiveRun& run : runs) {
+      HandleActive(*worker, *jobs_.FindTask(run.task), run);
     }
   }
 }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -221,7 +221,7 @@
                         [&](const EndedRun& end) { HandleEnd(worker, end); });
   ForgetUnlistedRuns(worker, report);
   std::ranges::for_each(report.running, [&](const ActiveRun& run) {
-    HandleActive(worker, run, report);
+    HandleActive(worker, run, call, report);
   });
   DropMissing(worker, call, report);
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
@@ -338,41 +338,48 @@
 
 void SliceScheduler::HandleActive(Worker& worker,
                                   const ActiveRun& run,
+                                  const RenewalCall& call,
                                   const WorkerReport& report) {
   Task* task = jobs_.FindTask(run.task);
   if (task == nullptr) {
     HandleUnknownRun(worker, run);
     return;
   }
-  AdoptRunOfOtherLife(worker, *task, run, report);
+  AdoptRunOfOtherLife(worker, *task, run, call, report);
+  HandleActive(worker, *task, run);
+}
+
+void SliceScheduler::HandleActive(Worker& worker,
+                                  Task& task,
+                                  const ActiveRun& run) {
   const bool idle =
-      IsState(*task, states_.blocked) || IsState(*task, states_.ready);
-  const bool late = !task->job->StepOf(*task).gang;
-  if (idle && (late || run.run > task->run)) {
-    // The run was started by an earlier owner, or late by another life of the
-    // worker.
-    task->run = run.run;
-    task->worker = worker.id;
-    Dispatch(*task, "adopt");
-    if (task->job->halted) {
-      Dispatch(*task, "halt");
+      IsState(task, states_.blocked) || IsState(task, states_.ready);
+  const bool gang = task.job->StepOf(task).gang;
+  if (idle && (!gang || run.run > task.run)) {
+    // An earlier owner started the run, or another life of the worker has
+    // carried out a start that was given up. Members of a gang share a number.
+    task.run = run.run;
+    task.worker = worker.id;
+    Dispatch(task, "adopt");
+    if (task.job->halted) {
+      Dispatch(task, "halt");
     }
   }
-  if (task->worker != worker.id || task->run != run.run) {
+  if (task.worker != worker.id || task.run != run.run) {
     StopUnknown(worker, run);
     return;
   }
-  if (IsState(*task, states_.starting)) {
-    Dispatch(*task, "adopt");
+  if (IsState(task, states_.starting)) {
+    Dispatch(task, "adopt");
   }
   if (!run.checkpoint.empty()) {
-    task->checkpoint = run.checkpoint;
+    task.checkpoint = run.checkpoint;
   }
-  if (run.percent > task->percent || run.percent == 100) {
-    task->advanced = now_;
+  if (run.percent > task.percent || run.percent == 100) {
+    task.advanced = now_;
   }
-  task->percent = run.percent;
-  task->usage = run.usage;
+  task.percent = run.percent;
+  task.usage = run.usage;
 }
 
 // Handles a start that was meant for an earlier life of the worker, which
@@ -381,15 +388,9 @@
 void SliceScheduler::AdoptRunOfOtherLife(const Worker& worker,
                                          Task& task,
                                          const ActiveRun& run,
+                                         const RenewalCall& call,
                                          const WorkerReport& report) {
-  if (task.worker != worker.id || task.run == run.run ||
-      task.ordered >= worker.life || IsState(task, states_.placing)) {
-    return;
-  }
-  const bool both = std::ranges::any_of(report.running, [&](const auto& other) {
-    return other.task == run.task && other.run == task.run;
-  });
-  if (both) {
+  if (task.worker != worker.id || !IsMissing(task, call, report)) {
     return;
   }
   task.run = run.run;
@@ -410,24 +411,30 @@
                                      .run = run.run});
 }
 
-// Treats a run as lost if the report lists it neither as running nor as ended,
-// and the last order for it was answered before the report was requested, or is
-// turned away since.
+// Returns whether the report lists the run of a task on the worker neither as
+// running nor as ended, although the last order for it was answered before the
+// report was requested, or is turned away since.
+bool SliceScheduler::IsMissing(const Task& task,
+                               const RenewalCall& call,
+                               const WorkerReport& report) const {
+  // A task in `placing` has not been started yet.
+  if (MayBePartial(report) || IsState(task, states_.placing)) {
+    return false;
+  }
+  const TaskAddress address = task.job->AddressOf(task);
+  const bool runs =
+      std::ranges::any_of(report.running, [&](const ActiveRun& run) {
+        return run.run == task.run && run.task == address;
+      });
+  return !runs && (task.settled < call.sent || task.ordered < call.generation);
+}
+
 void SliceScheduler::DropMissing(Worker& worker,
                                  const RenewalCall& call,
                                  const WorkerReport& report) {
-  if (MayBePartial(report)) {
-    return;
-  }
   const std::vector<Task*> tasks = worker.tasks;
   for (Task* task : tasks) {
-    const TaskAddress address = task->job->AddressOf(*task);
-    const bool runs =
-        std::ranges::any_of(report.running, [&](const ActiveRun& run) {
-          return run.run == task->run && run.task == address;
-        });
-    if (!runs && task->worker == worker.id &&
-        (task->settled < call.sent || task->ordered < call.generation)) {
+    if (task->worker == worker.id && IsMissing(*task, call, report)) {
       LoseRun(worker, *task, "not_reported");
     }
   }
--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -286,5 +286,49 @@
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
 }
 
+// Guards against a task that runs twice: a new life of its worker has carried
+// out an earlier start, and the task was stopped there, to be moved, before the
+// report of that life came.
+TEST_CASE("a run of an earlier start goes on if the task is being moved",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Hold(IsStart);
+  world.Submit("j", "c");
+  world.Advance(100ms);
+  REQUIRE(world.workers.held().size() == 1);
+  world.workers.Hold({});
+  world.AddWorker("w2");
+  world.Advance(3s);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
+  world.workers.Restart("w1", 2);
+  world.workers.DeliverOldest(world.now());
+  REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 2);
+  world.Register("w1", 2);
+  world.Drain("w1");
+  // The first stop, of the later run, is carried out; that of the other is not.
+  world.workers.Hold([](const WorkerCommand& command) {
+    const auto* stop = std::get_if<StopRun>(&command);
+    return stop != nullptr && stop->run == 1;
+  });
+  world.Advance(5s);
+  CHECK(world.workers.runs("w1").size() + world.workers.runs("w2").size() == 1);
+}
+
+// Guards against a long-running task whose placement is given up, and chosen
+// and stored again, by each report that comes before the place is stored.
+TEST_CASE("a report does not end a start that waits for the store", "[slice]") {
+  SliceWorld world;
+  world.StartJob();
+  world.Submit("t", "t");
+  world.commit_delay = 2s;
+  world.Advance(4500ms);
+  CHECK(world.workers.starts(SliceWorld::Task("t")) == 1);
+  CHECK(std::ranges::none_of(world.log, [](const std::string& line) {
+    return line.find("run_lost") != std::string::npos;
+  }));
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
