Complete a gang after a lost start, and stop members of earlier runs

Cause: a member whose start had no answer and was not carried out became ready alone, while a gang starts as a whole: the others waited for it until they gave up. A member of an earlier run that another life of the worker had begun was adopted, and waited alone for the others in the same way.

Change: the lost start of a member is sent again, with the same run and a higher token, while others of its run are at work. A member of an earlier run is stopped, and the gang starts once its end is listed.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -292,6 +292,7 @@
   bool IsMissing(const Task& task,
                  const RenewalCall& call,
                  const WorkerReport& report) const;
+  bool CompletesGang(const Task& task) const;
   void DropMissing(Worker& worker,
                    const RenewalCall& call,
                    const WorkerReport& report);
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -71,11 +71,11 @@
                 c.task.tail.Reset();
                 c.scheduler.SendStart(c.task);
               })
-      .Action("begin_generation",
-              [](Context& c) {
-                c.scheduler.TurnAwayOrders(
-                    c.scheduler.workers_.Get(c.task.worker));
-              })
+      .Action(
+          "begin_generation",
+          [](Context& c) {
+            c.scheduler.TurnAwayOrders(c.scheduler.workers_.Get(c.task.worker));
+          })
       .Action("send_stop", [](Context& c) { c.scheduler.SendStop(c.task); })
       .Action("note_started",
               [](Context& c) { c.scheduler.MarkRunning(c.task); })
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -354,14 +354,14 @@
                                   const ActiveRun& run) {
   const bool idle =
       IsState(task, states_.blocked) || IsState(task, states_.ready);
-  const bool gang = task.job->StepOf(task).gang;
-  if (idle && (!gang || run.run > task.run)) {
-    // An earlier owner started the run, or another life of the worker has
-    // carried out a start that was given up. Members of a gang share a number.
+  if (idle) {
+    // The run was started by an earlier owner, or late by another life of the
+    // worker. The other members of a gang have a later run.
+    const bool alone = task.job->StepOf(task).gang && run.run <= task.run;
     task.run = run.run;
     task.worker = worker.id;
     Dispatch(task, "adopt");
-    if (task.job->halted) {
+    if (task.job->halted || alone) {
       Dispatch(task, "halt");
     }
   }
@@ -396,6 +396,9 @@
   task.run = run.run;
   if (IsState(task, states_.stopping)) {
     SendStop(task);
+  } else if (task.job->StepOf(task).gang) {
+    // The other members have a later run.
+    Dispatch(task, "halt");
   }
 }
 
@@ -429,12 +432,29 @@
   return !runs && (task.settled < call.sent || task.ordered < call.generation);
 }
 
+// Returns whether other members of the gang wait for the task, whose start was
+// lost. They would wait until they give up.
+bool SliceScheduler::CompletesGang(const Task& task) const {
+  Job& job = *task.job;
+  const Group& group = job.groups[task.group];
+  return job.StepOf(group).gang && IsState(task, states_.starting) &&
+         std::ranges::any_of(job.TasksOf(group), [&](const Task& member) {
+           return member.run == task.run && IsState(member, states_.running);
+         });
+}
+
+// Treats the runs that are missing in a report as lost.
 void SliceScheduler::DropMissing(Worker& worker,
                                  const RenewalCall& call,
                                  const WorkerReport& report) {
   const std::vector<Task*> tasks = worker.tasks;
   for (Task* task : tasks) {
-    if (task->worker == worker.id && IsMissing(*task, call, report)) {
+    if (task->worker != worker.id || !IsMissing(*task, call, report)) {
+      continue;
+    }
+    if (CompletesGang(*task) && IsUsable(worker) && !MayRunPastTerm(worker)) {
+      SendStart(*task);
+    } else {
       LoseRun(worker, *task, "not_reported");
     }
   }
--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -330,5 +330,46 @@
   }));
 }
 
+// Guards against a member of a gang that waits alone for the others: another
+// life of its worker has carried out an earlier start.
+TEST_CASE("a member of an earlier run of a gang is stopped", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Hold(IsStart);
+  world.Submit("j", "y");
+  world.Advance(100ms);
+  REQUIRE(world.workers.held().size() == 3);
+  world.workers.Hold({});
+  world.Advance(3s);
+  REQUIRE(world.workers.runs("w1").size() == 3);
+  world.workers.Restart("w1", 2);
+  world.workers.DeliverOldest(world.now());
+  REQUIRE(world.workers.runs("w1").size() == 1);
+  world.Advance(2s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 3);
+  CHECK(world.workers.runs("w1").size() == 3);
+}
+
+// Guards against a gang of which the start of one member was lost, while the
+// others wait for it until they give up.
+TEST_CASE("a start of a member of a gang that was lost is sent again",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Hold([](const WorkerCommand& command) {
+    const auto* start = std::get_if<StartRun>(&command);
+    return start != nullptr && start->task.index == 1;
+  });
+  world.Submit("j", "y");
+  world.Advance(100ms);
+  REQUIRE(world.workers.held().size() == 1);
+  world.workers.Hold({});
+  world.Advance(2s);
+  CHECK(world.workers.runs("w1").size() == 3);
+  CHECK(IsFenced(world.workers.DeliverOldest(world.now())));
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
