--- /dev/null
+++ b/tests/soak/rules.py
@@ -0,0 +1,70 @@
+"""The rules that the soak checks on the record of the executors."""
+
+from stage import ms
+
+# RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
+LASTING_GAP_MS = 9000
+
+
+def counts_as_noted(run, executor):
+    """An end that is acknowledged after the executor's lease has lapsed doesn't count
+    (RULES.md, TWICE)."""
+    noted = executor.noted.get((run.task, run.number))
+    return noted is not None and not any(run.ended <= lapse <= noted for lapse in executor.lapses)
+
+
+def own_end(process, expected=None):
+    """A process that ends by itself, by a crash or a report of a sanitizer, is a fault."""
+    status = process.process.returncode
+    return [] if status == expected else [
+        f"FAULT: {process.name} ended by itself with status {status}"]
+
+
+def lost_tasks(runs, answers, lasting, now):
+    """Lasting tasks of accepted jobs that do not run, LASTING_GAP_MS after their last run
+    or, if they have none, after their turn came."""
+    ends = {}
+    for run in runs:
+        ends[run.task] = max(ends.get(run.task, 0), now if run.ended is None else run.ended)
+    for job, (step, counts) in lasting.items():
+        if 200 not in answers[job]:
+            continue
+        before = [ends.get(f"{job}.0.{step - 1}.{n}", 0) for n in range(counts[step - 1])
+                  ] if step else []
+        for task in (f"{job}.0.{step}.{n}" for n in range(counts[step])):
+            idle_ms = now - max([ends.get(task, 0), *before])
+            if idle_ms > LASTING_GAP_MS:
+                yield (f"LOST: {task} lasts, was accepted and " +
+                       (f"has not run for {idle_ms:.0f} ms" if task in ends else "never ran"))
+
+
+def long_gaps(runs, answers, lasting):
+    """Lasting tasks of accepted jobs that were down for LASTING_GAP_MS between two runs."""
+    last = {}
+    for run in sorted(runs, key=lambda run: run.begun):
+        job, _, step, _ = run.task.split(".")
+        if job in lasting and int(step) == lasting[job][0] and 200 in answers[job]:
+            gap_ms = run.begun - last.get(run.task, run.begun)
+            if gap_ms > LASTING_GAP_MS:
+                yield (f"LOST: {run.task} lasts and did not run for {gap_ms:.0f} ms "
+                       f"before run {run.number}")
+            last[run.task] = max(last.get(run.task, 0), run.ended or ms())
+
+
+def broken_rules(world, answers, lasting):
+    broken = [f"TWICE: {a.task} run {a.number} on {world.where(a).id} ({a.how}) and run "
+              f"{b.number} on {world.where(b).id} ({b.how}) at the same time for {overlap_ms:.0f} ms"
+              for a, b, overlap_ms in world.overlaps()]
+    runs = [(run, executor) for executor in world.executors for run in executor.runs]
+    for done, executor in runs:
+        if done.how == "done" and counts_as_noted(done, executor):
+            broken += [f"TWICE: {run.task} run {run.number} on {other.id} started after run "
+                       f"{done.number} on {executor.id} was done and acknowledged"
+                       for run, other in runs if run.task == done.task and run.begun > done.ended]
+    started = {run.task.split(".")[0] for run, _ in runs}
+    for job, statuses in answers.items():
+        if job in started and all(status in (429, 503) for status in statuses):
+            broken.append(f"REFUSED: {job} was answered {statuses} and has started")
+        if 200 in statuses and job not in started:
+            broken.append(f"LOST: {job} was accepted and has not started")
+    return broken + list(lost_tasks([run for run, _ in runs], answers, lasting, ms()))
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -5,7 +5,7 @@
 import types
 import unittest
 
-import soak
+import rules
 
 NOW = 100000
 ANSWERS = {"a": [503, 200]}
@@ -18,7 +18,7 @@
 
 def lost(*runs, answers=None):
     return [line.split()[1] for line in
-            soak.lost_tasks(runs, answers or ANSWERS, LASTING, NOW)]
+            rules.lost_tasks(runs, answers or ANSWERS, LASTING, NOW)]
 
 
 class LostTasks(unittest.TestCase):
@@ -49,7 +49,7 @@
     @staticmethod
     def gaps(begun, answers=None, task="a.0.1.0"):
         runs = [run(task, begun=begun), run(task, 20000, 10000), run(task, 15000, 12000)]
-        return len(list(soak.long_gaps(runs, answers or ANSWERS, LASTING)))
+        return len(list(rules.long_gaps(runs, answers or ANSWERS, LASTING)))
 
     def test_down_between_runs(self):
         self.assertEqual(self.gaps(29000), 0)
@@ -66,7 +66,7 @@
         def ends(status, expected=None):
             process = types.SimpleNamespace(
                 name="edge", process=types.SimpleNamespace(returncode=status))
-            return len(soak.own_end(process, expected))
+            return len(rules.own_end(process, expected))
         self.assertEqual(ends(None), 0)
         self.assertEqual(ends(-9, -9), 0)
         self.assertEqual(ends(66, 0), 1)
