--- a/tests/soak/plays.sh
+++ b/tests/soak/plays.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against rules broken only when faults of different kinds overlap, as
-# when idle executors restart while the store refuses calls.
+# when idle executors restart while the store refuses calls, and by calls that
+# are held back on the way and reach a later life of an executor.
 #
 #   tests/soak/plays.sh BUILD_FOLDER
 #
@@ -16,6 +17,8 @@
   "102 drain_cut,kill,store_lost"
   "103 cut,freeze,restart,lost_answers"
   "104 term_out,restart_idle"
+  "105 held_some"
+  "106 held_some,store_lost"
 )
 pids=()
 
