--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -87,6 +87,7 @@
         self.rng = random.Random(f"{seed} {plain.id}")
         self.lives, self.lapses = 0, []
         super().__init__(store, plain.record, plain.id, plain.zone, plain.cpu)
+        self.lives = 0  # The first one begins with start().
         self.noted = Noted(self)
         self.link = self.handle
         # Not among the ports that the system gives to other sockets while it is down.
--- a/tests/soak/stage_test.py
+++ b/tests/soak/stage_test.py
@@ -33,6 +33,7 @@
         self.addCleanup(os.rmdir, self.world.folder)
         self.addCleanup(self.world.record.file.close)
         self.executor = self.world.executors[0]
+        self.executor.new_life()
         self.executor.up, self.executor.beats = True, asyncio.Future()
 
     async def test_rejected_starts_extend_the_lease(self):
