End the wait for a worker with the leases that owners grant

Cause: where the platform permits leases of 10 s, the successor of an owner that was killed took each lease of a worker that does not answer for one of 10 s, although no owner grants more than 6 s. The longest one is needed only for a start that nobody has seen carried out, or a renewal on the clock of the life before, since these may reach a later life of the worker. A long-running task whose worker was gone ran again 10.4 s after the restart of its owner's process.

Change: the stored place of a long-running task says once its run has been reported and the worker's lease is a usual one. A task with such a place waits for 6.3 s at most after its owner's process has restarted. A place that says so is not reused for the next run, which needs a write before it starts.

--- a/packages/jobs/include/jobs/hand_over.h
+++ b/packages/jobs/include/jobs/hand_over.h
@@ -44,6 +44,9 @@
 struct TaskPlace {
   std::uint32_t task = 0;
   std::string worker;  ///< kAnyWorker if unknown.
+  /// The run has been reported, and its lease is no longer than those that
+  /// owners grant. Otherwise it may be the longest that the platform permits.
+  bool usual_lease = false;
 
   bool operator==(const TaskPlace&) const = default;
 };
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -24,6 +24,12 @@
 
 struct Job;
 
+/// A worker on which an earlier owner may have started a task.
+struct LastWorker {
+  core::WorkerId worker;
+  bool usual_lease = false;  ///< As in TaskPlace.
+};
+
 /// One task of a job. Its state is a state of the chart `task_run`.
 struct Task {
   Job* job = nullptr;
@@ -44,8 +50,8 @@
   std::uint32_t slow_moves = 0;  ///< Moves because it was slowed.
   bool oversubscribed = false;   ///< Started where serving tasks leave no room.
   core::WorkerId last_failed_on;
-  /// Of a long-running task: where it may run by the stored row, if that is one
-  /// worker, and by the row in the write in flight.
+  /// Of a long-running task that is to start: where it may run by the stored
+  /// row, if that is one worker, and by the row in the write in flight.
   core::WorkerId stored_place;
   core::WorkerId written_place;
   core::TimePoint not_before;  ///< No order is sent before this.
@@ -55,7 +61,8 @@
   /// An earlier owner may have started it on any worker that has not reported.
   bool unlocated = false;
   /// The same for these workers alone.
-  std::vector<core::WorkerId> last_workers;
+  std::vector<LastWorker> last_workers;
+  bool usual_lease = false;  ///< Of the current run; as in TaskPlace.
   /// Where a start was neither answered nor, by the next report, carried out.
   /// Should a later life of the worker get it, the task must not run elsewhere.
   core::WorkerId lost_start_on;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -308,7 +308,9 @@
   void HandleClock(const TaskCall& call, std::int64_t clock_ms);
   std::int64_t LeastClockOf(const Worker& worker) const;
   std::int64_t LeaseUntil(const Worker& worker) const;
-  core::TimePoint PredecessorLeaseEnd() const;
+  core::TimePoint PredecessorLeaseEnd(core::Duration longest) const;
+  core::TimePoint PredecessorUsualLeaseEnd() const;
+  bool HasUsualLease(const Worker& worker) const;
   void AccrueLoad(Worker& worker) const;
   void LearnInterference(Worker& worker);
   void LearnFrom(Task& serving, std::span<const Neighbour> neighbours);
@@ -440,13 +442,15 @@
   // Runs of earlier owners.
   bool KnowsAllRuns() const;
   bool MayRunUnseen(const Task& task) const;
+  bool MayRunUnseenOn(const LastWorker& last);
   void SettleTasks();
   void InitLastWorkers(Job& job);
   void InitFromHandOver(Job& job);
   void InitFromPlaces(Job& job, const Places& places);
-  std::vector<core::WorkerId> WorkersNamed(std::span<const std::string> ids);
+  void AddLastWorker(Task& task, std::string_view id, bool usual_lease);
   void HandleHandOver(const Row& row, std::int64_t clock_ms);
   void HandlePlaces(const Row& row);
+  void NoteUsualLease(Task& task);
   void CollectPlaces(Job& job, Commit& commit);
   void FinishPlaces(Job& job);
   bool MayStartThere(const Task& task);
--- a/packages/jobs/src/hand_over.cc
+++ b/packages/jobs/src/hand_over.cc
@@ -1,5 +1,6 @@
 #include "jobs/hand_over.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace hickoryusher::jobs {
@@ -8,6 +9,9 @@
 // The store's limit for the value of a row is 64 KiB.
 constexpr std::size_t kMaxRowBytes = 60'000;
 
+// Marks a place whose lease is a usual one.
+constexpr std::string_view kUsualLease = "usual";
+
 /// Reads the rest of a line of words.
 std::vector<std::string> ReadWords(std::istringstream& line) {
   std::vector<std::string> words;
@@ -65,7 +69,11 @@
 std::string EncodePlaces(const Places& places) {
   std::string text = std::to_string(places.epoch) + '\n';
   for (const TaskPlace& place : places.tasks) {
-    text += std::to_string(place.task) + ' ' + place.worker + '\n';
+    text += std::to_string(place.task) + ' ' + place.worker;
+    if (place.usual_lease) {
+      text += ' ' + std::string(kUsualLease);
+    }
+    text += '\n';
   }
   return text;
 }
@@ -73,17 +81,21 @@
 std::optional<Places> DecodePlaces(std::string_view text) {
   std::istringstream in{std::string(text)};
   Places places;
-  if (!(in >> places.epoch)) {
+  std::string line;
+  if (!std::getline(in, line) || !(std::istringstream(line) >> places.epoch)) {
     return std::nullopt;
   }
-  TaskPlace place;
-  while (in >> place.task) {
-    if (!(in >> place.worker)) {
+  while (std::getline(in, line)) {
+    std::istringstream words(line);
+    TaskPlace place;
+    if (!(words >> place.task >> place.worker)) {
       return std::nullopt;
     }
-    places.tasks.push_back(place);
+    const std::vector<std::string> marks = ReadWords(words);
+    place.usual_lease = std::ranges::find(marks, kUsualLease) != marks.end();
+    places.tasks.push_back(std::move(place));
   }
-  return in.eof() ? std::optional(std::move(places)) : std::nullopt;
+  return places;
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -21,6 +21,16 @@
   return task.unlocated || !task.last_workers.empty();
 }
 
+// Returns whether the run of the task on that worker may not be over.
+bool SliceScheduler::MayRunUnseenOn(const LastWorker& last) {
+  const Worker& worker = workers_.Get(last.worker);
+  // A worker that has not been asked yet may have ends to report.
+  const bool asked =
+      charts_.worker_contact.StateName(worker.contact) == "unreached";
+  return IsUnconfirmed(worker) &&
+         !(last.usual_lease && asked && now_ >= PredecessorUsualLeaseEnd());
+}
+
 // Ends the waits for workers that have been heard of, or whose lease is over.
 void SliceScheduler::SettleTasks() {
   const bool all_confirmed = AllConfirmed();
@@ -31,8 +41,8 @@
         continue;
       }
       task.unlocated = task.unlocated && !all_confirmed;
-      std::erase_if(task.last_workers, [this](core::WorkerId id) {
-        return !IsUnconfirmed(workers_.Get(id));
+      std::erase_if(task.last_workers, [this](const LastWorker& last) {
+        return !MayRunUnseenOn(last);
       });
       waiting |= IsState(task, states_.ready) && MayRunUnseen(task);
     }
@@ -66,7 +76,9 @@
     const auto found = handed_over_workers_->find(ToText(job.AddressOf(task)));
     if (found != handed_over_workers_->end() &&
         !IsState(task, states_.elsewhere)) {
-      task.last_workers = WorkersNamed(found->second);
+      for (const std::string& id : found->second) {
+        AddLastWorker(task, id, /*usual_lease=*/false);
+      }
     }
   }
 }
@@ -84,22 +96,18 @@
       task.unlocated = true;
       continue;
     }
-    std::ranges::copy(WorkersNamed(std::span(&place.worker, 1)),
-                      std::back_inserter(task.last_workers));
+    AddLastWorker(task, place.worker, place.usual_lease);
   }
 }
 
-// Returns the workers with these ids, but for those that are not in the roster:
-// they run nothing.
-std::vector<core::WorkerId> SliceScheduler::WorkersNamed(
-    std::span<const std::string> ids) {
-  std::vector<core::WorkerId> workers;
-  for (const std::string& id : ids) {
-    if (const Worker* worker = workers_.Find(id)) {
-      workers.push_back(worker->id);
-    }
+// Adds a worker unless it is not in the roster: then it runs nothing.
+void SliceScheduler::AddLastWorker(Task& task,
+                                   std::string_view id,
+                                   bool usual_lease) {
+  if (const Worker* worker = workers_.Find(id)) {
+    task.last_workers.push_back(
+        {.worker = worker->id, .usual_lease = usual_lease});
   }
-  return workers;
 }
 
 // Returns whether a task whose place has been stored may start there now.
@@ -108,6 +116,16 @@
   return IsUsable(worker) && !MayRunPastTerm(worker);
 }
 
+// Stores that a run whose lease is a usual one has been reported. Its start may
+// have reached a life of the worker in which the lease is longer.
+void SliceScheduler::NoteUsualLease(Task& task) {
+  if (KeepsPlaces(task.job->StepOf(task)) && !task.usual_lease &&
+      HasUsualLease(workers_.Get(task.worker))) {
+    task.usual_lease = true;
+    MarkDirty(*task.job, /*urgent=*/false);
+  }
+}
+
 void SliceScheduler::CollectPlaces(Job& job, Commit& commit) {
   if (std::ranges::none_of(job.spec.steps, KeepsPlaces)) {
     return;
@@ -124,20 +142,22 @@
     }
     // Unknown while the write is in flight.
     task.stored_place = core::WorkerId();
-    task.written_place = task.worker;
-    const auto add = [&](std::string worker) {
-      places.tasks.push_back(
-          {.task = task.number, .worker = std::move(worker)});
+    // The next run may hold a longer lease than the row says of this one.
+    task.written_place = task.usual_lease ? core::WorkerId() : task.worker;
+    const auto add = [&](std::string worker, bool usual_lease) {
+      places.tasks.push_back({.task = task.number,
+                              .worker = std::move(worker),
+                              .usual_lease = usual_lease});
     };
     if (task.worker.valid()) {
-      add(workers_.Get(task.worker).entry.id);
+      add(workers_.Get(task.worker).entry.id, task.usual_lease);
       continue;
     }
     if (task.unlocated) {
-      add(std::string(kAnyWorker));
+      add(std::string(kAnyWorker), /*usual_lease=*/false);
     }
-    for (const core::WorkerId id : task.last_workers) {
-      add(workers_.Get(id).entry.id);
+    for (const LastWorker& last : task.last_workers) {
+      add(workers_.Get(last.worker).entry.id, last.usual_lease);
     }
   }
   commit.rows.puts.push_back({.key = key, .value = EncodePlaces(places)});
@@ -201,8 +221,9 @@
   }
   jobs_.ForEach([&](const Job& job) {
     for (const Task& task : job.tasks) {
-      if (task.unlocated || std::ranges::find(task.last_workers, worker.id) !=
-                                task.last_workers.end()) {
+      if (task.unlocated ||
+          std::ranges::find(task.last_workers, worker.id,
+                            &LastWorker::worker) != task.last_workers.end()) {
         tasks.push_back(ToText(job.AddressOf(task)));
       }
     }
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -46,15 +46,31 @@
 
 }  // namespace
 
-// Returns when the leases that earlier owners have granted are over.
-core::TimePoint SliceScheduler::PredecessorLeaseEnd() const {
+// Returns when the leases that earlier owners have granted are over, if none of
+// them is longer than this.
+core::TimePoint SliceScheduler::PredecessorLeaseEnd(
+    core::Duration longest) const {
   const core::TimePoint term_end = options_.predecessor_term_end + kClockMargin;
   if (!options_.predecessor_ended) {
     return term_end;
   }
-  return std::max(
-      options_.earlier_term_end + kClockMargin,
-      std::min(term_end, LeaseOver(gained_, options_.limits.longest_lease)));
+  return std::max(options_.earlier_term_end + kClockMargin,
+                  std::min(term_end, LeaseOver(gained_, longest)));
+}
+
+// The same for workers in the lives that earlier owners knew.
+core::TimePoint SliceScheduler::PredecessorUsualLeaseEnd() const {
+  return PredecessorLeaseEnd(
+      std::min(options_.limits.longest_lease, kLongestLease));
+}
+
+// Returns whether the worker's lease, as of a report, is no longer than those
+// that owners grant: no order on the clock of an earlier life has prolonged it,
+// or may still do so.
+bool SliceScheduler::HasUsualLease(const Worker& worker) const {
+  return worker.lease_end <= LeaseOver(now_, kLongestLease) &&
+         milliseconds(worker.granted_until_ms - worker.ClockAt(now_)) <=
+             kLongestLease + kClockMargin;
 }
 
 // Returns the end of a lease on the worker's clock, so that RecordLease expects
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -126,7 +126,11 @@
                    .Add("epoch", options_.epoch)
                    .Add("jobs", jobs_.size())
                    .Add("predecessor_lease_left_ms",
-                        core::ToMillis(PredecessorLeaseEnd() - now_)));
+                        core::ToMillis(PredecessorLeaseEnd(
+                                           options_.limits.longest_lease) -
+                                       now_))
+                   .Add("usual_lease_left_ms",
+                        core::ToMillis(PredecessorUsualLeaseEnd() - now_)));
 }
 
 // Without the roster or a job's progress, tasks would be started that may
@@ -420,6 +424,9 @@
   if (now >= next_placement_) {
     // Quarantines and pauses end without an event.
     next_placement_ = now + kPlacementInterval;
+    if (const core::TimePoint over = PredecessorUsualLeaseEnd(); over > now) {
+      next_placement_ = std::min(next_placement_, over);
+    }
     placement_due_ = true;
   }
   if (std::exchange(placement_due_, false)) {
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -56,6 +56,7 @@
       .Action("store_place",
               [](Context& c) {
                 c.task.run_seen = true;
+                c.task.usual_lease = false;
                 c.scheduler.MarkDirty(c.job(), /*urgent=*/true);
               })
       .Action("send_start",
@@ -65,6 +66,7 @@
                              c.task.starts;
                 c.task.percent = 0;
                 c.task.run_seen = false;
+                c.task.usual_lease = false;
                 c.task.pace_percent = 100;
                 c.task.pace_unconfirmed = false;
                 c.task.slowed_since = core::TimePoint::max();
@@ -87,6 +89,10 @@
                 // An earlier owner starts a task again only after it has
                 // learned that the run before is over.
                 c.task.unlocated = false;
+                c.task.usual_lease = std::ranges::any_of(
+                    c.task.last_workers, [&](const LastWorker& last) {
+                      return last.usual_lease && last.worker == worker.id;
+                    });
                 c.task.last_workers.clear();
                 c.scheduler.MarkRunning(c.task);
               })
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -93,7 +93,7 @@
   if (worker == nullptr) {
     worker = &workers_.Add(entry, charts_.worker_contact.initial());
     worker->born_unix_ms = entry.born_unix_ms;
-    worker->lease_end = PredecessorLeaseEnd();
+    worker->lease_end = PredecessorLeaseEnd(options_.limits.longest_lease);
   } else {
     worker->entry = entry;
     worker->listed = true;
@@ -372,6 +372,7 @@
   if (IsState(task, states_.starting)) {
     Dispatch(task, "adopt");
   }
+  NoteUsualLease(task);
   if (!run.checkpoint.empty()) {
     task.checkpoint = run.checkpoint;
   }
@@ -394,6 +395,9 @@
     return;
   }
   task.run = run.run;
+  if (std::exchange(task.usual_lease, false)) {
+    MarkDirty(*task.job, /*urgent=*/false);
+  }
   if (IsState(task, states_.stopping)) {
     SendStop(task);
   } else if (task.job->StepOf(task).gang) {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -148,6 +148,7 @@
   const Places places = {
       .epoch = 3,
       .tasks = {{.task = 0, .worker = "w1"},
+                {.task = 2, .worker = "w2", .usual_lease = true},
                 {.task = 4, .worker = std::string(kAnyWorker)}}};
   const auto read = DecodePlaces(EncodePlaces(places));
   REQUIRE(read.has_value());
@@ -157,6 +158,7 @@
   CHECK_FALSE(DecodePlaces("").has_value());
   CHECK_FALSE(DecodePlaces("3\n0\n").has_value());
   CHECK_FALSE(DecodePlaces("3\nw1 0\n").has_value());
+  CHECK_FALSE(DecodePlaces("3\n0 w1\nw2\n").has_value());
 }
 
 }  // namespace
