Keep the usual lease of a run that a successor adopts

Cause: a worker that answered the successor of a killed owner and left right after that kept its tasks for the longest lease that the platform permits, from the successor's claim on. The stored place said that the lease of the run is a usual one; adopting the run dropped that.

Change: with the run, its successor adopts what the place says. All runs in a worker's life share one lease, so that the recorded end of the lease is the earlier one, unless this owner has granted a lease already.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -451,6 +451,7 @@
   void HandleHandOver(const Row& row, std::int64_t clock_ms);
   void HandlePlaces(const Row& row);
   void NoteUsualLease(Task& task);
+  void AdoptLease(Task& task, Worker& worker);
   void CollectPlaces(Job& job, Commit& commit);
   void FinishPlaces(Job& job);
   bool MayStartThere(const Task& task);
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -126,6 +126,18 @@
   }
 }
 
+// Takes over what an earlier owner has stored about the lease of a run. All
+// runs in a worker's life share one lease.
+void SliceScheduler::AdoptLease(Task& task, Worker& worker) {
+  const auto last = std::ranges::find(task.last_workers, worker.id,
+                                      &LastWorker::worker);
+  task.usual_lease = last != task.last_workers.end() && last->usual_lease;
+  // Before its first report has been handled, this owner has granted none.
+  if (task.usual_lease && IsUnconfirmed(worker)) {
+    worker.lease_end = std::min(worker.lease_end, PredecessorUsualLeaseEnd());
+  }
+}
+
 void SliceScheduler::CollectPlaces(Job& job, Commit& commit) {
   if (std::ranges::none_of(job.spec.steps, KeepsPlaces)) {
     return;
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -88,11 +88,8 @@
                 worker.tasks.push_back(&c.task);
                 // An earlier owner starts a task again only after it has
                 // learned that the run before is over.
+                c.scheduler.AdoptLease(c.task, worker);
                 c.task.unlocated = false;
-                c.task.usual_lease = std::ranges::any_of(
-                    c.task.last_workers, [&](const LastWorker& last) {
-                      return last.usual_lease && last.worker == worker.id;
-                    });
                 c.task.last_workers.clear();
                 c.scheduler.MarkRunning(c.task);
               })
--- a/packages/jobs/tests/slice_usual_lease_test.cc
+++ b/packages/jobs/tests/slice_usual_lease_test.cc
@@ -78,6 +78,22 @@
   CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
 }
 
+// The same for a worker that answers the successor once, so that the task is
+// adopted, and is gone before its lease is renewed or soon after that.
+TEST_CASE("an adopted task has the usual lease that it had", "[slice]") {
+  SliceWorld world;
+  PermitLongLeases(world);
+  world.StartJob("w");
+  world.Advance(5s);
+  RestartOwner(world);
+  const std::chrono::milliseconds answers = GENERATE(20ms, 60ms, 300ms);
+  world.Advance(answers);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kGone);
+  world.AddWorker("w2");
+  CHECK(AwaitStarts(world, 2) <= kInTime);
+  CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
+}
+
 // Guards against a task that runs twice: its start reached a later life of the
 // worker, where its lease was the longest that is permitted.
 TEST_CASE("a start without an answer may hold the longest lease", "[slice]") {
