Store the kind of a lease only where longer ones are permitted

Cause: a place that says that the lease of its run is a usual one is not used for the next run, so that a long-running task that failed while the store took no writes did not start again on its worker. Where the platform permits no lease of over 6 s, a successor gains nothing from the mark.

Change: places say nothing of leases there.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -310,7 +310,7 @@
   std::int64_t LeaseUntil(const Worker& worker) const;
   core::TimePoint PredecessorLeaseEnd(core::Duration longest) const;
   core::TimePoint PredecessorUsualLeaseEnd() const;
-  bool HasUsualLease(const Worker& worker) const;
+  bool MayNoteUsualLease(const Worker& worker) const;
   void AccrueLoad(Worker& worker) const;
   void LearnInterference(Worker& worker);
   void LearnFrom(Task& serving, std::span<const Neighbour> neighbours);
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -120,7 +120,7 @@
 // have reached a life of the worker in which the lease is longer.
 void SliceScheduler::NoteUsualLease(Task& task) {
   if (KeepsPlaces(task.job->StepOf(task)) && !task.usual_lease &&
-      HasUsualLease(workers_.Get(task.worker))) {
+      MayNoteUsualLease(workers_.Get(task.worker))) {
     task.usual_lease = true;
     MarkDirty(*task.job, /*urgent=*/false);
   }
@@ -129,8 +129,8 @@
 // Takes over what an earlier owner has stored about the lease of a run. All
 // runs in a worker's life share one lease.
 void SliceScheduler::AdoptLease(Task& task, Worker& worker) {
-  const auto last = std::ranges::find(task.last_workers, worker.id,
-                                      &LastWorker::worker);
+  const auto last =
+      std::ranges::find(task.last_workers, worker.id, &LastWorker::worker);
   task.usual_lease = last != task.last_workers.end() && last->usual_lease;
   // Before its first report has been handled, this owner has granted none.
   if (task.usual_lease && IsUnconfirmed(worker)) {
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -66,9 +66,11 @@
 
 // Returns whether the worker's lease, as of a report, is no longer than those
 // that owners grant: no order on the clock of an earlier life has prolonged it,
-// or may still do so.
-bool SliceScheduler::HasUsualLease(const Worker& worker) const {
-  return worker.lease_end <= LeaseOver(now_, kLongestLease) &&
+// or may still do so. Where no longer lease is permitted, nobody needs to know:
+// a place that says so is not used for another run.
+bool SliceScheduler::MayNoteUsualLease(const Worker& worker) const {
+  return options_.limits.longest_lease > kLongestLease &&
+         worker.lease_end <= LeaseOver(now_, kLongestLease) &&
          milliseconds(worker.granted_until_ms - worker.ClockAt(now_)) <=
              kLongestLease + kClockMargin;
 }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -121,16 +121,16 @@
   restored_ = true;
   stored_progress_.clear();
   stored_places_.clear();
-  options_.log(core::LogLine("slice_restored")
-                   .Add("slice", options_.slice.name)
-                   .Add("epoch", options_.epoch)
-                   .Add("jobs", jobs_.size())
-                   .Add("predecessor_lease_left_ms",
-                        core::ToMillis(PredecessorLeaseEnd(
-                                           options_.limits.longest_lease) -
-                                       now_))
-                   .Add("usual_lease_left_ms",
-                        core::ToMillis(PredecessorUsualLeaseEnd() - now_)));
+  options_.log(
+      core::LogLine("slice_restored")
+          .Add("slice", options_.slice.name)
+          .Add("epoch", options_.epoch)
+          .Add("jobs", jobs_.size())
+          .Add("predecessor_lease_left_ms",
+               core::ToMillis(
+                   PredecessorLeaseEnd(options_.limits.longest_lease) - now_))
+          .Add("usual_lease_left_ms",
+               core::ToMillis(PredecessorUsualLeaseEnd() - now_)));
 }
 
 // Without the roster or a job's progress, tasks would be started that may
--- a/packages/jobs/tests/slice_usual_lease_test.cc
+++ b/packages/jobs/tests/slice_usual_lease_test.cc
@@ -52,8 +52,8 @@
   PermitLongLeases(world);
   world.StartJob("w");
   world.Advance(5s);
-  world.workers.SetFault("w1", GENERATE(FakeWorkers::Fault::kSilent,
-                                        FakeWorkers::Fault::kGone));
+  world.workers.SetFault(
+      "w1", GENERATE(FakeWorkers::Fault::kSilent, FakeWorkers::Fault::kGone));
   world.Advance(GENERATE(0ms, 500ms, 1000ms));
   RestartOwner(world);
   world.AddWorker("w2");
@@ -94,6 +94,27 @@
   CHECK_FALSE(world.workers.HoldsLease("w1", world.now()));
 }
 
+// Guards against a place that says of a start without an answer what was true
+// of the run before it. Where no longer lease is permitted, places say nothing
+// of leases, and a task that fails starts again on its worker without a write.
+TEST_CASE("a place with a usual lease is not used for the next run",
+          "[slice]") {
+  const std::chrono::milliseconds longest = GENERATE(6s, 10s);
+  SliceWorld world;
+  world.longest_lease = longest;
+  world.workers.longest_lease = longest;
+  world.TakeOver();
+  world.StartJob("w");
+  world.Advance(5s);
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  world.workers.End(SliceWorld::Task("j"), EndKind::kFailed);
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == (longest > 6s ? 1 : 2));
+  world.store.SetFault(FakeStore::Fault::kNone);
+  world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 // Guards against a task that runs twice: its start reached a later life of the
 // worker, where its lease was the longest that is permitted.
 TEST_CASE("a start without an answer may hold the longest lease", "[slice]") {
