Keep the names that scripts with faults of their own use in the soak

Cause: a script that adds a fault to the soak calls with_handler and REGISTRY_LAGS_MS, which the split into modules had renamed or hidden.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,7 +115,7 @@
                 await lost
                 executor.start_again(self.rng.choice(REGISTRY_LAGS_MS))
 
-            await self.with_link(executor, wait, restart)
+            await self.with_handler(executor, wait, restart)
 
     async def drain_cut(self):
         """A draining executor is cut off, comes back, leaves and is replaced."""
@@ -130,7 +130,7 @@
             await asyncio.sleep(self.rng.uniform(1, 3))
             await self.replace(executor)
 
-    async def with_link(self, executor, link, until):
+    async def with_handler(self, executor, link, until):
         executor.link = link
         await until()
         executor.link = executor.handle
@@ -158,7 +158,7 @@
                     return
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
 
-            await self.with_link(executor, handle, until)
+            await self.with_handler(executor, handle, until)
 
     async def lost_answers(self):
         """An executor loses half of its answers."""
@@ -171,7 +171,7 @@
                     raise Reset
                 return answer
 
-            await self.with_link(executor, handle,
+            await self.with_handler(executor, handle,
                                     lambda: asyncio.sleep(self.rng.uniform(0.5, 2)))
 
     async def with_store_fault(self, processes, fault, seconds):
--- a/tests/soak/late.py
+++ b/tests/soak/late.py
@@ -47,7 +47,7 @@
                     await asyncio.sleep(plan.uniform(*pauses_s))
                 released.set()
 
-            await self.with_link(executor, link, until)
+            await self.with_handler(executor, link, until)
         busy = [e for e in self.world.executors if e.running]
         await asyncio.gather(*map(one, self.pick(busy or self.world.executors, 3)))
 
@@ -89,7 +89,7 @@
                     return await executor.handle(request)
                 return await asyncio.shield(
                     asyncio.create_task(deliver(request, rng.uniform(2, BOUNDS_S[2]))))
-            await self.with_link(executor, link, lambda: asyncio.sleep(rng.uniform(1, 8)))
+            await self.with_handler(executor, link, lambda: asyncio.sleep(rng.uniform(1, 8)))
         await asyncio.gather(*map(one, self.pick(self.world.executors, 3)))
 
     async def late_answers(self):
@@ -103,7 +103,7 @@
                 if rng.random() < 0.2:
                     raise Reset
                 return answer
-            await self.with_link(executor, link, lambda: asyncio.sleep(rng.uniform(1, 6)))
+            await self.with_handler(executor, link, lambda: asyncio.sleep(rng.uniform(1, 6)))
         await asyncio.gather(*map(one, self.pick(self.world.executors, 3)))
 
     async def late_writes(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 import sys
 
 from callers import Callers
+from faults import REGISTRY_LAGS_MS  # noqa: F401  For scripts that add faults.
 from late import AllFaults as Faults
 from rules import broken_rules, long_gaps, own_end
 from stage import ROOT, CannotRun, World, ms, standin
