--- a/packages/jobs/tests/slice_earlier_life_test.cc
+++ b/packages/jobs/tests/slice_earlier_life_test.cc
@@ -34,6 +34,17 @@
                        *answer);
 }
 
+/// Adds the worker w1 and submits a job, whose first start is held back.
+void HoldFirstStart(SliceWorld& world) {
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.Hold(IsStart);
+  world.Submit("j", "c");
+  world.Advance(100ms);
+  REQUIRE(world.workers.held().size() == 1);
+  world.workers.Hold({});
+}
+
 // Guards against a task that runs twice: a proxy held back a start until the
 // worker had begun another life. That life carried it out after the task had
 // been started again there or elsewhere.
@@ -85,13 +96,7 @@
 TEST_CASE("a start that was given up replaces the run that ended with its life",
           "[slice]") {
   SliceWorld world;
-  world.AddWorker("w1");
-  world.Advance(500ms);
-  world.workers.Hold(IsStart);
-  world.Submit("j", "c");
-  world.Advance(100ms);
-  REQUIRE(world.workers.held().size() == 1);
-  world.workers.Hold({});
+  HoldFirstStart(world);
   world.AddWorker("w2");
   world.Advance(3s);
   REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
@@ -112,13 +117,7 @@
 // called, since the worker was idle and not in the registry yet.
 TEST_CASE("a late start finds that a new life has been asked", "[slice]") {
   SliceWorld world;
-  world.AddWorker("w1");
-  world.Advance(500ms);
-  world.workers.Hold(IsStart);
-  world.Submit("j", "c");
-  world.Advance(100ms);
-  REQUIRE(world.workers.held().size() == 1);
-  world.workers.Hold({});
+  HoldFirstStart(world);
   world.Advance(2s);
   REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
   world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
@@ -194,13 +193,7 @@
 TEST_CASE("an order that a later one has overtaken does not fence its owner",
           "[slice]") {
   SliceWorld world;
-  world.AddWorker("w1");
-  world.Advance(500ms);
-  world.workers.Hold(IsStart);
-  world.Submit("j", "c");
-  world.Advance(100ms);
-  REQUIRE(world.workers.held().size() == 1);
-  world.workers.Hold({});
+  HoldFirstStart(world);
   world.Advance(2s);
   const auto answer = world.workers.DeliverOldest(world.now());
   REQUIRE(IsFenced(answer));
@@ -292,13 +285,7 @@
 TEST_CASE("a run of an earlier start goes on if the task is being moved",
           "[slice]") {
   SliceWorld world;
-  world.AddWorker("w1");
-  world.Advance(500ms);
-  world.workers.Hold(IsStart);
-  world.Submit("j", "c");
-  world.Advance(100ms);
-  REQUIRE(world.workers.held().size() == 1);
-  world.workers.Hold({});
+  HoldFirstStart(world);
   world.AddWorker("w2");
   world.Advance(3s);
   REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
