Log starts that were not answered

Cause: run_lost seen=false is logged for a start without an answer and for one whose answer is still on its way, so that the logs cannot tell whether a late start or a long lease made a task run twice. One line for each call without an answer, which the call's time limit bounds.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -167,6 +167,7 @@
     Generation generation = 0;
     /// The least that the worker's clock showed when the order was sent.
     std::int64_t clock_ms = 0;
+    bool starts = false;  ///< The run, instead of stopping it.
   };
   struct RenewalCall {
     core::WorkerId worker;
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -195,7 +195,8 @@
                           .run = task.run,
                           .worker = worker.id,
                           .generation = worker.generation,
-                          .clock_ms = LeastClockOf(worker)};
+                          .clock_ms = LeastClockOf(worker),
+                          .starts = true};
   task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
@@ -262,6 +263,15 @@
     return;
   }
   Worker& worker = workers_.Get(call.worker);
+  if (call.starts && answer.outcome == OrderOutcome::kUnanswered) {
+    options_.log(core::LogLine("start_unanswered")
+                     .Add("job", call.job)
+                     .Add("task", call.number)
+                     .Add("run", call.run)
+                     .Add("worker", worker.entry.id)
+                     .Add("born", worker.born_unix_ms)
+                     .Add("generation", call.generation));
+  }
   Job* job = jobs_.Find(call.job);
   if (job == nullptr || !IsCurrent(call, job->tasks[call.number])) {
     if (answer.outcome == OrderOutcome::kUnanswered &&
