--- a/packages/http/tests/upstream_test.cc
+++ b/packages/http/tests/upstream_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <thread>
@@ -226,6 +227,39 @@
   close(fd);
 }
 
+// Guards against a request that is carried out long after it was given up: the
+// bytes that the endpoint had not received stayed in the send queue of the
+// closed connection, until the endpoint read again.
+TEST_CASE("a request that was given up is withdrawn from the connection") {
+  std::uint16_t port = 0;
+  const int listener = BindLoopback(port);
+  const int receive_bytes = 1;  // The kernel's minimum, about 2 KB.
+  setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+             sizeof receive_bytes);
+  listen(listener, 1);
+  Harness harness;
+  StartExchange command =
+      Post("http://127.0.0.1:" + std::to_string(port) + "/", "k");
+  command.body = std::string(12'000, 'x');
+  command.reuses_connections = true;
+  command.total_timeout = milliseconds(300);
+  harness.Start(std::move(command));
+  CHECK(harness.Failure().reason == "total_timeout");
+  const int connection = accept(listener, nullptr, nullptr);
+  REQUIRE(connection >= 0);
+  const timeval limit{.tv_sec = 5};
+  setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  std::size_t received = 0;
+  std::array<char, 4096> chunk;
+  ssize_t size = 0;
+  while ((size = recv(connection, chunk.data(), chunk.size(), 0)) > 0) {
+    received += static_cast<std::size_t>(size);
+  }
+  CHECK(received < 12'000);
+  close(connection);
+  close(listener);
+}
+
 // Guards P6: libcurl resends a request when a reused connection is dead. The
 // idempotent part shows that the endpoint would have seen the second run.
 TEST_CASE("a request that is not idempotent is never resent") {
--- /dev/null
+++ b/packages/jobs/tests/slice_late_start_test.cc
@@ -0,0 +1,161 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <variant>
+
+#include "slice_world.h"
+
+/// Starts without an answer that are the first order of a later life of their
+/// worker. No order before them turns them away.
+namespace hickoryusher::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A start may be carried out this long after it was sent; it counts as
+/// unanswered 0.9 s after it was sent.
+constexpr auto kLatest = 13s;
+
+bool IsStart(const WorkerCommand& command) {
+  return std::holds_alternative<StartRun>(command);
+}
+
+/// The worker w1 has a job, whose first start there is held back, and w2 is
+/// idle.
+struct HeldStart {
+  explicit HeldStart(const std::string& steps = "c") {
+    world.AddWorker("w1");
+    world.Advance(500ms);
+    world.workers.Hold(IsStart);
+    world.Submit("j", steps);
+    world.Advance(100ms);
+    REQUIRE(world.workers.held().size() == 1);
+    world.workers.Hold({});
+    world.AddWorker("w2");
+    world.Advance(100ms);
+  }
+
+  std::size_t starts() const { return world.workers.starts(kTask); }
+
+  /// Begins another life of w1, the clock of which starts anew.
+  void RestartFirst() {
+    world.workers.Restart("w1", ++born);
+    world.workers.SetBackClock("w1", world.now().time_since_epoch() - 1s);
+  }
+
+  const TaskAddress kTask = SliceWorld::Task("j");
+  SliceWorld world;
+  std::int64_t born = 1;
+};
+
+// Guards against a task that runs twice: its worker was silent for longer than
+// a lease, the task started elsewhere, and the worker's next life carried out
+// the start that had been on its way.
+TEST_CASE("a task whose start may come late waits for its silent worker",
+          "[slice]") {
+  HeldStart held;
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  held.world.Advance(9s);
+  REQUIRE(held.starts() == 0);
+  held.RestartFirst();
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  held.world.workers.DeliverOldest(held.world.now());
+  REQUIRE(held.starts() == 1);
+  held.world.Advance(3s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+}
+
+// Guards against a wait without an end, if the worker is gone for good.
+TEST_CASE("a task whose start can come late no more starts elsewhere",
+          "[slice]") {
+  HeldStart held;
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  held.world.Advance(kLatest + 1s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w2");
+}
+
+// Guards against a long-running task that is down for over 9 s because its
+// start was lost with its worker.
+TEST_CASE("a long-running task does not wait for a late start", "[slice]") {
+  HeldStart held("t");
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  held.world.Advance(9s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w2");
+}
+
+// Guards against a task that runs twice: its worker had answered a later order
+// and got no tasks any more, the task started elsewhere, and the worker
+// restarted.
+TEST_CASE("a task whose start may come late waits for its unusable worker",
+          "[slice]") {
+  HeldStart held;
+  held.world.Drain("w1");
+  held.world.Advance(4s);
+  REQUIRE(held.starts() == 0);
+  held.RestartFirst();
+  held.world.Register("w1", held.born);
+  held.world.workers.DeliverOldest(held.world.now());
+  held.world.Advance(3s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+}
+
+// Guards against a task that runs again after an end as done that was
+// acknowledged: its worker restarted, and carried out the first start, which
+// had no answer.
+TEST_CASE("an end is not acknowledged while a late start may follow",
+          "[slice]") {
+  HeldStart held;
+  held.world.Advance(2s);
+  REQUIRE(held.starts() == 1);
+  REQUIRE(held.world.workers.WorkerOf(held.kTask) == "w1");
+  held.world.workers.End(held.kTask, EndKind::kDone);
+  held.world.Advance(2s);
+  CHECK(held.world.PhaseOf("j") == JobPhase::kCompleted);
+  CHECK(held.world.workers.HasEnds("w1"));
+  held.world.Advance(kLatest);
+  CHECK_FALSE(held.world.workers.HasEnds("w1"));
+}
+
+// Guards against a task that runs twice: its second run was seen, was lost with
+// the life of its worker, and started elsewhere before the next life got the
+// first start.
+TEST_CASE("a task stays on its worker through further lives", "[slice]") {
+  HeldStart held;
+  held.world.Advance(2s);
+  REQUIRE(held.starts() == 1);
+  held.RestartFirst();
+  held.world.Register("w1", held.born);
+  held.world.Advance(2s);
+  CHECK(held.starts() == 2);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+  held.RestartFirst();
+  held.world.workers.DeliverOldest(held.world.now());
+  held.world.Advance(3s);
+  CHECK(held.starts() == 3);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+}
+
+// Guards against a wait for a start that was carried out: only its answer was
+// lost.
+TEST_CASE("a start that a report lists can come late no more", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kLoseAnswer);
+  world.Submit("j", "c");
+  world.Advance(100ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  world.Advance(2s);
+  REQUIRE(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.AddWorker("w2");
+  world.workers.End(SliceWorld::Task("j"), EndKind::kDone);
+  world.Advance(1s);
+  CHECK_FALSE(world.workers.HasEnds("w1"));
+}
+
+}  // namespace
+}  // namespace hickoryusher::jobs
