Soak lives that are out of reach after late calls

Cause: in the users' record the runs that were started late end as lapsed: the life that got the late calls was out of reach for the length of its lease. The soak had no such play. held_cut holds back calls, restarts, delivers them, and cuts the worker off for about a lease. The draws of the other faults stay.

--- a/tests/soak/late.py
+++ b/tests/soak/late.py
@@ -21,10 +21,10 @@
             await asyncio.sleep(30)
             raise
 
-    async def held(self, share):
+    async def held(self, share, cut_again=False):
         """A link holds back this share of the calls to some executors. They start again behind
         it, once or twice, and the new life gets the calls, in any order, even if the callers
-        have given up."""
+        have given up. Then it may be cut off, and its lease expires."""
         async def one(executor):
             released, plan, rng = asyncio.Event(), self.generator(), self.generator()
             lives, pauses_s = plan.choice((1, 2)), (0.3, plan.choice((1, 4)))
@@ -46,6 +46,11 @@
                     executor.start_again(plan.choice(REGISTRY_LAGS_MS))
                     await asyncio.sleep(plan.uniform(*pauses_s))
                 released.set()
+                if cut_again:
+                    await asyncio.sleep(plan.uniform(0, LATEST_S))
+                    await executor.cut()
+                    await asyncio.sleep(self.around(BOUNDS_S[1]))
+                    await executor.heal()
 
             await self.with_handler(executor, link, until)
         busy = [e for e in self.world.executors if e.running]
@@ -57,6 +62,9 @@
     async def held_all(self):
         await self.held(1)
 
+    async def held_cut(self):
+        await self.held(self.rng.choice((0.5, 1)), cut_again=True)
+
     async def held_out(self):
         """Calls are held back while the store is away for all for about the term of an owner,
         and the new lives are not in the registry."""
