Keep a task on the worker that may still carry out an unanswered start

All later runs were on one worker, started after the task had been started elsewhere or had ended as done and been acknowledged.

Cause: a life of a worker that has seen no token carries out any order, so that a start without an answer may be the first order of a later life. The owner gave it up when the lease was over or when a later order was answered in the same life, started the task elsewhere, and acknowledged its end. No order can be made conditional on a life; what can be is where the task starts next.

Change: a worker keeps the starts that nobody answered or saw carried out for the 12 s in which they may come late (before: one time for all, in which it was only asked more often). Until then a short-lived task starts nowhere else, under the same run number, which a worker starts once; and an end as done of such a task is not acknowledged, so that a start after it follows no noted end. Gone: the worker's late_start_until, and new run numbers for a start that is repeated. A long-running task does not wait: it may be down for 6 s only.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -39,6 +39,9 @@
   core::WorkerId worker;  ///< Valid while a run may be on it.
   RunNumber run = 0;
   std::uint32_t starts = 0;  ///< By this owner.
+  /// How often the start of `run` was sent; 0 once a worker may refuse it
+  /// because the run was stopped there or has ended.
+  std::uint32_t start_copies = 0;
   FailedRuns failures;
   std::string checkpoint;
   std::uint32_t percent = 0;
@@ -64,7 +67,7 @@
   std::vector<LastWorker> last_workers;
   bool usual_lease = false;  ///< Of the current run; as in TaskPlace.
   /// Where a start was neither answered nor, by the next report, carried out.
-  /// Should a later life of the worker get it, the task must not run elsewhere.
+  /// The task starts there again if it may; see WaitsForLateStart.
   core::WorkerId lost_start_on;
   /// Generation of the worker's last order for the run.
   Generation ordered = 0;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -193,6 +193,8 @@
     kNoUnusedCpu,
     kOverTarget,  ///< A serving task there misses its latency target.
     kDisturbs,    ///< Would bring a serving task there near its target.
+    /// Another worker may still carry out an earlier start of the task.
+    kLateStartElsewhere,
   };
 
   /// The move of a long-running task to another worker.
@@ -277,6 +279,7 @@
   void HandleRenewal(const RenewalCall& call, const LeaseAnswered& answer);
   FencingToken NextToken(const Worker& worker) const;
   static void BeginGeneration(Worker& worker);
+  void EndLife(Worker& worker);
   void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
   void ApplyEnd(Worker& worker, Task& task, const EndedRun& end);
@@ -297,7 +300,16 @@
   void DropMissing(Worker& worker,
                    const RenewalCall& call,
                    const WorkerReport& report);
-  void LoseRun(const Worker& worker, Task& task, std::string_view cause);
+  void LoseRun(Worker& worker, Task& task, std::string_view cause);
+  void ExpectLateStart(Worker& worker,
+                       std::string_view job,
+                       std::uint32_t task,
+                       RunNumber run) const;
+  static void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
+  void NoteStartAnswer(const TaskCall& call,
+                       const OrderAnswered& answer,
+                       Job* job);
+  bool WaitsForLateStart(const Task& task) const;
   void StopUnknown(Worker& worker, const ActiveRun& run);
   void UpdateQuarantine(Worker& worker, EndKind kind, std::string_view job);
   void RenewLeases();
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -80,9 +80,23 @@
   /// Not acknowledged before the job table has been read; by number.
   std::vector<UnknownEnd> unknown_ends;
 
-  /// Until then, a start without an answer may reach a later life, which does
-  /// nothing for it once it has answered an order of a later generation.
-  core::TimePoint late_start_until;
+  /// A start that was neither answered nor seen carried out. A life of the
+  /// worker that has seen no token carries it out if it comes there first.
+  struct LateStart {
+    std::string job;
+    std::uint32_t task = 0;  ///< Its number in the job.
+    RunNumber run = 0;
+    core::TimePoint until;  ///< When it can come no more.
+  };
+  std::vector<LateStart> late_starts;
+
+  /// An end as done of a task with a late start. A start after the end was
+  /// acknowledged would run the task again.
+  struct UnsafeEnd {
+    std::uint64_t number = 0;
+    core::TimePoint until;  ///< Not acknowledged before.
+  };
+  std::vector<UnsafeEnd> unsafe_ends;
 
   std::optional<CallId> renewal;  ///< The last one, until it is answered.
   core::TimePoint answered;  ///< When the last one with an answer was sent.
@@ -122,11 +136,29 @@
   /// @returns whether no start is on its way that nobody has seen carried out.
   bool AllRunsSeen() const;
 
+  /// Records that the start of a run may be carried out until @p until.
+  void ExpectLateStart(std::string_view job,
+                       std::uint32_t task,
+                       RunNumber run,
+                       core::TimePoint until);
+
+  /// Records that the start can come no more: it was answered, or its run is
+  /// reported.
+  void ForgetLateStart(std::string_view job, std::uint32_t task, RunNumber run);
+
+  /// @returns when the last late start of the task can come no more; nothing if
+  /// there is none.
+  std::optional<core::TimePoint> LateStartOf(const Task& task) const;
+
+  /// Forgets the starts that can come no more at @p now, and the ends that are
+  /// safe since. @returns whether there were any.
+  bool ExpireLateStarts(core::TimePoint now);
+
   /// @returns the worker's clock at @p now as far as known.
   std::int64_t ClockAt(core::TimePoint now) const;
 
   /// @returns up to which number ends may be acknowledged once they are stored.
-  std::uint64_t last_known_end() const;
+  std::uint64_t last_settled_end() const;
 
   void Reserve(const StepSpec& step);
   void Release(const StepSpec& step);
@@ -151,7 +183,7 @@
  public:
   Worker& Add(WorkerEntry entry, chart::StateId contact);
 
-  Worker& Get(core::WorkerId id) { return *workers_[id.value()]; }
+  Worker& Get(core::WorkerId id) const { return *workers_[id.value()]; }
 
   /// @returns the worker, or nullptr.
   Worker* Find(std::string_view id);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -51,10 +51,10 @@
   CollectJobs(commit);
   if (dirty_.empty()) {
     for (const auto& worker : workers_.all()) {
-      if (worker->last_known_end() > worker->acknowledged) {
+      if (worker->last_settled_end() > worker->acknowledged) {
         commit.ends.push_back({.worker = worker->id,
                                .life = worker->life,
-                               .last = worker->last_known_end()});
+                               .last = worker->last_settled_end()});
       }
     }
   }
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -215,8 +215,12 @@
         Dispatch(*task, "unanswered");
       }
     }
-    const bool late = now_ < worker->late_start_until;
-    if (NeedsRenewal(*worker) && (!worker->renewal || late) &&
+    if (worker->ExpireLateStarts(now_)) {
+      placement_due_ = true;
+      commit_due_ = std::min(commit_due_, now_ + kTick);
+    }
+    if (NeedsRenewal(*worker) &&
+        (!worker->renewal || !worker->late_starts.empty()) &&
         now_ >= worker->next_renewal) {
       RenewLease(*worker);
     }
@@ -239,7 +243,7 @@
 
 bool SliceScheduler::NeedsRenewal(const Worker& worker) const {
   if (!worker.tasks.empty() || worker.last_end > worker.forgotten ||
-      now_ < worker.late_start_until) {
+      !worker.late_starts.empty()) {
     return true;
   }
   const std::string_view contact =
@@ -279,7 +283,7 @@
     // A worker that lists ends answers at once.
     const bool lists_ends =
         worker.last_end > std::max(worker.forgotten, order.acknowledged);
-    if (!lists_ends && now_ >= worker.late_start_until) {
+    if (!lists_ends && worker.late_starts.empty()) {
       order.wait = Serves(worker) ? kServingReportWait : kReportWait;
     }
   }
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -174,6 +174,9 @@
     }
     Worker* worker = ChooseWorker(job, group, task);
     if (worker == nullptr) {
+      if (WaitsForLateStart(task)) {
+        continue;  // There may be room for the others.
+      }
       if (!step.long_running) {
         return false;
       }
@@ -281,6 +284,9 @@
   if (mismatch != Obstacle::kNone) {
     return mismatch;
   }
+  if (worker.id != task.lost_start_on && WaitsForLateStart(task)) {
+    return Obstacle::kLateStartElsewhere;
+  }
   if (IsNominated(worker, task, need)) {
     return Obstacle::kNominatedForOther;
   }
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -61,9 +61,16 @@
               })
       .Action("send_start",
               [](Context& c) {
-                ++c.task.starts;
-                c.task.run = (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
-                             c.task.starts;
+                // A worker starts one run once, however many of its starts come
+                // late beside each other.
+                if (c.task.start_copies == 0 || c.job().StepOf(c.task).gang ||
+                    !c.scheduler.WaitsForLateStart(c.task)) {
+                  ++c.task.starts;
+                  c.task.run =
+                      (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
+                      c.task.starts;
+                  c.task.start_copies = 0;
+                }
                 c.task.percent = 0;
                 c.task.run_seen = false;
                 c.task.usual_lease = false;
@@ -150,7 +157,9 @@
 void SliceScheduler::MarkRunning(Task& task) {
   AccrueLoad(workers_.Get(task.worker));
   task.run_seen = true;
-  task.lost_start_on = core::WorkerId();
+  if (!WaitsForLateStart(task)) {
+    task.lost_start_on = core::WorkerId();
+  }
   task.started = now_;
   task.advanced = now_;
   task.settled = now_;
@@ -197,6 +206,7 @@
                           .generation = worker.generation,
                           .clock_ms = LeastClockOf(worker),
                           .starts = true};
+  ++task.start_copies;
   task.ordered = worker.generation;
   task.settled = core::TimePoint::max();
   const std::int64_t until = LeaseUntil(worker);
@@ -224,6 +234,7 @@
   const Worker& worker = workers_.Get(task.worker);
   const CallId call = ids_.Next();
   task.stop_unanswered = false;
+  task.start_copies = 0;
   calls_[call] = TaskCall{.job = task.job->spec.id,
                           .number = task.number,
                           .run = task.run,
@@ -243,12 +254,61 @@
 // report, which is requested at once, beside a renewal that waits for an end.
 void SliceScheduler::TurnAwayOrders(Worker& worker) {
   BeginGeneration(worker);
-  worker.late_start_until = now_ + kLateStartTime;
   worker.runs_nothing = false;
   worker.renewal.reset();
   worker.next_renewal = now_;
 }
 
+// The start may be the first order of a later life of the worker, which no
+// token turns away.
+void SliceScheduler::ExpectLateStart(Worker& worker,
+                                     std::string_view job,
+                                     std::uint32_t task,
+                                     RunNumber run) const {
+  worker.ExpectLateStart(job, task, run, now_ + kLateStartTime);
+}
+
+// Handles that the start of the run was answered, or that the run is reported.
+// Other copies of the start may still come late.
+void SliceScheduler::ForgetLateStart(Worker& worker,
+                                     const Task& task,
+                                     RunNumber run) {
+  if (task.run == run && task.start_copies == 1) {
+    worker.ForgetLateStart(task.job->spec.id, task.number, run);
+  }
+}
+
+void SliceScheduler::NoteStartAnswer(const TaskCall& call,
+                                     const OrderAnswered& answer,
+                                     Job* job) {
+  Worker& worker = workers_.Get(call.worker);
+  if (answer.outcome != OrderOutcome::kUnanswered) {
+    if (job != nullptr) {
+      ForgetLateStart(worker, job->tasks[call.number], call.run);
+    }
+    return;
+  }
+  options_.log(core::LogLine("start_unanswered")
+                   .Add("job", call.job)
+                   .Add("task", call.number)
+                   .Add("run", call.run)
+                   .Add("worker", worker.entry.id)
+                   .Add("born", worker.born_unix_ms)
+                   .Add("generation", call.generation));
+  ExpectLateStart(worker, call.job, call.number, call.run);
+  if (job != nullptr && job->tasks[call.number].run_seen) {
+    ForgetLateStart(worker, job->tasks[call.number], call.run);
+  }
+}
+
+// Returns whether the task must not start on another worker: a late start there
+// would run beside it. A long-running task may be down for 6 s only, and takes
+// that risk once the lease is over.
+bool SliceScheduler::WaitsForLateStart(const Task& task) const {
+  return task.lost_start_on.valid() && !task.job->StepOf(task).long_running &&
+         workers_.Get(task.lost_start_on).LateStartOf(task);
+}
+
 // Returns whether the order was for the run that the task has now.
 bool SliceScheduler::IsCurrent(const TaskCall& call, const Task& task) const {
   return task.run == call.run && task.worker == call.worker &&
@@ -263,16 +323,10 @@
     return;
   }
   Worker& worker = workers_.Get(call.worker);
-  if (call.starts && answer.outcome == OrderOutcome::kUnanswered) {
-    options_.log(core::LogLine("start_unanswered")
-                     .Add("job", call.job)
-                     .Add("task", call.number)
-                     .Add("run", call.run)
-                     .Add("worker", worker.entry.id)
-                     .Add("born", worker.born_unix_ms)
-                     .Add("generation", call.generation));
-  }
   Job* job = jobs_.Find(call.job);
+  if (call.starts) {
+    NoteStartAnswer(call, answer, job);
+  }
   if (job == nullptr || !IsCurrent(call, job->tasks[call.number])) {
     if (answer.outcome == OrderOutcome::kUnanswered &&
         call.generation == worker.generation) {
@@ -290,7 +344,7 @@
   // Says nothing about a life that was learned of since.
   if (answer.outcome == OrderOutcome::kOtherIncarnation &&
       call.generation >= worker.life) {
-    DispatchContact(worker, "life_over");
+    EndLife(worker);
     return;
   }
   if (IsState(task, states_.stopping)) {
@@ -307,6 +361,7 @@
       break;
     case OrderOutcome::kSuperseded:
       // The next report says whether the run has ended there.
+      task.start_copies = 0;
       task.settled = now_;
       worker.next_renewal = now_;
       break;
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -52,6 +52,7 @@
         c.worker.forgotten = 0;
         c.worker.unknown_runs.clear();
         c.worker.unknown_ends.clear();
+        c.worker.unsafe_ends.clear();
       });
   return bindings;
 }
@@ -164,7 +165,7 @@
     // A later order was first, or the answer may be that of an earlier life.
     worker.next_renewal = now_;
   } else if (answer.outcome == OrderOutcome::kOtherIncarnation) {
-    DispatchContact(worker, "life_over");
+    EndLife(worker);
     worker.next_renewal = now_ + kLapsedRetryPause;
   } else if (answer.report) {
     HandleReport(call, *answer.report);
@@ -189,6 +190,13 @@
   ++worker.generation;
 }
 
+// Handles that the worker's address belongs to another one, which refuses the
+// orders that may still come late.
+void SliceScheduler::EndLife(Worker& worker) {
+  DispatchContact(worker, "life_over");
+  worker.late_starts.clear();
+}
+
 void SliceScheduler::HandleReport(const RenewalCall& call,
                                   const WorkerReport& report) {
   Worker& worker = workers_.Get(call.worker);
@@ -235,7 +243,7 @@
              (worker.last_end > worker.forgotten && !worker.AllRunsSeen())) {
     worker.next_renewal += kTick;
   }
-  if (now_ < worker.late_start_until) {
+  if (!worker.late_starts.empty()) {
     worker.next_renewal = std::max(worker.next_renewal, requested);
   }
 }
@@ -263,7 +271,15 @@
 
 void SliceScheduler::ApplyEnd(Worker& worker, Task& task, const EndedRun& end) {
   Job* job = task.job;
+  ForgetLateStart(worker, task, end.run);
+  if (const auto until = worker.LateStartOf(task);
+      until && end.kind == EndKind::kDone) {
+    worker.unsafe_ends.push_back({.number = end.number, .until = *until});
+  }
   const bool current = task.worker == worker.id && task.run == end.run;
+  if (task.run == end.run) {
+    task.start_copies = 0;
+  }
   const bool counted =
       std::ranges::find(task.failures, end.run) != task.failures.end();
   if (!current && task.worker.valid() && end.kind != EndKind::kDone) {
@@ -352,6 +368,7 @@
 void SliceScheduler::HandleActive(Worker& worker,
                                   Task& task,
                                   const ActiveRun& run) {
+  ForgetLateStart(worker, task, run.run);
   const bool idle =
       IsState(task, states_.blocked) || IsState(task, states_.ready);
   if (idle) {
@@ -464,7 +481,7 @@
   }
 }
 
-void SliceScheduler::LoseRun(const Worker& worker,
+void SliceScheduler::LoseRun(Worker& worker,
                              Task& task,
                              std::string_view cause) {
   options_.log(core::LogLine("run_lost")
@@ -478,6 +495,10 @@
                    .Add("acknowledged", worker.acknowledged));
   if (!task.run_seen) {
     task.lost_start_on = worker.id;
+    if (!worker.LateStartOf(task)) {
+      // The call has not been given up yet.
+      ExpectLateStart(worker, task.job->spec.id, task.number, task.run);
+    }
   }
   Dispatch(task, "lost");
 }
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -34,8 +34,55 @@
   return clock_ms + core::ToMillis(now - clock_at);
 }
 
-std::uint64_t Worker::last_known_end() const {
-  return unknown_ends.empty() ? last_end : unknown_ends.front().end.number - 1;
+std::uint64_t Worker::last_settled_end() const {
+  std::uint64_t last = last_end;
+  if (!unknown_ends.empty()) {
+    last = unknown_ends.front().end.number - 1;
+  }
+  for (const UnsafeEnd& end : unsafe_ends) {
+    last = std::min(last, end.number - 1);
+  }
+  return last;
+}
+
+void Worker::ExpectLateStart(std::string_view job,
+                             std::uint32_t task,
+                             RunNumber run,
+                             core::TimePoint until) {
+  const auto known =
+      std::ranges::find_if(late_starts, [&](const LateStart& start) {
+        return start.run == run && start.task == task && start.job == job;
+      });
+  if (known != late_starts.end()) {
+    known->until = std::max(known->until, until);
+  } else {
+    late_starts.push_back(
+        {.job = std::string(job), .task = task, .run = run, .until = until});
+  }
+}
+
+void Worker::ForgetLateStart(std::string_view job,
+                             std::uint32_t task,
+                             RunNumber run) {
+  std::erase_if(late_starts, [&](const LateStart& start) {
+    return start.run == run && start.task == task && start.job == job;
+  });
+}
+
+std::optional<core::TimePoint> Worker::LateStartOf(const Task& task) const {
+  std::optional<core::TimePoint> until;
+  for (const LateStart& start : late_starts) {
+    if (start.task == task.number && start.job == task.job->spec.id) {
+      until = std::max(until.value_or(start.until), start.until);
+    }
+  }
+  return until;
+}
+
+bool Worker::ExpireLateStarts(core::TimePoint now) {
+  const auto over = [now](const auto& entry) { return entry.until <= now; };
+  const std::size_t starts = std::erase_if(late_starts, over);
+  return std::erase_if(unsafe_ends, over) + starts > 0;
 }
 
 void Worker::Reserve(const StepSpec& step) {
--- a/packages/jobs/tests/slice_late_start_test.cc
+++ b/packages/jobs/tests/slice_late_start_test.cc
@@ -139,6 +139,19 @@
   CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
 }
 
+// Guards against a task that runs twice: its owner has changed, and the new one
+// does not know that a start by the earlier one may come late.
+TEST_CASE("a successor waits for a late start of its predecessor", "[slice]") {
+  HeldStart held;
+  held.world.TakeOver();
+  held.world.Drain("w1");
+  held.world.Advance(5s);
+  held.RestartFirst();
+  held.world.workers.DeliverOldest(held.world.now());
+  held.world.Advance(1s);
+  CHECK(held.starts() == 1);
+}
+
 // Guards against a wait for a start that was carried out: only its answer was
 // lost.
 TEST_CASE("a start that a report lists can come late no more", "[slice]") {
--- a/packages/jobs/tests/slice_random_search_test.cc
+++ b/packages/jobs/tests/slice_random_search_test.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "slice_world.h"
@@ -21,6 +22,8 @@
 constexpr core::Duration kLongestLease = 6s;
 // How long a lease of kLongestLease lasts at most; see RecordLease.
 constexpr core::Duration kLeaseOver = 6320ms;
+// How long after it was sent a start is waited for at least.
+constexpr core::Duration kLateStart = 12s;
 
 /// What the platform may do whatever the owner does is counted apart from
 /// faults.
@@ -197,6 +200,7 @@
   }
 
   void ChangeOwner() {
+    owner_changes_.push_back(world_.now());
     if (Below(2) == 0) {
       world_.HandOver();
     } else {
@@ -304,11 +308,31 @@
                });
   }
 
+  // Returns whether the owner that sent the start of @p stray waits for it to
+  // come late, so that no other start of the task may be carried out elsewhere.
+  // A successor does not know of it, a long-running task does not wait, and a
+  // gang starts under a new number meanwhile.
+  bool IsWaitedFor(const StartedRun& stray,
+                   const StartedRun& other,
+                   std::string_view steps) const {
+    const core::TimePoint last = std::max(stray.begun, other.begun);
+    const bool same_owner =
+        std::ranges::none_of(owner_changes_, [&](core::TimePoint change) {
+          return change >= std::min(stray.sent, other.sent) && change <= last;
+        });
+    return steps != "t" && steps != "y" && same_owner &&
+           last < stray.sent + kLateStart;
+  }
+
   // Returns whether the platform alone makes the task run twice: an order
   // reaches a later life before all later orders, and the task runs elsewhere
   // or is done, or such an order prolongs the lease.
-  bool IsUnavoidable(const StartedRun& earlier, const StartedRun& later) const {
-    return later.strayed || (earlier.strayed && IsUnknownTo(earlier, later)) ||
+  bool IsUnavoidable(const StartedRun& earlier,
+                     const StartedRun& later,
+                     std::string_view steps) const {
+    return (later.strayed && !IsWaitedFor(later, earlier, steps)) ||
+           (earlier.strayed && IsUnknownTo(earlier, later) &&
+            !IsWaitedFor(earlier, later, steps)) ||
            (earlier.strayed && IsAcknowledgedUnread(earlier)) ||
            earlier.strayed_lease_since <= later.begun ||
            RanBesideStray(earlier, later);
@@ -342,7 +366,7 @@
       if (!beside && !after_done) {
         continue;
       }
-      if (IsUnavoidable(before, run)) {
+      if (IsUnavoidable(before, run, job->second)) {
         ++findings.unavoidable;
         continue;
       }
@@ -365,6 +389,7 @@
   std::vector<std::string> names_;
   std::vector<std::pair<std::string, std::string>> jobs_;  ///< Ids and steps.
   std::vector<std::string> faults_;
+  std::vector<core::TimePoint> owner_changes_;
 };
 
 std::uint32_t FromEnvironment(const char* name, std::uint32_t otherwise) {
