Withdraw calls to the platform and its workers that were given up

Cause: a call that is given up closes its connection, and an orderly close goes on sending what the receiver has not taken. After a cut, the receiver gets calls that nobody waits for, seconds late. Such a call cannot be told from one that a proxy holds back. Change: connections that are kept open between calls (the store and the workers) discard unsent bytes when they are closed. A call that was given up ends with its connection. All http tests pass. That the users' machines held calls in this way is not shown.

--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -1,5 +1,7 @@
 #include "exchange_p.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -140,8 +142,15 @@
                                 request_headers_.get()) == CURLE_OK;
 }
 
-int Exchange::OnSocketOpened(void* self, curl_socket_t, curlsocktype) {
-  static_cast<Exchange*>(self)->socket_opened_ = true;
+int Exchange::OnSocketOpened(void* self, curl_socket_t socket, curlsocktype) {
+  auto* exchange = static_cast<Exchange*>(self);
+  exchange->socket_opened_ = true;
+  if (exchange->command_.reuses_connections) {
+    // An orderly close would go on sending a request that was given up, until
+    // the endpoint takes it seconds later. Without the option, it does so.
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  }
   return CURL_SOCKOPT_OK;
 }
 
