Repeat a start under its number wherever it goes to the same worker

Cause: a long-running task does not wait for a late start, but usually starts on the same worker again. It got a new run number there, so that a life that gets both starts late runs both. Change: the number stays whenever the last run's start may come late on the chosen worker, not only while the task must not start elsewhere. Evidence: "copies of a start that come late together start one run" failed for a long-running task: on two runs of it are on w1.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -310,6 +310,7 @@
                        const OrderAnswered& answer,
                        Job* job);
   bool WaitsForLateStart(const Task& task) const;
+  bool RepeatsStart(const Task& task) const;
   void StopUnknown(Worker& worker, const ActiveRun& run);
   void UpdateQuarantine(Worker& worker, EndKind kind, std::string_view job);
   void RenewLeases();
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -61,10 +61,7 @@
               })
       .Action("send_start",
               [](Context& c) {
-                // A worker starts one run once, however many of its starts come
-                // late beside each other.
-                if (c.task.start_copies == 0 || c.job().StepOf(c.task).gang ||
-                    !c.scheduler.WaitsForLateStart(c.task)) {
+                if (!c.scheduler.RepeatsStart(c.task)) {
                   ++c.task.starts;
                   c.task.run =
                       (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
@@ -309,6 +306,15 @@
          workers_.Get(task.lost_start_on).LateStartOf(task);
 }
 
+// Returns whether the task starts under the number of its last run, because
+// copies of that start may come late on the same worker, beside the next one. A
+// worker starts one run once. The members of a gang get a new number together.
+bool SliceScheduler::RepeatsStart(const Task& task) const {
+  return task.start_copies > 0 && task.worker == task.lost_start_on &&
+         !task.job->StepOf(task).gang &&
+         workers_.Get(task.worker).LateStartOf(task);
+}
+
 // Returns whether the order was for the run that the task has now.
 bool SliceScheduler::IsCurrent(const TaskCall& call, const Task& task) const {
   return task.run == call.run && task.worker == call.worker &&
--- a/packages/jobs/tests/slice_late_start_test.cc
+++ b/packages/jobs/tests/slice_late_start_test.cc
@@ -152,6 +152,24 @@
   CHECK(held.starts() == 1);
 }
 
+// Guards against a task that runs twice on one worker: its second start was
+// held back, too, and another life of the worker carried out both.
+TEST_CASE("copies of a start that come late together start one run",
+          "[slice]") {
+  HeldStart held(GENERATE("c", "t"));
+  held.world.workers.Hold(IsStart);
+  held.world.Advance(2s);
+  REQUIRE(held.world.workers.held().size() >= 2);
+  held.world.workers.Hold({});
+  held.RestartFirst();
+  while (held.world.workers.DeliverOldest(held.world.now())) {
+  }
+  CHECK(held.starts() == 1);
+  held.world.Advance(3s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.runs("w1").size() == 1);
+}
+
 // Guards against a wait for a start that was carried out: only its answer was
 // lost.
 TEST_CASE("a start that a report lists can come late no more", "[slice]") {
