Transfer waiting jobs off slices that cannot start them

Cause: only long-running tasks could leave a slice. Tasks start nowhere until the answer is definite; after an answer was lost, not before the job's next write has taken the condition of late copies away. Run numbers rise across slices. In an evacuated slice nothing starts, and intake chooses it last. Nothing reads the operators' rows yet.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -16,11 +16,13 @@
 #include "core/log_line.h"
 #include "core/time.h"
 #include "jobs/open_writes.h"
+#include "jobs/operator_state.h"
 #include "jobs/queues.h"
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
 #include "jobs/slice_scheduler.h"
 #include "jobs/table_follower.h"
+#include "jobs/transfer_policy.h"
 
 namespace hickoryusher::jobs {
 
@@ -32,6 +34,7 @@
   std::int64_t reserved_millis = 0;  ///< The reserved part.
   /// The part that is reserved until the job is cancelled.
   std::int64_t long_running_millis = 0;
+  std::vector<TaskNeeds> needs;  ///< Of its tasks; each need once.
 };
 
 /// @returns the demand of the job: the maximum over its steps, by field.
@@ -109,6 +112,9 @@
 
   void SetConfig(QueueConfigPtr config) { config_ = std::move(config); }
 
+  /// @param domains whose slices get jobs only if no other candidate can.
+  void SetEvacuated(FailureDomains domains) { evacuated_ = std::move(domains); }
+
   /// @param loads of all slices, by index.
   void SetLoads(std::vector<std::optional<SliceLoad>> loads);
 
@@ -152,7 +158,9 @@
   const SliceLoad* RecentLoad(std::size_t slice) const;
   std::int64_t LongRunningMillis(std::size_t slice,
                                  const SliceLoad& load) const;
+  bool IsEvacuated(std::size_t slice) const;
   std::size_t ChooseSlice(std::span<const std::size_t> candidates,
+                          const Queue& queue,
                           const JobDemand& demand);
   void ReadState(ClientCall call, const Queue& queue, std::string job);
   void ReadNextSlice(Pending pending);
@@ -173,6 +181,7 @@
   Options options_;
   CallIds& ids_;
   QueueConfigPtr config_;
+  FailureDomains evacuated_;
   core::TimePoint now_;
   std::int64_t unix_ms_ = 0;  ///< Time of day of the latest call.
   core::TimePoint last_success_;
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -111,10 +111,16 @@
   /// later.
   std::uint64_t progress_version = 0;
   std::int64_t accepted_unix_ms = 0;
-  /// The row as intake wrote it; only for jobs whose tasks are all
-  /// long-running.
-  std::string stored_text;
+  std::string stored_text;  ///< The row as intake or another slice wrote it.
   std::uint64_t stored_version = 0;
+  /// The job's runs in slices that it has left have no higher numbers.
+  RunNumber runs_above = 0;
+  /// A transfer without an answer may still take effect, until the job's next
+  /// write here succeeds.
+  bool transfer_unsettled = false;
+  core::TimePoint next_transfer;  ///< No transfer of the waiting job before.
+  /// Since when no usable worker can run the waiting tasks.
+  std::optional<core::TimePoint> unfit_since;
   /// Since when a long-running task has not been placed.
   std::optional<core::TimePoint> unplaced_since;
   /// When to search again for tasks that could be moved or stopped to make room
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -2,16 +2,27 @@
 #define JOBS_SLICE_LOAD_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/resources.h"
 #include "jobs/rows.h"
 
 namespace hickoryusher::jobs {
 
+/// The usable workers of one service in a slice.
+struct ServiceRoom {
+  core::Resources largest;  ///< Of the workers, by field.
+  std::set<std::string, std::less<>> labels;
+
+  bool operator==(const ServiceRoom&) const = default;
+};
+
 /// Load of a slice, published by its owner with each renewal.
 struct SliceLoad {
   std::int64_t unix_ms = 0;  ///< Time of day up to which the jobs are known.
@@ -30,6 +41,7 @@
   RowVersion incoming = 0;
   /// Number of jobs by queue for which no task has started.
   std::map<std::string, std::uint32_t, std::less<>> pending;
+  std::map<std::string, ServiceRoom, std::less<>> services;
 };
 
 /// Maximum number of workers whose room for long-running tasks is published.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -22,6 +22,7 @@
 #include "jobs/hand_over.h"
 #include "jobs/interference_model.h"
 #include "jobs/job_table.h"
+#include "jobs/operator_state.h"
 #include "jobs/pace_plan.h"
 #include "jobs/queues.h"
 #include "jobs/roster.h"
@@ -30,6 +31,7 @@
 #include "jobs/slice_load.h"
 #include "jobs/store_clock.h"
 #include "jobs/table_follower.h"
+#include "jobs/transfer_policy.h"
 #include "jobs/worker_calls.h"
 #include "jobs/worker_pool.h"
 
@@ -59,6 +61,9 @@
   std::string document;
   /// Numbers of the tasks that belong to the slice; all if there are none.
   std::vector<std::uint32_t> tasks;
+  /// Runs have higher numbers than this, which the slices that had the job
+  /// before have not exceeded.
+  RunNumber runs_above = 0;
 };
 
 std::string EncodeStoredJob(const StoredJob& job);
@@ -114,6 +119,9 @@
 
   void SetConfig(QueueConfigPtr config, core::TimePoint now);
 
+  /// @param domains on whose workers no task may start from now on.
+  void SetEvacuated(const FailureDomains& domains, core::TimePoint now);
+
   /// @param end when the ownership ends if it is not renewed; no lease is
   /// granted beyond it.
   void SetTermEnd(core::TimePoint end) { term_end_ = end; }
@@ -183,6 +191,7 @@
   /// Why a task is not placed on a worker.
   enum class Obstacle {
     kNone,
+    kEvacuated,     ///< The failure domain is evacuated.
     kNotUsable,     ///< Silent, unlisted, leaving or quarantined.
     kOutlivesTerm,  ///< Its lease might last for longer than the term.
     kOtherService,
@@ -431,6 +440,7 @@
       const Job& job,
       std::span<const std::uint32_t> tasks) const;
   void TransferJobs();
+  bool HasUsableWorker() const;
   bool MayTransfer(const Job& job) const;
   void TransferOtherFor(Job& job);
   void BeginTransfer(Job& job, TransferPlan plan);
@@ -444,6 +454,25 @@
   void AdoptRow(const std::string& id, std::span<const Row> present);
   void EndTransfer();
 
+  // Transfers of jobs of which nothing runs.
+  bool IsEvacuated() const { return IsEvacuated(options_.id.value()); }
+  bool IsEvacuated(std::size_t slice) const;
+  bool RunsNowhere(const Job& job) const;
+  std::optional<WaitingJob> DescribeWaiting(Job& job);
+  bool MayTransferWaiting() const;
+  void TransferWaitingJobs();
+  void BeginWaitingTransfer();
+  void SendWaitingTransfer();
+  void AppendTransfer(CommitRows& write,
+                      const Job& job,
+                      std::size_t target,
+                      std::span<const std::uint32_t> tasks = {});
+  void FinishWaitingTransfer(const StoreEvent& event);
+  void ReleaseWaitingJobs();
+  void SettleTransfer(Job& job);
+  void ForgetMovedJobs();
+  void LogEvacuation();
+
   // Runs of tasks whose job this owner has not read.
   bool IsClosed(std::string_view job) const;
   void HoldUnknownEnd(Worker& worker, const EndedRun& end);
@@ -486,6 +515,7 @@
   void HandleRoster(const Row& row, std::int64_t clock_ms);
   bool MayCloseLeases(const Worker& worker) const;
   void LogLoad();
+  static void AddWorkerTo(SliceLoad& load, const WorkerEntry& entry);
 
   Options options_;
   SliceCharts charts_;
@@ -588,6 +618,24 @@
   };
   std::optional<Transfer> transfer_;
 
+  /// The transfer of whole jobs of which nothing runs.
+  struct WaitingTransfer {
+    std::vector<std::string> jobs;
+    std::size_t target = 0;
+    TransferReason reason = TransferReason::kEvacuated;
+    std::optional<CallId> call;
+    core::TimePoint not_before;
+    bool unanswered = false;  ///< A copy of the write may still take effect.
+  };
+  std::optional<WaitingTransfer> waiting_transfer_;
+  FailureDomains evacuated_;
+  bool waiting_transfer_due_ = false;
+  core::TimePoint next_waiting_transfer_;
+  core::TimePoint next_evacuation_log_;
+  std::uint64_t transferred_jobs_ = 0;  ///< Since the evacuation began.
+  /// Entries of removed_jobs_ of jobs that have left, with the time.
+  std::deque<std::pair<core::TimePoint, std::string>> moved_jobs_;
+
   /// Capacity that is held on a worker for a waiting long-running task.
   struct Nomination {
     const Task* task = nullptr;
--- a/packages/jobs/include/jobs/types.h
+++ b/packages/jobs/include/jobs/types.h
@@ -41,6 +41,11 @@
 /// change of the slice's owner.
 using RunNumber = std::uint64_t;
 
+/// Run numbers of an owner are above those of all earlier owners of the slice:
+/// each epoch has this many numbers, far more than the starts of a task under
+/// one owner.
+inline constexpr RunNumber kRunsPerEpoch = 10'000;
+
 /// Identical tasks of one job that become ready at the same time.
 struct StepSpec {
   std::uint32_t count = 1;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -155,7 +155,7 @@
     Refuse(call, Refusal::kNoCapacity, *std::move(reason));
     return;
   }
-  const std::size_t slice = ChooseSlice(candidates, call.demand);
+  const std::size_t slice = ChooseSlice(candidates, queue, call.demand);
   const std::string& name = options_.slices[slice].name;
   CommitRows commit{.puts = {{.key = ProgressRow(name, job),
                               .value = EncodeProgress(Progress())},
@@ -186,6 +186,7 @@
   JobDemand widest;
   for (const StepSpec& step : spec.steps) {
     const std::int64_t count = step.count;
+    AddNeeds(widest.needs, step);
     const JobDemand demand = {
         .millis = count * step.need.cpu_millis,
         .reserved_millis = count * Reservation(step).cpu_millis};
@@ -213,16 +214,28 @@
          kUnpublishedFactor * added_[slice].long_running_millis;
 }
 
+bool Intake::IsEvacuated(std::size_t slice) const {
+  return evacuated_.contains(options_.slices[slice].failure_domain);
+}
+
 // @returns the slice with the smallest demand relative to its capacity; for a
 // job that reserves CPU, the one with the smallest reserved share. Slices with
-// room come first, then those without a recent load, then full ones.
+// room come first, then those without a recent load, then full ones, then those
+// that cannot run the job.
 std::size_t Intake::ChooseSlice(std::span<const std::size_t> candidates,
+                                const Queue& queue,
                                 const JobDemand& demand) {
-  enum class Rank { kRoom, kUnknown, kFull };
+  enum class Rank { kRoom, kUnknown, kFull, kUnfit, kEvacuated };
   const auto rank = [&](std::size_t slice, const SliceLoad* load) {
+    if (IsEvacuated(slice)) {
+      return Rank::kEvacuated;
+    }
     if (load == nullptr) {
       return Rank::kUnknown;
     }
+    if (!CanRun(*load, queue.service, demand.needs)) {
+      return Rank::kUnfit;
+    }
     const bool full =
         demand.long_running_millis > 0 &&
         LongRunningMillis(slice, *load) + demand.long_running_millis >
@@ -257,12 +270,18 @@
 std::optional<std::string> Intake::FindCapacityShortage(
     std::span<const std::size_t> candidates,
     const JobDemand& demand) const {
-  if (demand.long_running_millis == 0) {
+  const bool nowhere = std::ranges::all_of(
+      candidates, [this](std::size_t slice) { return IsEvacuated(slice); });
+  if (demand.long_running_millis == 0 || nowhere) {
     return std::nullopt;
   }
   std::string reason = "needs " + std::to_string(demand.long_running_millis) +
                        " thousandths of a core";
   for (const std::size_t slice : candidates) {
+    if (IsEvacuated(slice)) {
+      reason += "; " + options_.slices[slice].name + " is evacuated";
+      continue;
+    }
     const SliceLoad* load = RecentLoad(slice);
     if (load == nullptr) {
       return std::nullopt;  // It may have room.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -39,7 +39,8 @@
 }
 
 void SliceScheduler::StartCommit() {
-  const bool in_transfer = transfer_ && transfer_->call;
+  const bool in_transfer = (transfer_ && transfer_->call) ||
+                           (waiting_transfer_ && waiting_transfer_->call);
   if (commit_ || in_transfer || now_ < commit_due_ || now_ < commit_retry_ ||
       !restored_) {
     return;
@@ -280,6 +281,7 @@
     if (Job* job = jobs_.Find(id)) {
       job->progress_version = version;
       FinishPlaces(*job);
+      SettleTransfer(*job);
     }
   }
   for (const RowKey& removed : commit.rows.removals) {
@@ -356,6 +358,17 @@
                    .Add("considerations", candidates_evaluated_));
 }
 
+void SliceScheduler::AddWorkerTo(SliceLoad& load, const WorkerEntry& entry) {
+  ServiceRoom& room = load.services[entry.service];
+  core::Resources& largest = room.largest;
+  largest.cpu_millis = std::max(largest.cpu_millis, entry.capacity.cpu_millis);
+  largest.memory_bytes =
+      std::max(largest.memory_bytes, entry.capacity.memory_bytes);
+  largest.accelerators =
+      std::max(largest.accelerators, entry.capacity.accelerators);
+  room.labels.insert(entry.labels.begin(), entry.labels.end());
+}
+
 std::optional<SliceLoad> SliceScheduler::load() {
   if (!restored_) {
     return std::nullopt;
@@ -378,10 +391,12 @@
   // A task that arrives might wait for workers that have not reported.
   const bool settled = handed_over_workers_ || AllConfirmed() ||
                        now_ >= gained_ + kPredecessorDelay;
-  const bool offers_room = settled && !needs_room && now_ >= incoming_until_;
+  const bool offers_room =
+      settled && !needs_room && !IsEvacuated() && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
     if (IsUsable(*worker)) {
       load.capacity_millis += worker->entry.capacity.cpu_millis;
+      AddWorkerTo(load, worker->entry);
       if (offers_room && !nominations_.contains(worker->id)) {
         load.long_running_room_millis.push_back(
             worker->long_running_room().cpu_millis);
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -113,7 +113,7 @@
 // Returns whether a task whose place has been stored may start there now.
 bool SliceScheduler::MayStartThere(const Task& task) {
   const Worker& worker = workers_.Get(task.worker);
-  return IsUsable(worker) && !MayRunPastTerm(worker);
+  return IsUsable(worker) && !MayRunPastTerm(worker) && !IsEvacuated();
 }
 
 // Stores that a run whose lease is a usual one has been reported. Its start may
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -1,5 +1,6 @@
 #include "jobs/slice_load.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace hickoryusher::jobs {
@@ -9,6 +10,70 @@
 // differences between processes.
 constexpr std::int64_t kOldestLoadMs = 4000;
 
+// Words that start with a mark describe services, not queues: what is meant,
+// the service and, for labels, the label. Earlier versions take them for
+// queues, of which they show nothing.
+constexpr char kServiceMark = '!';
+constexpr char kSeparator = ':';
+constexpr std::string_view kCpu = "cpu";
+constexpr std::string_view kMegabytes = "mb";
+constexpr std::string_view kAccelerators = "acc";
+constexpr std::string_view kLabel = "label";
+
+constexpr std::int64_t kBytesPerMegabyte = 1024LL * 1024;
+
+bool IsWord(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char c) {
+    return c > ' ' && c < 0x7f && c != kSeparator;
+  });
+}
+
+void AppendService(std::string& text,
+                   std::string_view service,
+                   const ServiceRoom& room) {
+  const auto append = [&](std::string_view what, std::string_view label,
+                          std::int64_t number) {
+    text += kServiceMark;
+    text.append(what) += kSeparator;
+    text.append(service);
+    if (!label.empty()) {
+      (text += kSeparator).append(label);
+    }
+    text += ' ' + std::to_string(number) + '\n';
+  };
+  append(kCpu, {}, room.largest.cpu_millis);
+  append(kMegabytes, {}, room.largest.memory_bytes / kBytesPerMegabyte);
+  append(kAccelerators, {}, room.largest.accelerators);
+  for (const std::string& label : room.labels) {
+    if (IsWord(label)) {
+      append(kLabel, label, 1);
+    }
+  }
+}
+
+/// @param word of the form that AppendService writes, without the mark.
+/// @returns false if it has another form.
+bool ReadService(SliceLoad& load, std::string_view word, std::uint32_t number) {
+  const std::size_t first = word.find(kSeparator);
+  if (first == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view what = word.substr(0, first);
+  word.remove_prefix(first + 1);
+  const std::size_t second = std::min(word.find(kSeparator), word.size());
+  ServiceRoom& room = load.services[std::string(word.substr(0, second))];
+  if (what == kCpu) {
+    room.largest.cpu_millis = number;
+  } else if (what == kMegabytes) {
+    room.largest.memory_bytes = number * kBytesPerMegabyte;
+  } else if (what == kAccelerators) {
+    room.largest.accelerators = static_cast<std::int32_t>(number);
+  } else if (what == kLabel && second < word.size()) {
+    room.labels.emplace(word.substr(second + 1));
+  }
+  return true;
+}
+
 }  // namespace
 
 bool IsRecent(const SliceLoad& load, std::int64_t unix_ms) {
@@ -30,6 +95,11 @@
   for (const auto& [queue, count] : load.pending) {
     text += queue + ' ' + std::to_string(count) + '\n';
   }
+  for (const auto& [service, room] : load.services) {
+    if (IsWord(service)) {
+      AppendService(text, service, room);
+    }
+  }
   return text;
 }
 
@@ -54,7 +124,11 @@
     if (!(in >> count)) {
       return std::nullopt;
     }
-    load.pending[queue] = count;
+    if (queue.front() != kServiceMark) {
+      load.pending[queue] = count;
+    } else if (!ReadService(load, std::string_view(queue).substr(1), count)) {
+      return std::nullopt;
+    }
   }
   return load;
 }
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -239,6 +239,9 @@
     const Job& job,
     const Group& group) const {
   const StepSpec& step = job.StepOf(group);
+  if (IsEvacuated()) {
+    return Obstacle::kEvacuated;
+  }
   if (!IsUsable(worker)) {
     return Obstacle::kNotUsable;
   }
@@ -277,6 +280,9 @@
                                                       const Task& task) const {
   const StepSpec& step = job.StepOf(group);
   const core::Resources need = Reservation(step);
+  if (IsEvacuated()) {
+    return Obstacle::kEvacuated;
+  }
   if (!Fits(need, worker.free())) {
     return Obstacle::kNoRoom;
   }
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -9,6 +9,8 @@
 
 constexpr std::string_view kProgressTable = "job_progress";
 constexpr std::string_view kCancelSuffix = "!cancel";
+// Before StoredJob::runs_above.
+constexpr char kRunsMark = '+';
 
 }  // namespace
 
@@ -67,6 +69,9 @@
 
 std::string EncodeStoredJob(const StoredJob& job) {
   std::string text = job.queue + '\n' + std::to_string(job.accepted_unix_ms);
+  if (job.runs_above > 0) {
+    text += kRunsMark + std::to_string(job.runs_above);
+  }
   for (const std::uint32_t task : job.tasks) {
     text += ' ' + std::to_string(task);
   }
@@ -86,6 +91,12 @@
   if (!(numbers >> job.accepted_unix_ms)) {
     return std::nullopt;
   }
+  if (numbers.peek() == kRunsMark) {
+    numbers.get();
+    if (!(numbers >> job.runs_above)) {
+      return std::nullopt;
+    }
+  }
   for (std::uint32_t task = 0; numbers >> task;) {
     job.tasks.push_back(task);
   }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -81,7 +81,8 @@
   now_ = now;
   const CallId call = CallOf(event);
   const bool own_write = (commit_ && commit_->rows.call == call) ||
-                         (transfer_ && transfer_->call == call);
+                         (transfer_ && transfer_->call == call) ||
+                         (waiting_transfer_ && waiting_transfer_->call == call);
   if (closing_ && restored_ && !own_write) {
     return;
   }
@@ -99,6 +100,10 @@
     FinishTransfer(event);
     return;
   }
+  if (waiting_transfer_ && waiting_transfer_->call == call) {
+    FinishWaitingTransfer(event);
+    return;
+  }
   if (commit_ && commit_->rows.call == call) {
     FinishCommit(event);
     return;
@@ -258,10 +263,9 @@
       !stored.tasks.empty()) {
     incoming_until_ = now_;
   }
-  if (std::ranges::any_of(job.spec.steps, &StepSpec::long_running)) {
-    job.stored_text = row.value;
-    job.stored_version = row.version;
-  }
+  job.stored_text = row.value;
+  job.stored_version = row.version;
+  job.runs_above = stored.runs_above;
   // Both rows were written by one transaction.
   job.progress_version = row.version;
   RefreshQueue(job);
@@ -435,6 +439,7 @@
     TransferJobs();
   }
   ContinueTransfer();
+  TransferWaitingJobs();
   LogLoad();
   StartCommit();
   next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -17,10 +17,6 @@
 // out. The platform says seconds.
 constexpr core::Duration kLateStartTime = milliseconds(12'000);
 
-// Run numbers of an owner are above those of all earlier owners: each epoch has
-// this many numbers, far more than the starts of a task under one owner.
-constexpr RunNumber kRunsPerEpoch = 10'000;
-
 }  // namespace
 
 chart::Bindings<SliceScheduler::TaskContext>
@@ -64,6 +60,7 @@
                 if (!c.scheduler.RepeatsStart(c.task)) {
                   ++c.task.starts;
                   c.task.run =
+                      c.job().runs_above +
                       (c.scheduler.options_.epoch - 1) * kRunsPerEpoch +
                       c.task.starts;
                   c.task.start_copies = 0;
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -92,10 +92,21 @@
   return fitting;
 }
 
+/// @returns what the tasks need; each need once.
+std::vector<TaskNeeds> NeedsOf(const Job& job,
+                               std::span<const std::uint32_t> tasks) {
+  std::vector<TaskNeeds> needs;
+  for (const std::uint32_t number : tasks) {
+    AddNeeds(needs, job.StepOf(job.tasks[number]));
+  }
+  return needs;
+}
+
 }  // namespace
 
 void SliceScheduler::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
   loads_ = std::move(loads);
+  waiting_transfer_due_ = true;
 }
 
 // A task that is slowed for long delays its job, and a task on a leaving worker
@@ -155,13 +166,14 @@
 }
 
 // Returns the long-running tasks that wait for a worker, and those that run on
-// one that leaves while none is nominated for them.
+// one that leaves while none is nominated for them, if they may be stopped.
 std::vector<std::uint32_t> SliceScheduler::WaitingTasks(const Job& job) {
+  const bool may_stop = MayStopAll(job);
   std::vector<std::uint32_t> waiting;
   for (const Task& task : job.tasks) {
     const bool on_leaving =
-        IsState(task, states_.running) && !HasNominatedWorker(task) &&
-        workers_.Get(task.worker).entry.draining &&
+        may_stop && IsState(task, states_.running) &&
+        !HasNominatedWorker(task) && workers_.Get(task.worker).entry.draining &&
         charts_.worker_contact.StateName(workers_.Get(task.worker).contact) ==
             "live";
     if ((MayStart(task) || on_leaving) && job.StepOf(task).long_running) {
@@ -191,10 +203,13 @@
        CandidateSlices(job.caller_id(), options_.all_slices.size())) {
     const bool own = candidate == options_.id.value();
     if (own || candidate >= loads_.size() || !loads_[candidate] ||
-        !IsRecent(*loads_[candidate], unix_ms_)) {
+        !IsRecent(*loads_[candidate], unix_ms_) || IsEvacuated(candidate)) {
       continue;
     }
     const SliceLoad& load = *loads_[candidate];
+    if (!CanRun(load, job.queue.service, NeedsOf(job, tasks))) {
+      continue;
+    }
     const std::int64_t free = load.capacity_millis - load.long_running_millis;
     TransferPlan plan{.target = candidate, .left = load};
     plan.tasks = FittingTasks(job, tasks, plan.left.long_running_room_millis);
@@ -236,7 +251,7 @@
     if (auto plan = may_transfer ? PlanTransfer(job, waiting) : std::nullopt) {
       BeginTransfer(job, *std::move(plan));
     } else if ((may_transfer || !MayStopAll(job) || !IsLongRunning(job)) &&
-               !searched && now_ >= job.next_swap) {
+               !IsEvacuated() && !searched && now_ >= job.next_swap) {
       searched = true;
       job.next_swap = now_ + kSwapSearchInterval;
       TransferOtherFor(job);
@@ -244,10 +259,18 @@
   });
 }
 
+bool SliceScheduler::HasUsableWorker() const {
+  return std::ranges::any_of(
+      workers_.all(), [this](const auto& worker) { return IsUsable(*worker); });
+}
+
 bool SliceScheduler::MayTransfer(const Job& job) const {
-  return IsLongRunning(job) && MayStopAll(job) && !job.halted &&
+  // Without a worker here, only tasks that wait are transferred.
+  const bool must_leave = IsEvacuated() || !HasUsableWorker();
+  return IsLongRunning(job) && !job.halted && !job.transfer_unsettled &&
          job.spec.id.size() <= kMaxPartIdBytes &&
-         now_ >= job.known_since + kMinResidence;
+         (must_leave ||
+          (MayStopAll(job) && now_ >= job.known_since + kMinResidence));
 }
 
 // Transfers tasks of another job so that a waiting task of @p job fits: the
@@ -283,7 +306,7 @@
       }
       const bool fewer = !best || tasks.size() < best->tasks.size();
       const bool movable =
-          other != &job && MayTransfer(*other) &&
+          other != &job && MayTransfer(*other) && MayStopAll(*other) &&
           std::ranges::none_of(other->tasks, [this](const Task& task) {
             return MayRunUnseen(task);
           });
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -5,23 +5,59 @@
 /// Writes that transfer tasks to another slice, and what their answers show.
 namespace hickoryusher::jobs {
 
-// Returns the row of a job, or of a part of it, with these tasks.
+// Returns the row of a job, or of a part of it, with these tasks; without any,
+// with those that it has.
 std::string SliceScheduler::JobText(const Job& job,
                                     std::span<const std::uint32_t> tasks) {
   StoredJob stored = *DecodeStoredJob(job.stored_text);
-  stored.tasks.clear();
-  if (tasks.size() < job.tasks.size()) {
-    stored.tasks.assign(tasks.begin(), tasks.end());
+  stored.runs_above = job.runs_above + options_.epoch * kRunsPerEpoch;
+  if (!tasks.empty()) {
+    stored.tasks.clear();
+    if (tasks.size() < job.tasks.size()) {
+      stored.tasks.assign(tasks.begin(), tasks.end());
+    }
   }
   return EncodeStoredJob(stored);
 }
 
+// Appends the transfer of a whole job. @param tasks as of JobText.
+void SliceScheduler::AppendTransfer(CommitRows& write,
+                                    const Job& job,
+                                    std::size_t target,
+                                    std::span<const std::uint32_t> tasks) {
+  const std::string& from = options_.slice.name;
+  const std::string& to = options_.all_slices[target].name;
+  const std::string& id = job.spec.id;
+  const std::initializer_list<RowCondition> conditions = {
+      {.key = ProgressRow(from, id), .version = job.progress_version},
+      {.key = CancelRow(from, job.caller_id()), .version = 0},
+      {.key = ProgressRow(to, id), .version = 0}};
+  write.conditions.insert(write.conditions.end(), conditions);
+  write.puts.push_back(
+      {.key = ProgressRow(to, id), .value = EncodeProgress(ProgressOf(job))});
+  write.puts.push_back({.key = JobRow(to, id), .value = JobText(job, tasks)});
+  write.removals.push_back(ProgressRow(from, id));
+  write.removals.push_back(JobRow(from, id));
+  if (std::ranges::any_of(job.spec.steps, KeepsPlaces)) {
+    // Of no epoch: tells intake that tasks have places.
+    write.puts.push_back({.key = PlacesRow(to, id), .value = EncodePlaces({})});
+    write.removals.push_back(PlacesRow(from, id));
+  }
+}
+
 CommitRows SliceScheduler::WriteOfTransfer(Job& job) {
   const std::string& from = options_.slice.name;
   const std::string& to = options_.all_slices[transfer_->plan.target].name;
   const std::string& id = job.spec.id;
   const std::string& new_id = transfer_->new_id;
   const bool whole = new_id == id;
+  if (whole) {
+    CommitRows write{.conditions = {{.key = FenceRow(from),
+                                     .version = options_.fence_version}},
+                     .several_parts = true};
+    AppendTransfer(write, job, transfer_->plan.target, transfer_->plan.tasks);
+    return write;
+  }
   Progress rest = ProgressOf(job);
   CommitRows write{
       .conditions = {{.key = FenceRow(from), .version = options_.fence_version},
@@ -30,18 +66,12 @@
                      {.key = CancelRow(from, job.caller_id()), .version = 0},
                      {.key = ProgressRow(to, new_id), .version = 0}},
       .puts = {{.key = ProgressRow(to, new_id),
-                .value = EncodeProgress(whole ? rest
-                                              : Progress{.phase = job.phase})},
+                .value = EncodeProgress({.phase = job.phase})},
                {.key = JobRow(to, new_id),
                 .value = JobText(job, transfer_->plan.tasks)},
                // Of no epoch: tells intake that tasks have places.
                {.key = PlacesRow(to, new_id), .value = EncodePlaces({})}},
       .several_parts = true};
-  if (whole) {
-    write.removals = {ProgressRow(from, id), PlacesRow(from, id),
-                      JobRow(from, id)};
-    return write;
-  }
   for (const std::uint32_t number : transfer_->plan.tasks) {
     rest.done.resize(std::max<std::size_t>(rest.done.size(), number + 1));
     rest.done[number] = true;
@@ -148,12 +178,18 @@
   Job& job = *jobs_.Find(id);
   if (whole) {
     for (Task& task : job.tasks) {
+      if (task.worker.valid()) {
+        // Reported since the transfer was sent: a start that was carried out
+        // later than any is waited for. It is stopped as an unknown run.
+        DetachFromWorker(task);
+      }
       MoveAway(task);
     }
     dirty_.erase(id);
     baseline_utilisations_.erase(id);
     // The job may be transferred back in a row with a later version.
     removed_jobs_[id] = job.stored_version;
+    moved_jobs_.emplace_back(now_, id);
     if (current) {
       transfer_.reset();
     }
--- a/packages/jobs/src/slice_waits.cc
+++ b/packages/jobs/src/slice_waits.cc
@@ -17,10 +17,20 @@
 constexpr core::Duration kWaitLogInterval = milliseconds(1000);
 
 // Indexed by SliceScheduler::Obstacle.
-constexpr std::array<std::string_view, 12> kObstacleNames = {
-    "free",         "not_usable",  "outlives_term",    "other_service",
-    "no_label",     "spread",      "no_room",          "kept_for_other",
-    "no_spare_cpu", "over_target", "disturbs_service", "late_start_elsewhere"};
+constexpr std::array<std::string_view, 13> kObstacleNames = {
+    "free",
+    "evacuated",
+    "not_usable",
+    "outlives_term",
+    "other_service",
+    "no_label",
+    "spread",
+    "no_room",
+    "kept_for_other",
+    "no_spare_cpu",
+    "over_target",
+    "disturbs_service",
+    "late_start_elsewhere"};
 
 }  // namespace
 
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -473,7 +473,8 @@
     if (task->worker != worker.id || !IsMissing(*task, call, report)) {
       continue;
     }
-    if (CompletesGang(*task) && IsUsable(worker) && !MayRunPastTerm(worker)) {
+    if (CompletesGang(*task) && IsUsable(worker) && !MayRunPastTerm(worker) &&
+        !IsEvacuated()) {
       SendStart(*task);
     } else {
       LoseRun(worker, *task, "not_reported");
