Carry the progress of a transferred job in its row

Cause: an owner reads job rows as they come, and progress rows only when it takes the slice over. Change: the row of a transferred job holds its progress.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -64,6 +64,9 @@
   /// Runs have higher numbers than this, which the slices that had the job
   /// before have not exceeded.
   RunNumber runs_above = 0;
+  /// The job's progress when it was transferred: an owner reads job rows as
+  /// they come, and progress rows only when it takes the slice over.
+  std::optional<Progress> progress;
 };
 
 std::string EncodeStoredJob(const StoredJob& job);
--- a/packages/jobs/src/slice_rows.cc
+++ b/packages/jobs/src/slice_rows.cc
@@ -11,6 +11,8 @@
 constexpr std::string_view kCancelSuffix = "!cancel";
 // Before StoredJob::runs_above.
 constexpr char kRunsMark = '+';
+// Before StoredJob::progress.
+constexpr char kProgressMark = '*';
 
 }  // namespace
 
@@ -72,6 +74,9 @@
   if (job.runs_above > 0) {
     text += kRunsMark + std::to_string(job.runs_above);
   }
+  if (job.progress) {
+    text += kProgressMark + EncodeProgress(*job.progress);
+  }
   for (const std::uint32_t task : job.tasks) {
     text += ' ' + std::to_string(task);
   }
@@ -97,6 +102,15 @@
       return std::nullopt;
     }
   }
+  if (numbers.peek() == kProgressMark) {
+    numbers.get();
+    std::string progress;
+    numbers >> progress;
+    job.progress = DecodeProgress(progress);
+    if (!job.progress) {
+      return std::nullopt;
+    }
+  }
   for (std::uint32_t task = 0; numbers >> task;) {
     job.tasks.push_back(task);
   }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -284,6 +284,8 @@
       found != stored_progress_.end()) {
     ApplyProgress(job, found->second.progress);
     job.progress_version = found->second.version;
+  } else if (stored.progress) {
+    ApplyProgress(job, *stored.progress);
   }
   InitLastWorkers(job);
   if (cancelled_jobs_.contains(job.caller_id()) && !job.halted) {
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -11,6 +11,10 @@
                                     std::span<const std::uint32_t> tasks) {
   StoredJob stored = *DecodeStoredJob(job.stored_text);
   stored.runs_above = job.runs_above + options_.epoch * kRunsPerEpoch;
+  stored.progress.reset();
+  if (tasks.empty() || IsWholeJob(job, tasks)) {
+    stored.progress = ProgressOf(job);
+  }
   if (!tasks.empty()) {
     stored.tasks.clear();
     if (tasks.size() < job.tasks.size()) {
