Read evacuation requests from the operators' table

Nothing read the rows evacuate/DOMAIN, so Intake::SetEvacuated and SliceScheduler::SetEvacuated were never called.

Schedulers get the evacuations before the configuration, since they start tasks from their first configuration on.

A follower whose calls get no answer for 2 s is replaced by one that reads the table, since the store may serve reads but not changes.

No process test starts tasks, as platform_tests has no worker; the soak covers that.

--- a/packages/jobs_process/include/jobs_process/ports.h
+++ b/packages/jobs_process/include/jobs_process/ports.h
@@ -35,6 +35,9 @@
 
   std::string config_table;
   std::string config_key;
+  /// Of the rows of config_table that evacuate a failure domain, whose name
+  /// follows.
+  std::string evacuation_prefix;
   std::function<std::optional<jobs::QueueConfig>(std::string_view)> read_config;
 
   std::string registry_table;
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -1,6 +1,8 @@
 #include "intake_duty_p.h"
 
 #include <algorithm>
+#include <iterator>
+#include <span>
 #include <utility>
 
 #include "clocks_p.h"
@@ -23,19 +25,36 @@
 // store.
 constexpr core::Duration kReadinessStoreTimeout = milliseconds(2500);
 
+// Time without an answer after which the rows of the operators are read again.
+// Longer than a call that follows them takes, at most 1.6 s; two reads are
+// answered or abandoned within the 5 s in which an evacuation takes effect.
+constexpr core::Duration kFeedTimeout = milliseconds(2000);
+
+std::vector<std::string> DomainsOf(std::span<const jobs::SliceInfo> slices) {
+  std::vector<std::string> domains;
+  std::ranges::transform(slices, std::back_inserter(domains),
+                         &jobs::SliceInfo::failure_domain);
+  return domains;
+}
+
 }  // namespace
 
 IntakeDuty::IntakeDuty(const Ports& ports,
-                       std::vector<jobs::SliceInfo> slices,
+                       const std::vector<jobs::SliceInfo>& slices,
                        Outputs outputs)
     : ports_(ports),
       outputs_(std::move(outputs)),
       codec_(ports.make_codec()),
-      intake_({.slices = std::move(slices), .log = outputs_.log}, ids_),
-      config_rows_(
-          {.table = ports.config_table, .part = {}, .wait = kConfigFollowWait},
-          ids_),
-      inputs_(kRingSlots) {}
+      intake_({.slices = slices, .log = outputs_.log}, ids_),
+      operator_rows_({.config_key = ports.config_key,
+                      .evacuation_prefix = ports.evacuation_prefix,
+                      .failure_domains = DomainsOf(slices),
+                      .read_config = ports.read_config,
+                      .log = outputs_.log}),
+      publisher_(outputs_.publish_state),
+      inputs_(kRingSlots) {
+  ReadRows();
+}
 
 IntakeDuty::~IntakeDuty() {
   Stop();
@@ -52,7 +71,8 @@
 }
 
 core::TimePoint IntakeDuty::NextTimer() const {
-  return std::min(intake_.next_timer(), config_rows_.next_timer());
+  return std::min({intake_.next_timer(), follower_->next_timer(),
+                   publisher_.next_timer(), next_table_read_});
 }
 
 void IntakeDuty::Run() {
@@ -65,6 +85,8 @@
       HandleInput(std::move(input), now);
     });
     inputs.clear();
+    publisher_.Run(now);
+    ReadRowsAgainIfFeedFails(now);
     intake_.Run(now);
     SendCommands(now);
   }
@@ -93,48 +115,54 @@
     return;
   }
   intake_.Handle(*store, now);
-  if (const auto update = config_rows_.Handle(*store, now)) {
-    HandleConfigRows(*update);
+  const auto update = follower_->Handle(*store, now);
+  last_table_answer_ = std::max(last_table_answer_, follower_->last_answer());
+  if (update && operator_rows_.Update(*update)) {
+    ApplyOperatorState();
   }
 }
 
-void IntakeDuty::HandleConfigRows(const jobs::TableUpdate& update) {
-  const auto& rows = std::visit(
-      [](const auto& u) -> const std::vector<jobs::Row>& { return u.rows; },
-      update);
-  for (const jobs::Row& row : rows) {
-    if (row.removed || row.key.key != ports_.config_key) {
-      continue;
-    }
-    auto config = ports_.read_config(row.value);
-    if (!config) {
-      outputs_.log(
-          core::LogLine("config_unreadable").Add("row_version", row.version));
-      continue;
-    }
-    if (config_ != nullptr && config->version() <= config_->version()) {
-      continue;
-    }
-    config_ = std::make_shared<const jobs::QueueConfig>(*std::move(config));
-    outputs_.log(core::LogLine("config_applied")
-                     .Add("version", config_->version())
-                     .Add("queues", config_->queues().size()));
-    intake_.SetConfig(config_);
-    outputs_.publish_config(config_);
+void IntakeDuty::ApplyOperatorState() {
+  const jobs::OperatorState& state = operator_rows_.state();
+  // In this order, so that no configuration is used without the evacuations.
+  intake_.SetEvacuated(state.evacuated);
+  if (state.config != nullptr) {
+    intake_.SetConfig(state.config);
+  }
+  publisher_.Offer(state);
+}
+
+void IntakeDuty::ReadRows() {
+  follower_.emplace(
+      jobs::TableFollower::Options{
+          .table = ports_.config_table, .part = {}, .wait = kConfigFollowWait},
+      ids_);
+}
+
+// Replaces a follower without answers by one that reads the table, as the store
+// may serve reads while it does not serve changes.
+void IntakeDuty::ReadRowsAgainIfFeedFails(core::TimePoint now) {
+  if (now < next_table_read_) {
+    return;
+  }
+  next_table_read_ = now + kFeedTimeout;
+  if (now - last_table_answer_ >= kFeedTimeout) {
+    ReadRows();
   }
 }
 
 void IntakeDuty::AnswerReadiness(const ReadinessRequested& check,
                                  core::TimePoint now) {
-  const bool ready = config_ != nullptr && !draining_.load() &&
-                     now - config_rows_.last_answer() < kReadinessStoreTimeout;
+  const bool configured = operator_rows_.state().config != nullptr;
+  const bool ready = configured && !draining_.load() &&
+                     now - last_table_answer_ < kReadinessStoreTimeout;
   if (ready != std::exchange(was_ready_, ready)) {
-    outputs_.log(core::LogLine("readiness_changed")
-                     .Add("ready", ready)
-                     .Add("configured", config_ != nullptr)
-                     .Add("draining", draining_.load())
-                     .Add("store_age_ms",
-                          core::ToMillis(now - config_rows_.last_answer())));
+    outputs_.log(
+        core::LogLine("readiness_changed")
+            .Add("ready", ready)
+            .Add("configured", configured)
+            .Add("draining", draining_.load())
+            .Add("store_age_ms", core::ToMillis(now - last_table_answer_)));
   }
   outputs_.respond_readiness(
       {.id = check.request, .status = ready ? 200 : 503});
@@ -148,7 +176,7 @@
 }
 
 void IntakeDuty::SendCommands(core::TimePoint now) {
-  if (const auto command = config_rows_.Next(now)) {
+  if (const auto command = follower_->Next(now)) {
     Send(*command, now);
   }
   for (const jobs::StoreCommand& command : intake_.PopCommands()) {
--- a/packages/jobs_process/src/intake_duty_p.h
+++ b/packages/jobs_process/src/intake_duty_p.h
@@ -13,6 +13,7 @@
 #include "jobs/intake.h"
 #include "jobs/table_follower.h"
 #include "jobs_process/ports.h"
+#include "operator_rows_p.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
 
@@ -33,19 +34,20 @@
                                  http::UpstreamEvent,
                                  LoadsRead>;
 
-/// The intake thread: answers callers, and follows the configuration.
+/// The intake thread: answers callers, and follows the rows of the operators.
 class IntakeDuty {
  public:
   struct Outputs {
     std::function<void(http::Response)> respond;
     std::function<void(http::Response)> respond_readiness;
-    /// Called when a newer configuration is in force.
-    std::function<void(jobs::QueueConfigPtr)> publish_config;
+    /// Called with each change of what operators request.
+    /// @returns false if there is no room; the call is then repeated.
+    std::function<bool(const jobs::OperatorState&)> publish_state;
     std::function<void(const core::LogLine&)> log;
   };
 
   IntakeDuty(const Ports& ports,
-             std::vector<jobs::SliceInfo> slices,
+             const std::vector<jobs::SliceInfo>& slices,
              Outputs outputs);
   ~IntakeDuty();
   IntakeDuty(const IntakeDuty&) = delete;
@@ -65,7 +67,9 @@
   void Run();
   void HandleInput(IntakeInput&& input, core::TimePoint now);
   void HandleEvent(const http::UpstreamEvent& event, core::TimePoint now);
-  void HandleConfigRows(const jobs::TableUpdate& update);
+  void ApplyOperatorState();
+  void ReadRows();
+  void ReadRowsAgainIfFeedFails(core::TimePoint now);
   void AnswerReadiness(const ReadinessRequested& check, core::TimePoint now);
   void SendCommands(core::TimePoint now);
   void Send(const jobs::StoreCommand& command, core::TimePoint now);
@@ -76,8 +80,11 @@
   OutsideCodec codec_;
   jobs::CallIds ids_;
   jobs::Intake intake_;
-  jobs::TableFollower config_rows_;
-  jobs::QueueConfigPtr config_;
+  OperatorRows operator_rows_;
+  StatePublisher publisher_;
+  std::optional<jobs::TableFollower> follower_;
+  core::TimePoint last_table_answer_;  ///< Also of earlier followers.
+  core::TimePoint next_table_read_;
   runtime::Ring<IntakeInput> inputs_;
   std::atomic<bool> draining_ = false;
   bool was_ready_ = false;
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -103,9 +103,9 @@
               [this](http::Response r) { callers->Respond(std::move(r)); },
           .respond_readiness =
               [this](http::Response r) { readiness->Respond(std::move(r)); },
-          .publish_config =
-              [this](const jobs::QueueConfigPtr& config) {
-                scheduler->inputs().TryPush(SchedulerInput(config));
+          .publish_state =
+              [this](const jobs::OperatorState& state) {
+                return scheduler->inputs().TryPush(SchedulerInput(state));
               },
           .log = log});
   scheduler = SchedulerDuty::Create(
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -82,9 +82,8 @@
   std::vector<SchedulerInput> inputs;
   while (!inputs_.finished()) {
     const core::TimePoint now = Now();
-    std::ranges::for_each(inputs, [&](SchedulerInput& input) {
-      HandleInput(std::move(input), now);
-    });
+    std::ranges::for_each(
+        inputs, [&](SchedulerInput& input) { HandleInput(input, now); });
     inputs.clear();
     PublishLoads();
     board_->Run(now);
@@ -133,12 +132,12 @@
                    .Add("considerations", candidates_evaluated));
 }
 
-void SchedulerDuty::HandleInput(SchedulerInput&& input, core::TimePoint now) {
+void SchedulerDuty::HandleInput(SchedulerInput& input, core::TimePoint now) {
   std::visit(core::Overloaded{
-                 [&](const jobs::QueueConfigPtr& config) {
-                   config_ = config;
+                 [&](jobs::OperatorState& state) {
+                   operator_state_ = std::move(state);
                    for (const auto& [id, scheduler] : schedulers_) {
-                     scheduler->SetConfig(config, now);
+                     SetOperatorState(*scheduler, now);
                    }
                  },
                  [&](const http::UpstreamEvent& e) { HandleEvent(e, now); },
@@ -148,7 +147,18 @@
                      scheduler->HandOver(now);
                    }
                  }},
-             std::move(input));
+             input);
+}
+
+// A scheduler starts no task before its first configuration. The evacuations
+// come first, so that no task starts on a worker of an evacuated domain between
+// the two.
+void SchedulerDuty::SetOperatorState(jobs::SliceScheduler& scheduler,
+                                     core::TimePoint now) {
+  scheduler.SetEvacuated(operator_state_.evacuated, now);
+  if (operator_state_.config != nullptr) {
+    scheduler.SetConfig(operator_state_.config, now);
+  }
 }
 
 void SchedulerDuty::HandleEvent(const http::UpstreamEvent& event,
@@ -259,9 +269,7 @@
   for (const auto& [id, entry] : registry_) {
     scheduler->UpdateWorker(entry, now);
   }
-  if (config_ != nullptr) {
-    scheduler->SetConfig(config_, now);
-  }
+  SetOperatorState(*scheduler, now);
   if (releasing_) {
     scheduler->HandOver(now);
   }
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -12,6 +12,7 @@
 
 #include "chart/chart.h"
 #include "http/upstream.h"
+#include "jobs/operator_state.h"
 #include "jobs/slice_board.h"
 #include "jobs/slice_scheduler.h"
 #include "jobs/table_follower.h"
@@ -25,7 +26,7 @@
 struct SliceReleaseRequested {};
 
 using SchedulerInput = std::
-    variant<jobs::QueueConfigPtr, http::UpstreamEvent, SliceReleaseRequested>;
+    variant<jobs::OperatorState, http::UpstreamEvent, SliceReleaseRequested>;
 
 /// The charts of the scheduler thread.
 struct SchedulerCharts {
@@ -70,7 +71,7 @@
   SchedulerDuty(const Ports& ports, Options options, SchedulerCharts charts);
 
   void Run();
-  void HandleInput(SchedulerInput&& input, core::TimePoint now);
+  void HandleInput(SchedulerInput& input, core::TimePoint now);
   void HandleEvent(const http::UpstreamEvent& event, core::TimePoint now);
   void HandleRegistry(const jobs::TableUpdate& update, core::TimePoint now);
   void HandleRegistryRow(const jobs::Row& row, core::TimePoint now);
@@ -80,6 +81,7 @@
   void PublishLoads();
   void ReleaseSlices(core::TimePoint now);
   void StartScheduler(const jobs::SliceGained& gained, core::TimePoint now);
+  void SetOperatorState(jobs::SliceScheduler& scheduler, core::TimePoint now);
   void SendCommands(core::TimePoint now);
   void LogSlowIteration(core::TimePoint begun);
   template <typename Command>
@@ -95,7 +97,7 @@
   std::map<core::SliceId, std::unique_ptr<jobs::SliceScheduler>> schedulers_;
   std::unique_ptr<jobs::TableFollower> registry_rows_;
   std::map<std::string, jobs::WorkerEntry> registry_;
-  jobs::QueueConfigPtr config_;
+  jobs::OperatorState operator_state_;
   bool releasing_ = false;  ///< Once all slices have been handed over.
   runtime::Ring<SchedulerInput> inputs_;
   core::TimePoint next_slow_iteration_log_;
