Sum up evacuations in hickoryctl why

hickoryctl why DOMAIN printed only lines with the domain's name as a value, which leaves out jobs_transferred and slice_evacuation; they name a slice. It now prints these, leaves out evacuation_state (a line every 2 s) and adds a sum: when each evacuation was requested and ended, how many jobs left to which slice, and what was left at the last state. Lines of several processes about one row are joined by row version.

--- a/packages/ctl/include/ctl/story.h
+++ b/packages/ctl/include/ctl/story.h
@@ -15,13 +15,13 @@
 
 namespace hickoryusher::ctl {
 
-/// Collects what the logs of several processes say of one job, task, worker or
-/// request, and what happened at the same time to the workers and slices that
-/// took part in it.
+/// Collects what the logs of several processes say of one job, task, worker,
+/// request or failure domain, and what happened at the same time to the workers
+/// and slices that took part in it.
 class Story {
  public:
   /// @param id of a job, `job.occurrence.step.index` of a task, an id of a
-  /// worker, or of a request.
+  /// worker, or of a request, or the name of a failure domain.
   explicit Story(std::string id) : id_(std::move(id)) {}
 
   /// Takes an entry, in any order.
--- a/packages/ctl/src/story.cc
+++ b/packages/ctl/src/story.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <iterator>
 #include <utility>
 
 #include "core/log_line.h"
+#include "evacuations_p.h"
 
 namespace hickoryusher::ctl {
 namespace {
@@ -25,25 +25,14 @@
 constexpr std::string_view kLoadEvent = "slice_load";
 // Paces change several times a second, so only their sum is printed.
 constexpr std::string_view kPaceEvent = "pace_changed";
+// Written every 2 s during an evacuation, so that only the last one is printed,
+// in the sum.
+constexpr std::string_view kEvacuationStateEvent = "evacuation_state";
 constexpr std::int64_t kFullPace = 100;
 
 constexpr std::array<std::string_view, 3> kWorkerKeys = {"worker", "from",
                                                          "to"};
 
-std::int64_t NumberOf(const LogEntry& entry, std::string_view key) {
-  const std::string_view text = entry.Find(key);
-  std::int64_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
-}
-
-std::string Seconds(milliseconds duration) {
-  const auto ms = duration.count();
-  std::string fraction = std::to_string(1000 + std::abs(ms) % 1000).substr(1);
-  return (ms < 0 ? "-" : "") + std::to_string(std::abs(ms) / 1000) + '.' +
-         fraction + " s";
-}
-
 bool Contains(const std::set<std::string, std::less<>>& set,
               std::string_view value) {
   return set.contains(value);
@@ -52,6 +41,8 @@
 }  // namespace
 
 struct Story::Totals {
+  explicit Totals(std::string_view id) : evacuations(id) {}
+
   std::optional<LogTime> stored;
   std::optional<LogTime> taken;
   std::optional<LogTime> first_start;
@@ -65,6 +56,7 @@
   /// By task: its pace, and since when.
   std::map<std::string, std::pair<std::int64_t, LogTime>, std::less<>> paces;
   double slowed_ms = 0;  ///< Work that was not done for want of pace.
+  Evacuations evacuations;
 
   void EndPace(std::string_view task, LogTime now) {
     const auto found = paces.find(task);
@@ -77,13 +69,17 @@
   }
 };
 
-// An id also names its tasks, and the path that ends with it.
+// An id also names its tasks, the path that ends with it, and what leaves the
+// slices of a failure domain.
 bool Story::Names(const LogEntry& entry) const {
-  return std::ranges::any_of(entry.pairs, [this](const auto& pair) {
-    const std::string& value = pair.second;
-    return value == id_ || value.starts_with(id_ + '.') ||
-           value.ends_with('/' + id_);
-  });
+  return std::ranges::any_of(entry.pairs,
+                             [this](const auto& pair) {
+                               const std::string& value = pair.second;
+                               return value == id_ ||
+                                      value.starts_with(id_ + '.') ||
+                                      value.ends_with('/' + id_);
+                             }) ||
+         Evacuations::Concerns(entry, id_);
 }
 
 void Story::Take(LogEntry entry) {
@@ -131,7 +127,7 @@
 }
 
 Story::Totals Story::AddUp(const std::vector<const LogEntry*>& entries) const {
-  Totals totals;
+  Totals totals(id_);
   for (const LogEntry* entry : entries) {
     const std::string_view event = entry->event();
     const std::string task(entry->Find("task"));
@@ -143,7 +139,7 @@
       ++totals.causes[std::string(event) + (reason.empty() ? "" : " ") +
                       std::string(reason)];
     };
-    if (!Names(*entry)) {
+    if (!Names(*entry) || totals.evacuations.Take(*entry)) {
       continue;
     }
     if (event == "job_stored") {
@@ -206,7 +202,8 @@
   const std::vector<const LogEntry*> entries = Select();
   const LogTime begin = entries.front()->time;
   for (const LogEntry* entry : entries) {
-    if (entry->event() == kPaceEvent) {
+    if (entry->event() == kPaceEvent ||
+        entry->event() == kEvacuationStateEvent) {
       continue;
     }
     // Values are escaped again, since callers choose some of them.
@@ -220,7 +217,9 @@
         << line.text() << '\n';
   }
   out << '\n';
-  PrintTotals(AddUp(entries), out);
+  const Totals totals = AddUp(entries);
+  PrintTotals(totals, out);
+  totals.evacuations.Print(begin, out);
   return true;
 }
 
--- a/packages/ctl/tests/story_test.cc
+++ b/packages/ctl/tests/story_test.cc
@@ -139,6 +139,71 @@
             .empty());
 }
 
+core::LogLine State(int waiting, int running, int long_running) {
+  return core::LogLine("evacuation_state")
+      .Add("failure_domain", "yoff")
+      .Add("slice", "yoff-0")
+      .Add("waiting_jobs", waiting)
+      .Add("running_tasks", running)
+      .Add("running_long_running", long_running)
+      .Add("transferred_jobs", 0);
+}
+
+core::LogLine Transfer(const std::string& reason,
+                       const std::string& from,
+                       const std::string& to,
+                       int jobs) {
+  return core::LogLine("jobs_transferred")
+      .Add("reason", reason)
+      .Add("from", from)
+      .Add("to", to)
+      .Add("jobs", jobs);
+}
+
+core::LogLine Request(bool ended, int version) {
+  return core::LogLine(ended ? "evacuation_ended" : "evacuation_requested")
+      .Add("failure_domain", "yoff")
+      .Add("row_version", version);
+}
+
+// Guards R12, and against lines of several processes about one row that count
+// as several evacuations: a process that restarts logs the request again, one
+// that has lost the history logs the end with the version of the row, and a
+// slow one logs the first evacuation after the second.
+TEST_CASE("a domain's evacuations are summed up", "[why]") {
+  const std::string told = Tell(
+      "yoff",
+      {Line("00.000", Request(false, 5)), Line("00.100", Request(false, 5)),
+       Line("00.200", core::LogLine("slice_evacuation")
+                          .Add("slice", "yoff-0")
+                          .Add("evacuated", true)
+                          .Add("epoch", 3)),
+       Line("00.200", State(9, 8, 2)),
+       Line("00.300", Transfer("evacuated", "yoff-0", "quad-0", 4)),
+       Line("00.400", Transfer("evacuated", "yoff-0", "quad-0", 3)),
+       Line("00.500", Transfer("evacuated", "yoff-0", "tpe-0", 2)),
+       Line("00.600", Transfer("evacuated", "yoff-a-0", "tpe-0", 100)),
+       Line("00.700", Transfer("no_worker_fits", "yoff-0", "tpe-0", 1)),
+       Line("02.200", State(0, 3, 1)), Line("03.000", Request(false, 6)),
+       Line("04.000", Request(true, 9)), Line("04.100", Request(true, 6)),
+       Line("08.000", Request(false, 12)), Line("08.500", Request(false, 5)),
+       Line("08.600", Transfer("evacuated", "yoff-0", "quad-0", 6))});
+  CHECK_THAT(told, Contains("event=slice_evacuation slice=yoff-0"));
+  CHECK_THAT(told, !Contains("event=evacuation_state"));
+  CHECK_THAT(told, !Contains("yoff-a-0"));
+  CHECK_THAT(
+      told,
+      Catch::Matchers::EndsWith(
+          "evacuation requested at +0.000 s, ended at +4.000 s\n"
+          "  jobs transferred to quad-0: 7\n"
+          "  jobs transferred to tpe-0: 2\n"
+          "  left at +2.200 s: 0 waiting jobs, 3 running tasks, 1 of them "
+          "long-running\n"
+          "evacuation requested at +8.000 s, not ended\n"
+          "  jobs transferred to quad-0: 6\n"
+          "jobs transferred to tpe-0, no_worker_fits: 1\n"));
+}
+
 TEST_CASE("the command line of why is checked", "[why]") {
   CommandLine line;
   const auto invocation =
