Play evacuations and the loss of a failure domain in the soak

The soak had no fault of a whole failure domain. evacuate writes and removes rows evacuate/ZONE, with kills, hand-overs or a lost history right after; domain_gone lets all executors of a zone leave, and others join later.

--- a/tests/soak/late.py
+++ b/tests/soak/late.py
@@ -2,15 +2,16 @@
 
 import asyncio
 
-from faults import BOUNDS_S, REGISTRY_LAGS_MS, Faults
+from domains import DomainFaults
+from faults import BOUNDS_S, REGISTRY_LAGS_MS
 from stage import Reset
 
 # A call is carried out up to this long after the others, in any order.
 LATEST_S = 4
 
 
-class AllFaults(Faults):
-    """Those of Faults, and those that carry out late what was sent before."""
+class AllFaults(DomainFaults):
+    """Those of DomainFaults, and those that carry out late what was sent before."""
 
     @staticmethod
     async def without_reset(executor, request):
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -4,6 +4,8 @@
 
 # RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
 LASTING_GAP_MS = 9000
+# docs/hard-load.md, R8: bounds.evacuate_ms.
+EVACUATE_MS = 5000
 
 
 def counts_as_noted(run, executor):
@@ -51,6 +53,20 @@
             last[run.task] = max(last.get(run.task, 0), run.ended or ms())
 
 
+def evacuated_starts(runs, evacuations):
+    """Starts in a zone that were ordered from EVACUATE_MS after the acknowledgement of its
+    evacuation until the removal. `runs` are pairs of a run and its zone. The time at which the
+    order was sent counts, since an executor may carry it out late."""
+    for run, zone in runs:
+        sent = run.begun - run.late_ms
+        for evacuation in evacuations:
+            idle_from = evacuation.acknowledged + EVACUATE_MS
+            if evacuation.zone == zone and idle_from < sent < (evacuation.removed or ms()):
+                yield (f"EVAC: {run.task} run {run.number} was ordered in {zone} "
+                       f"{sent - evacuation.acknowledged:.0f} ms after its evacuation was "
+                       f"acknowledged")
+
+
 def broken_rules(world, answers, lasting):
     def told(run):
         """The run with the call that started it."""
@@ -65,6 +81,8 @@
         if done.how == "done" and counts_as_noted(done, executor):
             broken += [f"TWICE: {run.task} {told(run)} started after {told(done)} was done and "
                        f"acknowledged" for run, _ in runs if run.task == done.task and run.begun > done.ended]
+    broken += evacuated_starts([(run, executor.zone) for run, executor in runs],
+                               world.evacuations)
     started = {run.task.split(".")[0] for run, _ in runs}
     for job, statuses in answers.items():
         if job in started and all(status in (429, 503) for status in statuses):
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Guards against a soak that passes although a lasting task stays down or a
-process has ended by itself: each check is run on a record with that fault."""
+"""Guards against a soak that passes although a lasting task stays down, a task
+starts in an evacuated zone or a process has ended by itself: each check is run on a record with that fault."""
 
 import types
 import unittest
@@ -61,6 +61,35 @@
         self.assertEqual(self.gaps(29001, answers={"a": [503]}), 0)
 
 
+class EvacuatedStarts(unittest.TestCase):
+    @staticmethod
+    def starts(begun, zone="zone-a", late_ms=0, removed=30000):
+        evacuation = types.SimpleNamespace(zone="zone-a", acknowledged=10000, removed=removed)
+        started = types.SimpleNamespace(task="a.0.0.0", number=1, begun=begun, late_ms=late_ms)
+        return len(list(rules.evacuated_starts([(started, zone)], [evacuation])))
+
+    def test_start_while_evacuated(self):
+        self.assertEqual(self.starts(15000), 0)
+        self.assertEqual(self.starts(15001), 1)
+        self.assertEqual(self.starts(29999), 1)
+        self.assertEqual(self.starts(30000), 0)
+
+    def test_start_before_the_evacuation(self):
+        self.assertEqual(self.starts(9000), 0)
+
+    def test_evacuation_without_end(self):
+        self.assertEqual(self.starts(rules.ms() - 1, removed=None), 1)
+
+    def test_other_zone(self):
+        self.assertEqual(self.starts(20000, zone="zone-b"), 0)
+
+    def test_order_that_was_carried_out_late(self):
+        self.assertEqual(self.starts(20000, late_ms=5000), 0)
+        self.assertEqual(self.starts(20000, late_ms=4999), 1)
+        # Ordered while evacuated and carried out after it.
+        self.assertEqual(self.starts(31000, late_ms=2000), 1)
+
+
 class OwnEnds(unittest.TestCase):
     def test_status(self):
         def ends(status, expected=None):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,8 @@
 the record of the executors is checked: no task ran twice at the same time or
 after an end as done that was acknowledged, no job ran of which every attempt
 was refused, every accepted job has started, every lasting task of an accepted
-job runs, and no process has ended by itself. If all faults are of PLANNED, no
+job runs, no task was ordered in an evacuated zone later than 5 s after the
+request, and no process has ended by itself. If all faults are of PLANNED, no
 lasting task was down for over 9 s at any time.
 
 Usage: soak.py SEED SECONDS FAULT[,FAULT...] [--rate JOBS_PER_S] [--work MIN,MAX]
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -171,9 +171,17 @@
             self.end(key, "stopped")
 
 
+class Evacuation:
+    """The row `evacuate/ZONE` from the acknowledgement of its write to its removal."""
+
+    def __init__(self, zone):
+        self.zone, self.acknowledged, self.removed = zone, ms(), None
+
+
 class World(standin.World):
     def __init__(self, folder, seed, cpu):
         super().__init__(folder, per_zone=2, cpus=(cpu,) * EXECUTORS_OF_ZONE)
+        self.evacuations = []
         self.store = Store(self.record)
         self.executors = [Executor(self.store, e, seed) for e in self.executors]
 
@@ -181,6 +189,17 @@
         self.expiry = asyncio.create_task(self.store.expire())
         await super().start()
 
+    def evacuate(self, zone):
+        self.store.put("op", "evacuate/" + zone, {})
+        self.evacuations.append(Evacuation(zone))
+        self.record("evacuation_requested", zone=zone)
+        return self.evacuations[-1]
+
+    def end_evacuation(self, evacuation):
+        evacuation.removed = ms()
+        self.store.remove("op", "evacuate/" + evacuation.zone)
+        self.record("evacuation_ended", zone=evacuation.zone)
+
     async def stop(self):
         self.expiry.cancel()
         await super().stop()
--- a/tests/soak/stage_test.py
+++ b/tests/soak/stage_test.py
@@ -69,6 +69,29 @@
         self.assertFalse(rules.counts_as_noted(first, self.executor))
         self.assertTrue(rules.counts_as_noted(second, self.executor))
 
+    async def test_evacuation_is_a_row_until_its_removal(self):
+        key = ("op", "", "evacuate/zone-b")
+        evacuation = self.world.evacuate("zone-b")
+        self.assertEqual(self.world.store.text(*key), "{}")
+        self.assertIsNone(evacuation.removed)
+        self.world.end_evacuation(evacuation)
+        self.assertNotIn(key, self.world.store.rows)
+        self.assertLessEqual(evacuation.acknowledged, evacuation.removed)
+
+    async def test_domain_gone_replaces_all_executors_of_one_zone(self):
+        others = [e for e in self.world.executors if e.zone != "zone-a"]
+        faults = AllFaults(self.world, 1, set(), [])
+        faults.rng = types.SimpleNamespace(choice=lambda options: options[0], uniform=lambda a, _: 0)
+        for executor in self.world.executors:
+            await executor.start()
+        ids = {e.id for e in self.world.executors}
+        await faults.domain_gone()
+        self.assertEqual([e.id in ids for e in others], [True] * len(others))
+        self.assertEqual(sum(e.id not in ids for e in self.world.executors), 4)
+        self.assertEqual(faults.disturbed, set())
+        for executor in self.world.executors:
+            await executor.crash()
+
     async def test_killed_executor_carries_out_nothing(self):
         self.executor.up = False
         with self.assertRaises(stage.Reset):
