--- a/packages/ctl/src/evacuations.cc
+++ b/packages/ctl/src/evacuations.cc
@@ -76,9 +76,10 @@
   auto requests = requests_;
   std::ranges::sort(requests);
   std::uint64_t last = 0;
-  for (const auto& [version, time] : requests) {
+  for (const auto& request : requests) {
+    const auto [version, time] = request;
     const bool ended_before = std::ranges::any_of(ends_, [&](const auto& end) {
-      return end.first >= last && end.first < version;
+      return end.first >= last && end.first < request.first;
     });
     if (groups.empty() || ended_before) {
       groups.push_back({.version = version, .requested = time});
