--- a/packages/jobs_process/include/jobs_process/ports.h
+++ b/packages/jobs_process/include/jobs_process/ports.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "core/log_line.h"
 #include "http/message.h"
 #include "http/upstream.h"
 #include "jobs/intake.h"
@@ -17,6 +18,8 @@
 
 namespace hickoryusher::jobs_process {
 
+using LogSink = std::function<void(const core::LogLine&)>;
+
 using OutsideEvent = std::variant<jobs::StoreEvent, jobs::WorkerEvent>;
 
 /// Encodes commands to the platform and decodes its answers. Stateful: it
@@ -31,7 +34,7 @@
 /// Adapters between this process and the platform. Nothing else in the process
 /// depends on the platform's names and encodings.
 struct Ports {
-  std::function<OutsideCodec()> make_codec;
+  std::function<OutsideCodec(LogSink)> make_codec;
 
   std::string config_table;
   std::string config_key;
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -30,7 +30,7 @@
                        Outputs outputs)
     : ports_(ports),
       outputs_(std::move(outputs)),
-      codec_(ports.make_codec()),
+      codec_(ports.make_codec(outputs_.log)),
       intake_({.slices = std::move(slices), .log = outputs_.log}, ids_),
       config_rows_(
           {.table = ports.config_table, .part = {}, .wait = kConfigFollowWait},
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -32,7 +32,7 @@
     : ports_(ports),
       options_(std::move(options)),
       charts_(std::move(charts)),
-      codec_(ports.make_codec()),
+      codec_(ports.make_codec(options_.log)),
       inputs_(kRingSlots) {}
 
 SchedulerDuty::~SchedulerDuty() {
