Give responses of the store and of workers a byte budget

An upstream kept any number of responses of up to 8 MiB each.

UpstreamOptions::response_budget_bytes bounds the heads and bodies that an upstream receives or has not handed over yet. A response that does not fit fails with reason memory_limit after sending. The bytes are released with a failed exchange, or when the consumer has taken the event. The default is no bound, as before; a process on the platform gives each of its two upstreams an eighth of the memory of its VM, or 32 MiB if that is unknown.

--- a/packages/http/include/http/byte_budget.h
+++ b/packages/http/include/http/byte_budget.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <utility>
 
 namespace hickoryusher::http {
 
@@ -55,6 +56,41 @@
   std::atomic<std::size_t> peak_ = 0;
 };
 
+/// Bytes that one owner holds of a budget; released with it.
+class ByteCharge {
+ public:
+  ByteCharge() = default;
+  /// @param budget must outlive the charge.
+  explicit ByteCharge(ByteBudget& budget) : budget_(&budget) {}
+  ByteCharge(ByteCharge&& other) noexcept
+      : budget_(other.budget_), bytes_(std::exchange(other.bytes_, 0)) {}
+  ByteCharge& operator=(ByteCharge&& other) noexcept {
+    std::swap(budget_, other.budget_);
+    std::swap(bytes_, other.bytes_);
+    return *this;
+  }
+  ~ByteCharge() {
+    if (budget_ != nullptr) {
+      budget_->Release(bytes_);
+    }
+  }
+
+  /// @returns false, and takes nothing, if the bytes do not fit.
+  bool TryAdd(std::size_t bytes) {
+    if (budget_ == nullptr || !budget_->TryTake(bytes)) {
+      return false;
+    }
+    bytes_ += bytes;
+    return true;
+  }
+
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  ByteBudget* budget_ = nullptr;
+  std::size_t bytes_ = 0;
+};
+
 }  // namespace hickoryusher::http
 
 #endif  // HTTP_BYTE_BUDGET_H_
--- a/packages/http/include/http/upstream.h
+++ b/packages/http/include/http/upstream.h
@@ -4,12 +4,14 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "http/byte_budget.h"
 #include "http/message.h"
 #include "http/ring_sink.h"
 #include "runtime/ring.h"
@@ -85,7 +87,8 @@
   /// `refused`, `connect_timeout`, `first_byte_timeout`, `total_timeout`,
   /// `deadline_passed`, `connection_broken`, `truncated`, `oversized`,
   /// `malformed`, `no_length`, `cancelled`, `connection_limit`,
-  /// `exchange_limit`, `invalid_request`, `shutting_down` or `internal`.
+  /// `exchange_limit`, `memory_limit`, `invalid_request`, `shutting_down` or
+  /// `internal`.
   std::string_view reason;
   std::string detail;  ///< For the log.
   core::TimePoint at;
@@ -100,6 +103,9 @@
   std::size_t max_exchanges = 16'384;
   std::size_t max_idle_connections = 1024;
   std::size_t max_response_header_bytes = 64UL * 1024;
+  /// Heads and bodies of responses that are received or not yet handed over. A
+  /// response that does not fit fails with reason `memory_limit`.
+  std::size_t response_budget_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Sends requests to endpoints on one thread of its own.
@@ -122,6 +128,9 @@
   /// @returns false if the command ring is full or closed.
   bool TrySend(UpstreamCommand&& command);
 
+  /// Thread-safe. @returns the budget for responses.
+  const ByteBudget& response_budget() const;
+
   /// Fails all exchanges with reason `shutting_down` and ends the thread.
   void Shutdown();
 
--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -45,11 +45,13 @@
 Exchange::Exchange(StartExchange command,
                    EasyHandle easy,
                    std::size_t max_header_bytes,
+                   ByteBudget& budget,
                    std::vector<Exchange*>& started_answers)
     : command_(std::move(command)),
       easy_(std::move(easy)),
       max_header_bytes_(max_header_bytes),
-      started_answers_(started_answers) {}
+      started_answers_(started_answers),
+      charge_(budget) {}
 
 bool Exchange::IsValid(const StartExchange& command) {
   return command.id.valid() && command.url.starts_with("http://") &&
@@ -195,6 +197,10 @@
     own_reason_ = "oversized";
     return false;
   }
+  if (!charge_.TryAdd(line.size())) {
+    own_reason_ = "memory_limit";
+    return false;
+  }
   while (line.ends_with('\n') || line.ends_with('\r')) {
     line.remove_suffix(1);
   }
@@ -225,6 +231,10 @@
     own_reason_ = "oversized";
     return false;
   }
+  if (!charge_.TryAdd(data.size())) {
+    own_reason_ = "memory_limit";
+    return false;
+  }
   body_ += data;
   return true;
 }
--- a/packages/http/src/exchange_p.h
+++ b/packages/http/src/exchange_p.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "http/byte_budget.h"
 #include "http/upstream.h"
 
 namespace hickoryusher::http {
@@ -26,10 +27,12 @@
 class Exchange {
  public:
   /// @param command checked with IsValid().
+  /// @param budget for the response; must outlive the exchange.
   /// @param started_answers this exchange is added when its answer begins.
   Exchange(StartExchange command,
            EasyHandle easy,
            std::size_t max_header_bytes,
+           ByteBudget& budget,
            std::vector<Exchange*>& started_answers);
 
   Exchange(const Exchange&) = delete;
@@ -42,6 +45,8 @@
   bool Prepare();
 
   CURL* easy() const { return easy_.get(); }
+  /// @returns what the response holds of the budget.
+  ByteCharge TakeCharge() { return std::move(charge_); }
   EasyHandle TakeEasy() { return std::move(easy_); }
   const StartExchange& command() const { return command_; }
 
@@ -94,6 +99,7 @@
   std::string_view own_reason_;
   std::vector<Header> headers_;
   std::size_t header_bytes_ = 0;
+  ByteCharge charge_;
   std::string body_;
 };
 
--- a/packages/http/src/upstream.cc
+++ b/packages/http/src/upstream.cc
@@ -43,12 +43,19 @@
     std::size_t active = 0;
     std::size_t limit = 0;
   };
+  /// An event that the sink did not take, with what its response holds of the
+  /// budget.
+  struct WaitingEvent {
+    UpstreamEvent event;
+    ByteCharge charge;
+  };
   using Deadline = std::pair<core::TimePoint, core::AttemptId>;
 
   Impl(UpstreamOptions options, EventSink sink)
       : options(options),
         sink(std::move(sink)),
-        commands(options.command_capacity) {}
+        commands(options.command_capacity),
+        response_budget(options.response_budget_bytes) {}
 
   void Run();
   void ReadCommands();
@@ -60,7 +67,7 @@
   void ReadResults();
   void ReportFirstBytes();
   void ExpireFirstBytes();
-  void Emit(UpstreamEvent&& event);
+  void Emit(UpstreamEvent&& event, ByteCharge charge = {});
   void FlushEvents();
   milliseconds WaitTime() const;
   EasyHandle TakeEasy();
@@ -71,13 +78,15 @@
   std::vector<UpstreamCommand> drained;
   std::unique_ptr<CURLM, MultiDeleter> multi;
   std::vector<EasyHandle> spare;
+  /// Outlives what holds bytes of it.
+  ByteBudget response_budget;
   std::unordered_map<core::AttemptId, std::unique_ptr<Exchange>> exchanges;
   std::map<std::string, Host, std::less<>> hosts;
   std::size_t host_limit = 0;
   std::set<Deadline> first_byte_deadlines;
   /// Exchanges whose answer began since the last report.
   std::vector<Exchange*> started_answers;
-  std::deque<UpstreamEvent> refused_events;
+  std::deque<WaitingEvent> refused_events;
   runtime::DutyThread thread;
 };
 
@@ -186,7 +195,7 @@
   const core::AttemptId id = command.id;
   auto exchange = std::make_unique<Exchange>(std::move(command), TakeEasy(),
                                              options.max_response_header_bytes,
-                                             started_answers);
+                                             response_budget, started_answers);
   Exchange& added = *exchange;
   exchanges.emplace(id, std::move(exchange));
   if (!added.Prepare() ||
@@ -216,8 +225,12 @@
   curl_multi_remove_handle(multi.get(), exchange.easy());
   --hosts.find(HostOf(exchange.command().url))->second.active;
   spare.push_back(exchange.TakeEasy());
+  // A failure holds nothing of the response.
+  ByteCharge charge = std::holds_alternative<Completed>(event)
+                          ? exchange.TakeCharge()
+                          : ByteCharge();
   exchanges.erase(found);
-  Emit(std::move(event));
+  Emit(std::move(event), std::move(charge));
 }
 
 void Upstream::Impl::ReportFirstBytes() {
@@ -250,14 +263,15 @@
   }
 }
 
-void Upstream::Impl::Emit(UpstreamEvent&& event) {
+void Upstream::Impl::Emit(UpstreamEvent&& event, ByteCharge charge) {
   if (!refused_events.empty() || !sink(event)) {
-    refused_events.push_back(std::move(event));
+    refused_events.push_back(
+        {.event = std::move(event), .charge = std::move(charge)});
   }
 }
 
 void Upstream::Impl::FlushEvents() {
-  while (!refused_events.empty() && sink(refused_events.front())) {
+  while (!refused_events.empty() && sink(refused_events.front().event)) {
     refused_events.pop_front();
   }
 }
@@ -272,6 +286,10 @@
   return impl_->commands.TryPush(std::move(command));
 }
 
+const ByteBudget& Upstream::response_budget() const {
+  return impl_->response_budget;
+}
+
 void Upstream::Shutdown() {
   impl_->commands.Close();
   impl_->thread.Join();
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -30,6 +30,16 @@
 // One slice per failure domain: its owner sustains some 50 starts a second.
 constexpr int kSlicesPerDomain = 1;
 
+// Of the memory of the VM, for the responses that one upstream holds.
+constexpr std::int64_t kResponseMemoryDivisor = 8;
+constexpr std::size_t kDefaultResponseBytes = 32UL * 1024 * 1024;
+
+std::size_t ResponseBudget(std::int64_t memory_bytes) {
+  return memory_bytes > 0
+             ? static_cast<std::size_t>(memory_bytes / kResponseMemoryDivisor)
+             : kDefaultResponseBytes;
+}
+
 std::vector<jobs::SliceInfo> MakeSlices(
     std::span<const std::string> failure_domains) {
   std::vector<jobs::SliceInfo> slices;
@@ -128,7 +138,10 @@
 std::unique_ptr<http::Upstream> Process::Impl::StartUpstream(
     std::function<bool(http::UpstreamEvent&)> sink,
     std::vector<std::string>& errors) {
+  http::UpstreamOptions upstream_options;
+  upstream_options.response_budget_bytes = ResponseBudget(options.memory_bytes);
   http::Upstream::Builder builder;
+  builder.options(upstream_options);
   builder.on_event([sink = std::move(sink)](http::UpstreamEvent& event) {
     // Duties handle complete answers only: the first byte is ignored.
     return std::holds_alternative<http::FirstByte>(event) || sink(event);
