--- a/packages/http/tests/upstream_budget_test.cc
+++ b/packages/http/tests/upstream_budget_test.cc
@@ -46,7 +46,8 @@
         .headers = {{"Hickoryusher-Request-Key", std::to_string(id)}},
         .body = std::string(body_bytes, 'x'),
         .total_timeout = milliseconds(20'000)};
-    REQUIRE(upstream->TrySend(std::move(command)));
+    const bool taken = upstream->TrySend(std::move(command));
+    REQUIRE(taken);
   }
 
   UpstreamEvent Next() {
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -23,6 +23,9 @@
 // store.
 constexpr core::Duration kReadinessStoreTimeout = milliseconds(2500);
 
+// Others write the configuration.
+constexpr core::Duration kUnreadableLogInterval = milliseconds(1000);
+
 }  // namespace
 
 IntakeDuty::IntakeDuty(const Ports& ports,
@@ -108,8 +111,13 @@
     }
     auto config = ports_.read_config(row.value);
     if (!config) {
-      outputs_.log(
-          core::LogLine("config_unreadable").Add("row_version", row.version));
+      ++unreadable_configs_;
+      if (const core::TimePoint now = Now(); now >= next_unreadable_log_) {
+        next_unreadable_log_ = now + kUnreadableLogInterval;
+        outputs_.log(core::LogLine("config_unreadable")
+                         .Add("row_version", row.version)
+                         .Add("total", unreadable_configs_));
+      }
       continue;
     }
     if (config_ != nullptr && config->version() <= config_->version()) {
--- a/packages/jobs_process/src/intake_duty_p.h
+++ b/packages/jobs_process/src/intake_duty_p.h
@@ -78,6 +78,8 @@
   jobs::Intake intake_;
   jobs::TableFollower config_rows_;
   jobs::QueueConfigPtr config_;
+  core::TimePoint next_unreadable_log_;
+  std::uint64_t unreadable_configs_ = 0;
   runtime::Ring<IntakeInput> inputs_;
   std::atomic<bool> draining_ = false;
   bool was_ready_ = false;
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -24,6 +24,10 @@
 constexpr core::Duration kSlowIterationThreshold = milliseconds(300);
 constexpr core::Duration kSlowIterationLogInterval = milliseconds(1000);
 
+// Others write the registry, any number of rows at a time.
+constexpr core::Duration kUnreadableEntryLogInterval = milliseconds(1000);
+constexpr std::size_t kMaxLoggedKeyBytes = 200;
+
 }  // namespace
 
 SchedulerDuty::SchedulerDuty(const Ports& ports,
@@ -208,8 +212,7 @@
   const auto entry = row.removed ? std::nullopt : ports_.read_worker(row);
   if (!entry) {
     if (!row.removed) {
-      options_.log(
-          core::LogLine("worker_entry_unreadable").Add("key", row.key.key));
+      LogUnreadableEntry(row, now);
     }
     registry_.erase(row.key.key);
     for (const auto& [slice, scheduler] : schedulers_) {
@@ -223,6 +226,18 @@
   }
 }
 
+void SchedulerDuty::LogUnreadableEntry(const jobs::Row& row,
+                                       core::TimePoint now) {
+  ++unreadable_entries_;
+  if (now < next_unreadable_entry_log_) {
+    return;
+  }
+  next_unreadable_entry_log_ = now + kUnreadableEntryLogInterval;
+  options_.log(core::LogLine("worker_entry_unreadable")
+                   .Add("key", row.key.key.substr(0, kMaxLoggedKeyBytes))
+                   .Add("total", unreadable_entries_));
+}
+
 void SchedulerDuty::StartScheduler(const jobs::SliceGained& gained,
                                    core::TimePoint now) {
   std::vector<chart::Problem> problems;
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -74,6 +74,7 @@
   void HandleEvent(const http::UpstreamEvent& event, core::TimePoint now);
   void HandleRegistry(const jobs::TableUpdate& update, core::TimePoint now);
   void HandleRegistryRow(const jobs::Row& row, core::TimePoint now);
+  void LogUnreadableEntry(const jobs::Row& row, core::TimePoint now);
   void RemoveMissingWorkers(const jobs::TableSnapshot& snapshot,
                             core::TimePoint now);
   void PopNotices(core::TimePoint now);
@@ -99,6 +100,8 @@
   bool releasing_ = false;  ///< Once all slices have been handed over.
   runtime::Ring<SchedulerInput> inputs_;
   core::TimePoint next_slow_iteration_log_;
+  core::TimePoint next_unreadable_entry_log_;
+  std::uint64_t unreadable_entries_ = 0;
   http::Upstream* upstream_ = nullptr;
   runtime::DutyThread thread_;
 };
