--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -44,7 +44,7 @@
                        Outputs outputs)
     : ports_(ports),
       outputs_(std::move(outputs)),
-      codec_(ports.make_codec()),
+      codec_(ports.make_codec(outputs_.log)),
       intake_({.slices = slices, .log = outputs_.log}, ids_),
       operator_rows_({.config_key = ports.config_key,
                       .evacuation_prefix = ports.evacuation_prefix,
