Give the front a byte budget and make room for new connections

Bodies that stop short of their end held connections x 1 MiB, and the copies of requests behind the front had no limit. The front now charges connections, unsent responses and requests in progress to a budget, closes the connection that holds most, and refuses further requests at half of the budget. The parser collects bodies itself; Pistache reads heads only.

A front closes idle connections for new ones if FrontOptions::makes_room is set, as the platform program does; otherwise it refuses them as before. request_refused, connection_closed and response_dropped are limited to 20 lines a second, except the first of each reason; event=front_limits counts. limits.memory_mb and limits.max_fds set the budgets of the platform program.

--- a/packages/http/include/http/front.h
+++ b/packages/http/include/http/front.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +21,25 @@
 /// Receives one log line. Called on the front's or upstream's own threads.
 using LogSink = std::function<void(std::string)>;
 
+/// What a request in progress is charged beyond its own bytes, for what it
+/// causes behind the front.
+struct RequestCost {
+  std::size_t bytes = 0;        ///< Of any request.
+  std::size_t body_copies = 0;  ///< Of its body, each up to copied_body_bytes.
+  std::size_t copied_body_bytes = std::numeric_limits<std::size_t>::max();
+};
+
+/// What a front holds, and what it has refused and closed since its start.
+struct FrontCounters {
+  std::size_t connections = 0;
+  std::size_t bytes = 0;       ///< Charged to the budget.
+  std::size_t bytes_peak = 0;  ///< Sum of the largest values of the threads.
+  std::map<std::string, std::uint64_t, std::less<>> refused;  ///< By reason.
+  std::map<std::string, std::uint64_t, std::less<>> closed;   ///< By reason.
+
+  bool operator==(const FrontCounters&) const = default;
+};
+
 /// Settings of a Front.
 struct FrontOptions {
   std::string address = "127.0.0.1";
@@ -27,6 +48,13 @@
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 1024UL * 1024;
   std::size_t max_connections = 20'000;
+  /// Closes another connection for one beyond the limit, see docs/hard-load.md.
+  /// Otherwise the new one is refused.
+  bool makes_room = false;
+  /// Budget for what connections and requests in progress hold, divided evenly
+  /// among the threads; each closes its own connections.
+  std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
+  RequestCost request_cost;
   /// Requests in progress per thread; further ones get `ring_full`.
   std::size_t max_in_flight_per_thread = 8192;
   /// Unanswered requests on one connection; the next one is refused and the
@@ -37,6 +65,8 @@
   std::chrono::milliseconds idle_timeout{60'000};
   /// Longest time without progress while a response is being sent.
   std::chrono::milliseconds send_timeout{30'000};
+  /// Shortest time between two lines `event=front_limits`.
+  std::chrono::milliseconds limits_log_interval{10'000};
   /// Put before the number in `Hickoryusher-Request-Id`.
   std::string request_id_prefix;
 };
@@ -90,6 +120,8 @@
   /// @returns open connections.
   std::size_t connections() const;
 
+  FrontCounters counters() const;
+
  private:
   struct Impl;
   explicit Front(std::unique_ptr<Impl> impl);
--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_MESSAGE_H_
 #define HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -46,6 +47,9 @@
   core::TimePoint arrived;  ///< When the last byte of the request was read.
 };
 
+/// @returns the bytes that a request holds, by the capacity of its buffers.
+std::size_t HeldBytes(const IncomingRequest& request);
+
 /// The response to one IncomingRequest.
 struct Response {
   core::RequestId id;
--- a/packages/http/include/http/request_parser.h
+++ b/packages/http/include/http/request_parser.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,23 +37,20 @@
 using ParseResult =
     std::variant<NeedMore, ContinueExpected, ParsedRequest, ParseError>;
 
-struct CheckedHead;
-
-/// Reads HTTP/1.0 and HTTP/1.1 requests from a byte stream with Pistache's
-/// parser.
+/// Reads HTTP/1.0 and HTTP/1.1 requests from a byte stream. Pistache's parser
+/// reads the heads.
 ///
-/// @remarks The library is fed the bytes of one message at a time, so that the
-/// next request of the same segment stays apart. Strict where leniency lets two
-/// readers disagree about the end of a message: line ends are CRLF, no folded
-/// headers, no space before a colon, at most one length. Chunked bodies are
-/// refused with 411, and methods that the library does not know with 501.
+/// @remarks The library is fed one head at a time, without its length, so that
+/// it holds neither bodies nor bytes of the next request. Strict where leniency
+/// lets two readers disagree about the end of a message: line ends are CRLF, no
+/// folded headers, no space before a colon, at most one length. Chunked bodies
+/// are refused with 411, and methods that the library does not know with 501.
 /// Headers with different names may change their order.
 class RequestParser {
  public:
   explicit RequestParser(ParseLimits limits);
   RequestParser(const RequestParser&) = delete;
   RequestParser& operator=(const RequestParser&) = delete;
-  ~RequestParser();
 
   /// Takes bytes from the front of @p input until a result is known.
   /// @param input shortened by the bytes taken.
@@ -66,24 +62,25 @@
   /// @returns true while the body of a request is being read.
   bool in_body() const { return remaining_ > 0; }
 
- private:
-  struct Library;
+  /// @returns the bytes of the buffers of an incomplete request. A body counts
+  /// in full as soon as its head is complete.
+  std::size_t held_bytes() const;
+
+  /// Frees the buffers of an incomplete request. The rest of the input must
+  /// not be fed.
+  void Abandon();
 
+ private:
   ParseResult FeedHead(std::string_view& input);
   ParseResult FeedBody(std::string_view& input);
   ParseResult ParseHead();
   ParseResult Finish();
 
-  /// Fills parsed_ except for the body.
-  void ReadHead(const CheckedHead& checked);
-
   ParseLimits limits_;
-  /// Created with the first request, so that an unused connection is small.
-  std::unique_ptr<Library> library_;
   std::string head_;
   std::uint64_t remaining_ = 0;  ///< Bytes left of the body.
-  bool expects_continue_ = false;
   ParsedRequest parsed_;
+  std::size_t parsed_bytes_ = 0;  ///< Held by parsed_ while its body is read.
 };
 
 }  // namespace hickoryusher::http
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,6 +1,7 @@
 #include "connection_p.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace hickoryusher::http {
@@ -44,6 +45,23 @@
 
 }  // namespace
 
+bool Connection::request_in_progress() const {
+  return std::ranges::any_of(slots, [](const ResponseSlot& slot) {
+    return slot.handed_over && !slot.ready;
+  });
+}
+
+bool Connection::has_unsent_response() const {
+  return std::ranges::any_of(slots, &ResponseSlot::ready);
+}
+
+std::size_t Connection::reclaimable_bytes() const {
+  return std::accumulate(slots.begin(), slots.end(), parser.held_bytes(),
+                         [](std::size_t sum, const ResponseSlot& slot) {
+                           return sum + (slot.bytes.empty() ? 0 : slot.bytes.capacity());
+                         });
+}
+
 std::string EncodeResponse(const Response& response,
                            std::string_view request_id,
                            bool head,
--- a/packages/http/src/connection_p.h
+++ b/packages/http/src/connection_p.h
@@ -29,7 +29,8 @@
 
 /// One caller's connection, used by one thread only.
 struct Connection {
-  Connection(int fd, ParseLimits limits) : fd(fd), parser(limits) {}
+  Connection(int fd, ParseLimits limits, core::TimePoint now)
+      : fd(fd), parser(limits), request_began(now), idle_since(now) {}
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -41,6 +42,14 @@
     }
   }
 
+  bool request_in_progress() const;
+
+  /// @returns true if a response waits for the caller to read.
+  bool has_unsent_response() const;
+
+  /// @returns the bytes that closing the connection frees.
+  std::size_t reclaimable_bytes() const;
+
   int fd;
   RequestParser parser;
   std::deque<ResponseSlot> slots;
@@ -49,7 +58,11 @@
   bool output_closed = false;
   bool write_blocked = false;
   bool closed_by_pistache = false;
+  bool shut_down = false;  ///< Pistache is about to report the end.
   std::uint64_t discarded_bytes = 0;
+  std::size_t charged_bytes = 0;
+  core::TimePoint request_began;  ///< Of the incomplete request, if any.
+  core::TimePoint idle_since;     ///< Last complete request, or the start.
   core::TimePoint deadline = core::TimePoint::max();
 };
 
--- a/packages/http/src/front.cc
+++ b/packages/http/src/front.cc
@@ -70,14 +70,17 @@
   return impl_->shared->connections;
 }
 
+FrontCounters Front::counters() const {
+  return impl_->shared->Counters();
+}
+
 std::unique_ptr<Front> Front::Builder::Start() {
   if (!sink_ || options_.threads < 1) {
     last_error_ = "front needs a request sink and at least one thread";
     return nullptr;
   }
   auto impl = std::make_unique<Impl>();
-  impl->shared = std::make_shared<FrontShared>();
-  impl->shared->options = options_;
+  impl->shared = std::make_shared<FrontShared>(options_);
   impl->shared->sink = sink_;
   impl->shared->log = log_;
   for (int i = 0; i < options_.threads; ++i) {
@@ -94,6 +97,8 @@
       }
     });
     impl->shared->inboxes.push_back(std::move(inbox));
+    impl->shared->budgets.push_back(std::make_unique<ByteBudget>(
+        options_.max_bytes / static_cast<std::size_t>(options_.threads)));
   }
   try {
     using Pistache::Tcp::Options;
@@ -112,6 +117,7 @@
     impl->listener->setHandler(std::make_shared<FrontHandler>());
     impl->listener->bind();
     impl->port = impl->listener->getPort();
+    impl->shared->port = impl->port;
     impl->listener->runThreaded();
   } catch (const std::exception& error) {
     last_error_ = "cannot listen on " + options_.address + ":" +
--- a/packages/http/src/front_shared_p.h
+++ b/packages/http/src/front_shared_p.h
@@ -7,10 +7,14 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/log_line.h"
+#include "front_report_p.h"
+#include "http/byte_budget.h"
 #include "http/front.h"
 #include "runtime/ring.h"
 #include "unique_fd_p.h"
@@ -29,10 +33,16 @@
 
 /// State shared by a Front and its threads.
 struct FrontShared {
+  explicit FrontShared(FrontOptions options_in)
+      : options(std::move(options_in)), report(options.limits_log_interval) {}
+
   FrontOptions options;
   Front::RequestSink sink;
   LogSink log;
   std::vector<std::unique_ptr<ResponseInbox>> inboxes;
+  std::vector<std::unique_ptr<ByteBudget>> budgets;  ///< One for each thread.
+  FrontReport report;
+  std::atomic<std::uint16_t> port = 0;
   std::atomic<std::size_t> next_inbox = 0;
   std::atomic<bool> stopping = false;
   std::atomic<std::size_t> in_flight = 0;
@@ -47,6 +57,22 @@
     }
   }
 
+  void Log(std::optional<core::LogLine>&& line) const {
+    if (line) {
+      Log(*std::move(line));
+    }
+  }
+
+  FrontCounters Counters() const {
+    FrontCounters counters{.connections = connections};
+    for (const auto& budget : budgets) {
+      counters.bytes += budget->used();
+      counters.bytes_peak += budget->peak();
+    }
+    report.AddTotals(counters);
+    return counters;
+  }
+
   /// Counts one request as finished.
   void Finished() {
     if (in_flight.fetch_sub(1) == 1) {
--- a/packages/http/src/front_transport.cc
+++ b/packages/http/src/front_transport.cc
@@ -81,6 +81,7 @@
   Transport::registerPoller(poller);
   index_ = shared_->next_inbox.fetch_add(1);
   inbox_ = shared_->inboxes.at(index_).get();
+  budget_ = shared_->budgets.at(index_).get();
   timer_fd_.reset(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC));
   for (const int fd : {inbox_->wake_fd.get(), timer_fd_.get()}) {
     poller.addFd(fd, Pistache::Flags<NotifyOn>(NotifyOn::Read),
@@ -105,6 +106,7 @@
         entry.isWritable() && found != connections_.end()) {
       found->second->write_blocked = false;
       WriteReady(*found->second);
+      Charge(*found->second);
     }
     Pistache::Polling::Event event(entry.getTag());
     if (entry.isReadable()) {
@@ -133,23 +135,30 @@
 
 void FrontTransport::Connected(int fd) {
   auto connection = std::make_unique<Connection>(
-      fd, ParseLimits{shared_->options.max_header_bytes,
-                      shared_->options.max_body_bytes});
+      fd,
+      ParseLimits{shared_->options.max_header_bytes,
+                  shared_->options.max_body_bytes},
+      Now());
   Connection& added = *connection;
   connections_[fd] = std::move(connection);
-  if (connections_.size() == 1) {
+  if (!tick_armed_) {
     ArmTick(true);
   }
   UpdateDeadline(added);
+  const std::size_t others = shared_->connections.fetch_add(1);
   if (IsReserved(fd)) {
-    shared_->connections.fetch_add(1);
     Refuse(added, 503, "descriptor_limit", true);
     // Closed without waiting for the caller, so that the descriptor is free.
-    shutdown(fd, SHUT_RDWR);
-  } else if (shared_->connections.fetch_add(1) >=
-             shared_->options.max_connections) {
+    ShutDown(added);
+  } else if (others - std::min(others, shut_down_) >=
+                 shared_->options.max_connections &&
+             !(shared_->options.makes_room && MakeRoomForConnection(added))) {
     Refuse(added, 503, "connection_limit", true);
+    if (shared_->options.makes_room) {
+      ShutDown(added);
+    }
   }
+  ChargeAndMakeRoom(added);
 }
 
 void FrontTransport::Disconnected(int fd) {
@@ -158,17 +167,11 @@
     return;
   }
   found->second->closed_by_pistache = true;
-  for (const ResponseSlot& slot : found->second->slots) {
-    if (slot.handed_over) {
-      pending_.erase(slot.id);
-      shared_->Finished();
-    }
-  }
+  Forget(*found->second);
+  budget_->Release(found->second->charged_bytes);
+  shut_down_ -= found->second->shut_down ? 1 : 0;
   connections_.erase(found);
   shared_->connections.fetch_sub(1);
-  if (connections_.empty()) {
-    ArmTick(false);
-  }
 }
 
 void FrontTransport::Received(int fd, std::string_view input) {
@@ -187,6 +190,7 @@
                    [&](ContinueExpected) { SendContinue(connection); },
                    [&](ParsedRequest& parsed) {
                      finished_one = true;
+                     connection.idle_since = Now();
                      HandleRequest(connection, std::move(parsed));
                    },
                    [&](const ParseError& error) {
@@ -194,11 +198,17 @@
                    },
                },
                result);
+    if (connection.parser.started() && (finished_one || !was_started)) {
+      connection.request_began = Now();
+    }
+    ChargeAndMakeRoom(connection);
   }
   if (connection.input_closed) {
+    connection.parser.Abandon();
+    Charge(connection);
     connection.discarded_bytes += input.size();
     if (connection.discarded_bytes > kLingerBytes) {
-      shutdown(fd, SHUT_RDWR);
+      ShutDown(connection);
     }
     return;
   }
@@ -232,13 +242,20 @@
     refuse("ring_full", close);
     return;
   }
+  const std::size_t cost = CostOf(parsed.request);
+  // The parser holds the request no longer.
+  Charge(connection);
+  if (!ChargeRequest(connection, cost)) {
+    refuse("memory_limit", true);
+    return;
+  }
   const core::RequestId id = NextId();
   parsed.request.id = id;
   parsed.request.arrived = Now();
   connection.slots.push_back(
       {.id = id, .handed_over = true, .head = head, .close_after = close});
   connection.input_closed = close;
-  pending_[id] = &connection;
+  pending_[id] = {.connection = &connection, .bytes = cost};
   // Counted before the hand-over, because the response may already be on its
   // way when the sink returns.
   shared_->in_flight.fetch_add(1);
@@ -247,6 +264,7 @@
   }
   shared_->Finished();
   pending_.erase(id);
+  ReleaseRequest(cost);
   connection.slots.pop_back();
   refuse("ring_full", close);
 }
@@ -258,10 +276,12 @@
   const core::RequestId id = NextId();
   const std::string name =
       shared_->options.request_id_prefix + std::to_string(id.value());
-  shared_->Log(std::move(core::LogLine("request_refused")
-                             .Add("request", name)
-                             .Add("status", status)
-                             .Add("reason", reason)));
+  shared_->Log(
+      shared_->report.Refused(std::move(core::LogLine("request_refused")
+                                            .Add("request", name)
+                                            .Add("status", status)
+                                            .Add("reason", reason)),
+                              reason, Now()));
   connection.slots.push_back(
       {.id = id,
        .close_after = close,
@@ -288,15 +308,22 @@
 
 void FrontTransport::DeliverResponse(Response&& response) {
   const auto found = pending_.find(response.id);
-  if (found == pending_.end()) {
+  const PendingRequest pending =
+      found == pending_.end() ? PendingRequest{} : found->second;
+  if (found != pending_.end()) {
+    pending_.erase(found);
+    ReleaseRequest(pending.bytes);
+  }
+  if (pending.connection == nullptr) {
     shared_->dropped.fetch_add(1);
-    shared_->Log(std::move(core::LogLine("response_dropped")
-                               .Add("request", response.id.value())
-                               .Add("status", response.status)));
+    shared_->Log(shared_->report.Dropped(
+        std::move(core::LogLine("response_dropped")
+                      .Add("request", response.id.value())
+                      .Add("status", response.status)),
+        Now()));
     return;
   }
-  Connection& connection = *found->second;
-  pending_.erase(found);
+  Connection& connection = *pending.connection;
   const auto slot =
       std::ranges::find(connection.slots, response.id, &ResponseSlot::id);
   if (shared_->stopping && slot->id == connection.slots.back().id) {
@@ -309,6 +336,7 @@
       slot->head, slot->close_after);
   slot->ready = true;
   WriteReady(connection);
+  ChargeAndMakeRoom(connection);
 }
 
 void FrontTransport::WriteReady(Connection& connection) {
@@ -348,7 +376,7 @@
     } else if (errno != EINTR) {
       // The socket is broken; the read side ends the connection.
       connection.input_closed = true;
-      shutdown(connection.fd, SHUT_RDWR);
+      ShutDown(connection);
       return false;
     }
   }
@@ -386,6 +414,7 @@
       Expire(*connection);
     }
   }
+  LogDueLimits();
 }
 
 void FrontTransport::Expire(Connection& connection) {
@@ -394,14 +423,17 @@
     // Pistache sees the end of the stream and calls Disconnected().
     connection.input_closed = true;
     connection.deadline = Now() + kLingerTime;
-    shutdown(connection.fd, SHUT_RDWR);
+    ShutDown(connection);
     return;
   }
   Refuse(connection, 408,
          connection.parser.in_body() ? "body_timeout" : "header_timeout", true);
+  connection.parser.Abandon();
+  Charge(connection);
 }
 
 void FrontTransport::ArmTick(bool armed) {
+  tick_armed_ = armed;
   const timespec interval =
       armed ? ToTimespec(TickInterval(shared_->options)) : timespec{};
   const itimerspec timer{.it_interval = interval, .it_value = interval};
--- a/packages/http/src/head_check.cc
+++ b/packages/http/src/head_check.cc
@@ -16,9 +16,10 @@
 // Pistache 0.0.5 throws on valid values of these, such as a quoted Content-Type
 // parameter with a space or a cookie without a value. The front does not use
 // them.
-constexpr std::array<std::string_view, 7> kOpaqueNames = {
-    "accept", "cache-control", "content-type", "cookie",
-    "date",   "host",          "set-cookie"};
+// The length is kept from it because it would collect the body.
+constexpr std::array<std::string_view, 8> kOpaqueNames = {
+    "accept", "cache-control", "content-length", "content-type",
+    "cookie", "date",          "host",           "set-cookie"};
 
 std::optional<std::uint64_t> ParseLength(std::string_view text) {
   std::uint64_t number = 0;
--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -46,26 +46,18 @@
   return head += "\r\n";
 }
 
-}  // namespace
-
-struct RequestParser::Library {
-  explicit Library(std::size_t max_bytes) : parser(max_bytes) {}
-
-  /// Feeds @p bytes of one message.
-  /// @returns true at the end of the message, or an error.
-  std::variant<bool, ParseError> Feed(std::string_view bytes);
-
-  Pistache::Http::RequestParser parser;
-};
-
-std::variant<bool, ParseError> RequestParser::Library::Feed(
-    std::string_view bytes) {
+/// Feeds Pistache's parser a head without a length, which it takes for a
+/// complete message.
+std::optional<ParseError> ReadByLibrary(const CheckedHead& checked,
+                                        Pistache::Http::RequestParser& parser) {
   namespace Steps = Pistache::Http::Private;
+  const std::string head = LibraryHead(checked);
   try {
-    if (!parser.feed(bytes.data(), bytes.size())) {
-      return ParseError{413, "body_too_large"};
+    if (parser.feed(head.data(), head.size()) &&
+        parser.parse() == Steps::State::Done) {
+      return std::nullopt;
     }
-    return parser.parse() == Steps::State::Done;
+    return ParseError{400, "bad_header"};
   } catch (const std::exception&) {
     // Other mistakes in a request line do not pass CheckHead().
     return parser.step()->id() == Steps::RequestLineStep::Id
@@ -74,9 +66,34 @@
   }
 }
 
-RequestParser::RequestParser(ParseLimits limits) : limits_(limits) {}
+/// @returns the request except for its body.
+ParsedRequest TakeHead(const CheckedHead& checked,
+                       const Pistache::Http::Request& read) {
+  ParsedRequest parsed;
+  IncomingRequest& request = parsed.request;
+  request.method = Pistache::Http::methodString(read.method());
+  request.path = read.resource();
+  request.query = checked.query;
+  request.headers.reserve(checked.headers.size());
+  for (const auto& [key, raw] : read.headers().rawList()) {
+    request.headers.push_back(
+        {raw.name(), std::string(TrimSpace(raw.value()))});
+  }
+  // After the library's, so that the lines of one name keep their order.
+  for (const HeaderLine& header : checked.headers) {
+    if (header.opaque) {
+      request.headers.push_back(
+          {std::string(header.name), std::string(header.value)});
+    }
+  }
+  parsed.keep_alive = KeepsAlive(
+      request.headers, read.version() == Pistache::Http::Version::Http11);
+  return parsed;
+}
 
-RequestParser::~RequestParser() = default;
+}  // namespace
+
+RequestParser::RequestParser(ParseLimits limits) : limits_(limits) {}
 
 ParseResult RequestParser::Feed(std::string_view& input) {
   return in_body() ? FeedBody(input) : FeedHead(input);
@@ -119,71 +136,50 @@
   if (head.content_length > limits_.max_body_bytes) {
     return ParseError{413, "body_too_large"};
   }
-  if (!library_) {
-    library_ = std::make_unique<Library>(
-        limits_.max_header_bytes + kHeadEnd.size() + limits_.max_body_bytes);
-  }
-  const auto fed = library_->Feed(LibraryHead(head));
-  if (const auto* error = std::get_if<ParseError>(&fed)) {
+  Pistache::Http::RequestParser library(limits_.max_header_bytes +
+                                        kHeadEnd.size());
+  if (const auto error = ReadByLibrary(head, library)) {
     return *error;
   }
-  if (std::get<bool>(fed) != (head.content_length == 0)) {
-    return ParseError{400, "bad_header"};
-  }
-  ReadHead(head);
-  head_.clear();
+  parsed_ = TakeHead(head, library.request);
+  const bool expects_continue =
+      library.request.version() == Pistache::Http::Version::Http11 &&
+      EqualNames(FindHeader(parsed_.request.headers, "expect"), "100-continue");
+  // Its capacity is of no use while the connection is idle.
+  head_ = std::string();
   remaining_ = head.content_length;
   if (remaining_ == 0) {
     return Finish();
   }
-  return expects_continue_ ? ParseResult(ContinueExpected{})
-                           : ParseResult(NeedMore{});
-}
-
-void RequestParser::ReadHead(const CheckedHead& checked) {
-  const Pistache::Http::Request& read = library_->parser.request;
-  parsed_ = ParsedRequest{};
-  IncomingRequest& request = parsed_.request;
-  request.method = Pistache::Http::methodString(read.method());
-  request.path = read.resource();
-  request.query = checked.query;
-  request.headers.reserve(checked.headers.size());
-  for (const auto& [key, raw] : read.headers().rawList()) {
-    request.headers.push_back(
-        {raw.name(), std::string(TrimSpace(raw.value()))});
-  }
-  // After the library's, so that the lines of one name keep their order.
-  for (const HeaderLine& header : checked.headers) {
-    if (header.opaque) {
-      request.headers.push_back(
-          {std::string(header.name), std::string(header.value)});
-    }
-  }
-  const bool http_1_1 = read.version() == Pistache::Http::Version::Http11;
-  parsed_.keep_alive = KeepsAlive(request.headers, http_1_1);
-  expects_continue_ =
-      http_1_1 &&
-      EqualNames(FindHeader(request.headers, "expect"), "100-continue");
+  // Allocated once, so that growing copies never hold memory beside it.
+  parsed_.request.body.reserve(remaining_);
+  parsed_bytes_ = HeldBytes(parsed_.request);
+  return expects_continue ? ParseResult(ContinueExpected{})
+                          : ParseResult(NeedMore{});
 }
 
 ParseResult RequestParser::FeedBody(std::string_view& input) {
   const std::size_t taken = std::min<std::uint64_t>(remaining_, input.size());
-  const auto fed = library_->Feed(input.substr(0, taken));
+  parsed_.request.body += input.substr(0, taken);
   input.remove_prefix(taken);
   remaining_ -= taken;
-  if (const auto* error = std::get_if<ParseError>(&fed)) {
-    return *error;
-  }
-  if (std::get<bool>(fed) != (remaining_ == 0)) {
-    return ParseError{400, "bad_content_length"};
-  }
   return remaining_ == 0 ? Finish() : NeedMore{};
 }
 
 ParseResult RequestParser::Finish() {
-  parsed_.request.body = std::as_const(library_->parser.request).body();
-  library_->parser.reset();
+  parsed_bytes_ = 0;
   return std::exchange(parsed_, ParsedRequest{});
 }
 
+std::size_t RequestParser::held_bytes() const {
+  return (head_.empty() ? 0 : head_.capacity()) + parsed_bytes_;
+}
+
+void RequestParser::Abandon() {
+  head_ = std::string();
+  parsed_ = ParsedRequest{};
+  parsed_bytes_ = 0;
+  remaining_ = 0;
+}
+
 }  // namespace hickoryusher::http
--- a/packages/jobs_process/include/jobs_process/process.h
+++ b/packages/jobs_process/include/jobs_process/process.h
@@ -24,6 +24,9 @@
   std::string process;  ///< Unique among running processes.
   std::string failure_domain;
   std::int64_t cpu_millis = 0;  ///< Of this VM; 0 if unknown.
+  std::int64_t memory_mb = 0;   ///< Of this VM; 0 if unknown.
+  /// Descriptors this process may have open; 0 if unknown.
+  std::int64_t max_fds = 0;
   std::vector<std::string> failure_domains;
   Listener callers;    ///< For requests of callers.
   Listener readiness;  ///< For readiness checks of the load balancer.
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -30,6 +30,56 @@
 // One slice per failure domain: its owner sustains some 50 starts a second.
 constexpr int kSlicesPerDomain = 1;
 
+constexpr std::size_t kKilobyte = 1024;
+constexpr std::size_t kMegabyte = 1024 * kKilobyte;
+
+// An exchange with a libcurl handle and its buffers, and the call itself.
+constexpr std::size_t kRequestBytes = 32 * kKilobyte;
+
+// The document in the call, in the stored row, in the transaction, and each of
+// these two as JSON text and in base64 at a time.
+constexpr std::size_t kDocumentCopies = 8;
+
+// Larger documents are refused before they are copied: a row holds 64 KiB.
+constexpr std::size_t kLargestDocument = 64 * kKilobyte;
+
+// Enough for a request with the largest body.
+constexpr std::size_t kSmallestCallersBudget = 4 * kMegabyte;
+constexpr std::size_t kUnknownCallersBudget = 64 * kMegabyte;
+constexpr std::size_t kUnknownCallersConnections = 20'000;
+constexpr std::size_t kReservedDescriptors = 200;  // For files.
+constexpr std::size_t kSmallestCallersConnections = 16;
+
+// Only the load balancer uses the readiness port, without bodies.
+constexpr std::size_t kReadinessBudget = 2 * kMegabyte;
+constexpr std::size_t kReadinessConnections = 64;
+constexpr std::size_t kReadinessMessage = 4 * kKilobyte;
+
+http::FrontOptions CallersOptions(const ProcessOptions& options) {
+  http::FrontOptions front;
+  const auto memory = static_cast<std::size_t>(options.memory_mb) * kMegabyte;
+  const auto fds = static_cast<std::size_t>(options.max_fds);
+  front.max_bytes = memory == 0 ? kUnknownCallersBudget
+                                : std::max(memory / 4, kSmallestCallersBudget);
+  front.max_connections =
+      fds == 0 ? kUnknownCallersConnections
+               : std::max((fds - std::min(fds, kReservedDescriptors)) / 2,
+                          kSmallestCallersConnections);
+  front.request_cost = {.bytes = kRequestBytes,
+                        .body_copies = kDocumentCopies,
+                        .copied_body_bytes = kLargestDocument};
+  return front;
+}
+
+http::FrontOptions ReadinessOptions() {
+  http::FrontOptions front;
+  front.max_bytes = kReadinessBudget;
+  front.max_connections = kReadinessConnections;
+  front.max_header_bytes = kReadinessMessage;
+  front.max_body_bytes = kReadinessMessage;
+  return front;
+}
+
 std::vector<jobs::SliceInfo> MakeSlices(
     std::span<const std::string> failure_domains) {
   std::vector<jobs::SliceInfo> slices;
@@ -73,6 +123,7 @@
       std::function<bool(http::UpstreamEvent&)> sink,
       std::vector<std::string>& errors);
   std::unique_ptr<http::Front> StartFront(const Listener& listener,
+                                          http::FrontOptions front_options,
                                           http::Front::RequestSink sink,
                                           std::vector<std::string>& errors);
   void Stop();
@@ -142,12 +193,13 @@
 
 std::unique_ptr<http::Front> Process::Impl::StartFront(
     const Listener& listener,
+    http::FrontOptions front_options,
     http::Front::RequestSink sink,
     std::vector<std::string>& errors) {
-  http::FrontOptions front_options;
   front_options.address = listener.address;
   front_options.port = listener.port;
   front_options.threads = 1;
+  front_options.makes_room = true;
   front_options.request_id_prefix = options.process + "-";
   http::Front::Builder builder;
   builder.options(front_options)
@@ -172,13 +224,13 @@
       },
       errors);
   callers = StartFront(
-      options.callers,
+      options.callers, CallersOptions(options),
       [this](http::IncomingRequest& request) {
         return http::PushInto(intake->inputs(), request);
       },
       errors);
   readiness = StartFront(
-      options.readiness,
+      options.readiness, ReadinessOptions(),
       [this](http::IncomingRequest& request) {
         return intake->inputs().TryPush(
             IntakeInput(ReadinessRequested{.request = request.id}));
