--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -122,8 +122,10 @@
 
 // Handles the row of a job, among those of a conflict. Only this owner writes
 // it, so that it shows whether a transfer without an answer took effect.
-void SliceScheduler::AdoptRow(const std::string& id,
+void SliceScheduler::AdoptRow(const std::string& adopted,
                               std::span<const Row> present) {
+  // Copied, since it may be the id in transfer_, which may end here.
+  const std::string id = adopted;
   Job* job = jobs_.Find(id);
   if (job == nullptr) {
     return;
@@ -166,7 +168,9 @@
 
 // Ends the transfer of the job, if there is one, with the version of its row
 // here; 0 if the whole job has left.
-void SliceScheduler::FinishMove(const std::string& id, RowVersion version) {
+void SliceScheduler::FinishMove(const std::string& moved, RowVersion version) {
+  // Copied, since it may be the id in transfer_, which ends here.
+  const std::string id = moved;
   const bool current = transfer_ && transfer_->job == id;
   const bool whole = !current || transfer_->new_id == id;
   core::LogLine line("job_transferred");
@@ -182,12 +186,12 @@
   Job& job = *jobs_.Find(id);
   if (whole) {
     for (Task& task : job.tasks) {
+      MoveAway(task);
       if (task.worker.valid()) {
         // Reported since the transfer was sent: a start that was carried out
         // later than any is waited for. It is stopped as an unknown run.
         DetachFromWorker(task);
       }
-      MoveAway(task);
     }
     dirty_.erase(id);
     baseline_utilisations_.erase(id);
--- a/packages/jobs/tests/transfer_search_test.cc
+++ b/packages/jobs/tests/transfer_search_test.cc
@@ -22,6 +22,8 @@
 using StartedRun = FakeWorkers::StartedRun;
 
 constexpr core::Duration kLongestLease = 6s;
+// Each worker has room for two of them.
+constexpr std::size_t kMostLasting = 3;
 
 class TransferSearch {
  public:
@@ -141,11 +143,18 @@
   }
 
   void Submit() {
-    constexpr std::array kSteps = {"c", "cc", "b", "b", "bc", "y", "m"};
-    const std::string id = "j" + std::to_string(jobs_.size());
-    jobs_.push_back(id);
+    constexpr std::array kSteps = {"c", "cc", "b", "b", "bc", "y", "m", "t"};
+    // As long as the ids of callers, which do not fit into a string object.
+    const std::string id =
+        "4f1d2c3b5a697887" + std::to_string(jobs_.size() + lasting_.size());
+    const std::string steps = kSteps.at(Below(kSteps.size()));
+    const bool lasts = steps == "t";
+    if (lasts && lasting_.size() == kMostLasting) {
+      return;
+    }
+    (lasts ? lasting_ : jobs_).push_back(id);
     store_.SetFault(FakeStore::Fault::kNone);
-    AnySide().world->Submit(id, kSteps.at(Below(kSteps.size())));
+    AnySide().world->Submit(id, steps);
   }
 
   void SetEvacuated(Side& side, bool evacuated) {
@@ -218,7 +227,10 @@
     if (jobs_.empty()) {
       return;
     }
-    const std::string& id = jobs_[Below(jobs_.size())];
+    Cancel(jobs_[Below(jobs_.size())]);
+  }
+
+  void Cancel(const std::string& id) {
     store_.SetFault(FakeStore::Fault::kNone);
     for (const Side& side : sides_) {
       const auto row = store_.Find(ProgressRow(side.slice, id));
@@ -248,8 +260,27 @@
       }
       Advance(300ms);
     }
-    for (const std::string& id : jobs_) {
-      CheckEnd(id);
+    CheckLasting();
+    for (const std::string& id : lasting_) {
+      Cancel(id);
+    }
+    Advance(3s);
+    for (const auto* jobs : {&jobs_, &lasting_}) {
+      for (const std::string& id : *jobs) {
+        CheckEnd(id);
+      }
+    }
+  }
+
+  // Two workers have room for all of them.
+  void CheckLasting() {
+    for (const std::string& id : lasting_) {
+      const bool runs = std::ranges::any_of(sides_, [&id](const Side& side) {
+        return !side.world->workers.WorkerOf({.job = id}).empty();
+      });
+      if (!runs) {
+        faults_.push_back(id + " does not run");
+      }
     }
   }
 
@@ -323,7 +354,8 @@
   std::mt19937 random_;
   FakeStore store_;
   std::array<Side, 2> sides_;
-  std::vector<std::string> jobs_;
+  std::vector<std::string> jobs_;     ///< Of short-lived tasks.
+  std::vector<std::string> lasting_;  ///< Of one long-running task.
   std::vector<std::string> faults_;
   core::TimePoint next_loads_;
 };
