Free the buffers of refused requests and return large ones to the system

Assigning an empty string keeps the capacity, so that closed connections kept their bodies: tests/crowd one_piece peaked at 82.5 MB with a budget of 14 MB. Buffers are now swapped out, and counted by their capacity also when empty.

--- a/packages/http/include/http/message.h
+++ b/packages/http/include/http/message.h
@@ -47,6 +47,10 @@
   core::TimePoint arrived;  ///< When the last byte of the request was read.
 };
 
+/// @returns the bytes that a text holds beside the string itself, which has
+/// room for a short one.
+std::size_t HeldBytes(const std::string& text);
+
 /// @returns the bytes that a request holds, by the capacity of its buffers.
 std::size_t HeldBytes(const IncomingRequest& request);
 
--- a/packages/http/include/http/request_parser.h
+++ b/packages/http/include/http/request_parser.h
@@ -80,7 +80,8 @@
   std::string head_;
   std::uint64_t remaining_ = 0;  ///< Bytes left of the body.
   ParsedRequest parsed_;
-  std::size_t parsed_bytes_ = 0;  ///< Held by parsed_ while its body is read.
+  /// Held by parsed_ beside its body, while that is read.
+  std::size_t parsed_head_bytes_ = 0;
 };
 
 }  // namespace hickoryusher::http
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -58,7 +58,7 @@
 std::size_t Connection::reclaimable_bytes() const {
   return std::accumulate(slots.begin(), slots.end(), parser.held_bytes(),
                          [](std::size_t sum, const ResponseSlot& slot) {
-                           return sum + (slot.bytes.empty() ? 0 : slot.bytes.capacity());
+                           return sum + HeldBytes(slot.bytes);
                          });
 }
 
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -28,20 +28,19 @@
          (c >= 'A' && c <= 'Z') || kSymbols.find(c) != kSymbols.npos;
 }
 
-// A short text is kept inside of the string.
-std::size_t HeapBytes(const std::string& text) {
+}  // namespace
+
+std::size_t HeldBytes(const std::string& text) {
   return text.capacity() > std::string().capacity() ? text.capacity() : 0;
 }
 
-}  // namespace
-
 std::size_t HeldBytes(const IncomingRequest& request) {
   std::size_t bytes = sizeof request +
                       request.headers.capacity() * sizeof(Header) +
-                      HeapBytes(request.method) + HeapBytes(request.path) +
-                      HeapBytes(request.query) + HeapBytes(request.body);
+                      HeldBytes(request.method) + HeldBytes(request.path) +
+                      HeldBytes(request.query) + HeldBytes(request.body);
   for (const Header& header : request.headers) {
-    bytes += HeapBytes(header.name) + HeapBytes(header.value);
+    bytes += HeldBytes(header.name) + HeldBytes(header.value);
   }
   return bytes;
 }
--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -14,6 +14,11 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+/// Assignment of an empty text would keep the capacity.
+void Free(std::string& text) {
+  std::string().swap(text);
+}
+
 bool HasToken(std::string_view list, std::string_view token) {
   while (!list.empty()) {
     const auto comma = std::min(list.find(','), list.size());
@@ -145,15 +150,14 @@
   const bool expects_continue =
       library.request.version() == Pistache::Http::Version::Http11 &&
       EqualNames(FindHeader(parsed_.request.headers, "expect"), "100-continue");
-  // Its capacity is of no use while the connection is idle.
-  head_ = std::string();
+  Free(head_);
   remaining_ = head.content_length;
   if (remaining_ == 0) {
     return Finish();
   }
+  parsed_head_bytes_ = HeldBytes(parsed_.request);
   // Allocated once, so that growing copies never hold memory beside it.
   parsed_.request.body.reserve(remaining_);
-  parsed_bytes_ = HeldBytes(parsed_.request);
   return expects_continue ? ParseResult(ContinueExpected{})
                           : ParseResult(NeedMore{});
 }
@@ -167,18 +171,20 @@
 }
 
 ParseResult RequestParser::Finish() {
-  parsed_bytes_ = 0;
+  parsed_head_bytes_ = 0;
   return std::exchange(parsed_, ParsedRequest{});
 }
 
 std::size_t RequestParser::held_bytes() const {
-  return (head_.empty() ? 0 : head_.capacity()) + parsed_bytes_;
+  return HeldBytes(head_) + HeldBytes(parsed_.request.body) +
+         parsed_head_bytes_;
 }
 
 void RequestParser::Abandon() {
-  head_ = std::string();
+  Free(head_);
+  Free(parsed_.request.body);
   parsed_ = ParsedRequest{};
-  parsed_bytes_ = 0;
+  parsed_head_bytes_ = 0;
   remaining_ = 0;
 }
 
