--- a/packages/http/src/request_parser.cc
+++ b/packages/http/src/request_parser.cc
@@ -14,6 +14,11 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+/// Assignment of an empty text would keep the capacity.
+void Free(std::string& text) {
+  std::string().swap(text);
+}
+
 bool HasToken(std::string_view list, std::string_view token) {
   while (!list.empty()) {
     const auto comma = std::min(list.find(','), list.size());
@@ -99,12 +104,25 @@
   return in_body() ? FeedBody(input) : FeedHead(input);
 }
 
-ParseResult RequestParser::FeedHead(std::string_view& input) {
-  if (head_.empty()) {
-    // RFC 9112 section 2.2: empty lines before a request are ignored.
-    while (input.starts_with("\r\n")) {
-      input.remove_prefix(2);
+// RFC 9112 section 2.2: empty lines before a request are ignored. Their bytes
+// may arrive in different pieces; a first one is kept in head_.
+void RequestParser::SkipEmptyLines(std::string_view& input) {
+  while (!input.empty() && (head_.empty() || head_ == "\r")) {
+    if (head_.empty() && input.front() == '\r') {
+      head_ = "\r";
+    } else if (!head_.empty() && input.front() == '\n') {
+      head_.clear();
+    } else {
+      return;
     }
+    input.remove_prefix(1);
+  }
+}
+
+ParseResult RequestParser::FeedHead(std::string_view& input) {
+  SkipEmptyLines(input);
+  if (input.empty()) {
+    return NeedMore{};
   }
   // The end may be split between what was kept and the new input.
   const std::size_t searched =
@@ -114,7 +132,8 @@
   const std::size_t end = head_.find(kHeadEnd, searched);
   if (end == head_.npos) {
     input.remove_prefix(std::min(input.size(), head_.size() - kept));
-    if (head_.size() > limits_.max_header_bytes) {
+    // The last bytes may be a part of the end.
+    if (head_.size() >= limits_.max_header_bytes + kHeadEnd.size()) {
       return ParseError{431, "header_too_large"};
     }
     return NeedMore{};
@@ -145,15 +164,14 @@
   const bool expects_continue =
       library.request.version() == Pistache::Http::Version::Http11 &&
       EqualNames(FindHeader(parsed_.request.headers, "expect"), "100-continue");
-  // Its capacity is of no use while the connection is idle.
-  head_ = std::string();
+  Free(head_);
   remaining_ = head.content_length;
   if (remaining_ == 0) {
     return Finish();
   }
+  parsed_head_bytes_ = HeldBytes(parsed_.request);
   // Allocated once, so that growing copies never hold memory beside it.
   parsed_.request.body.reserve(remaining_);
-  parsed_bytes_ = HeldBytes(parsed_.request);
   return expects_continue ? ParseResult(ContinueExpected{})
                           : ParseResult(NeedMore{});
 }
@@ -167,18 +185,20 @@
 }
 
 ParseResult RequestParser::Finish() {
-  parsed_bytes_ = 0;
+  parsed_head_bytes_ = 0;
   return std::exchange(parsed_, ParsedRequest{});
 }
 
 std::size_t RequestParser::held_bytes() const {
-  return (head_.empty() ? 0 : head_.capacity()) + parsed_bytes_;
+  return HeldBytes(head_) + HeldBytes(parsed_.request.body) +
+         parsed_head_bytes_;
 }
 
 void RequestParser::Abandon() {
-  head_ = std::string();
+  Free(head_);
+  Free(parsed_.request.body);
   parsed_ = ParsedRequest{};
-  parsed_bytes_ = 0;
+  parsed_head_bytes_ = 0;
   remaining_ = 0;
 }
 
--- a/packages/http/tests/request_parser_test.cc
+++ b/packages/http/tests/request_parser_test.cc
@@ -177,5 +177,26 @@
   }
 }
 
+// Guards against a request that is refused because of how its bytes arrive:
+// found by the fuzz targets of the head and the body.
+TEST_CASE("a request reads the same in pieces") {
+  constexpr std::string_view kStart = "GET / HTTP/1.1\r\nHost: a\r\nX: ";
+  // Of exactly the longest size, without the empty line at its end.
+  const std::string longest = std::string(kStart) +
+                              std::string(16UL * 1024 - kStart.size(), 'x') +
+                              "\r\n\r\n";
+  for (const std::string& bytes : {longest, "\r\n" + longest}) {
+    RequestParser parser({});
+    ParseResult last = NeedMore{};
+    for (std::string_view rest = bytes; !rest.empty();) {
+      std::string_view piece = rest.substr(0, 1);
+      rest.remove_prefix(1);
+      last = parser.Feed(piece);
+      REQUIRE_FALSE(std::holds_alternative<ParseError>(last));
+    }
+    CHECK(std::holds_alternative<ParsedRequest>(last));
+  }
+}
+
 }  // namespace
 }  // namespace hickoryusher::http
--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/log_limiter.h"
 #include "core/log_line.h"
 #include "core/time.h"
 #include "jobs/open_writes.h"
@@ -178,8 +179,13 @@
   bool StoreIsDown(core::TimePoint now) const;
   std::string StoreState() const;
 
+  // Callers that are refused may come back at once, thousands of times a
+  // second.
+  static constexpr std::uint64_t kRefusalLinesPerSecond = 100;
+
   Options options_;
   CallIds& ids_;
+  core::LogLimiter refusal_lines_{kRefusalLinesPerSecond};
   QueueConfigPtr config_;
   FailureDomains evacuated_;
   core::TimePoint now_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -88,12 +88,18 @@
 void Intake::Refuse(const ClientCall& call,
                     Refusal refusal,
                     std::string detail) {
-  options_.log(core::LogLine("call_refused")
-                   .Add("path", call.path)
-                   .Add("host", call.host)
-                   .Add("reason", ToString(refusal))
-                   .Add("detail", detail)
-                   .Add("config", config_ ? config_->version() : 0));
+  if (const auto suppressed = refusal_lines_.Admit(now_)) {
+    core::LogLine line("call_refused");
+    line.Add("path", core::TruncateForLog(call.path))
+        .Add("host", core::TruncateForLog(call.host))
+        .Add("reason", ToString(refusal))
+        .Add("detail", core::TruncateForLog(detail))
+        .Add("config", config_ ? config_->version() : 0);
+    if (*suppressed > 0) {
+      line.Add("suppressed", *suppressed);
+    }
+    options_.log(line);
+  }
   CallRefused refused{.refusal = refusal, .detail = std::move(detail)};
   if (refusal == Refusal::kNotConfigured || refusal == Refusal::kStoreDown) {
     refused.retry_after = kStoreRetryAfter;
