Split the header of the slice scheduler

Change: job_rows.h has the keys and contents of job rows, and slice_scheduler_types.h the types of the state, which the scheduler inherits privately. Names and code stay.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -21,6 +21,7 @@
 #include "core/name_table.h"
 #include "jobs/hand_over.h"
 #include "jobs/interference_model.h"
+#include "jobs/job_rows.h"
 #include "jobs/job_table.h"
 #include "jobs/operator_state.h"
 #include "jobs/pace_plan.h"
@@ -29,6 +30,7 @@
 #include "jobs/rows.h"
 #include "jobs/slice_board.h"
 #include "jobs/slice_load.h"
+#include "jobs/slice_scheduler_types.h"
 #include "jobs/store_clock.h"
 #include "jobs/table_follower.h"
 #include "jobs/transfer_policy.h"
@@ -37,41 +39,6 @@
 
 namespace hickoryusher::jobs {
 
-/// Table and row keys of a slice's jobs.
-std::string JobTableName(std::string_view slice);
-RowKey JobRow(std::string_view slice, std::string_view job);
-RowKey CancelRow(std::string_view slice, std::string_view job);
-RowKey ProgressRow(std::string_view slice, std::string_view job);
-RowKey RosterRow(std::string_view slice);
-
-/// Where the long-running tasks of a job may run. Written with its progress.
-RowKey PlacesRow(std::string_view slice, std::string_view job);
-
-/// Row @p index of those that an owner leaves behind when it releases a slice.
-RowKey HandOverRow(std::string_view slice, std::size_t index);
-
-/// Row that another slice writes to announce a job that it transfers to this
-/// slice. Of concurrent announcements, exactly one succeeds.
-RowKey IncomingRow(std::string_view slice);
-
-/// A job as its caller submitted it, with what intake knows about it.
-struct StoredJob {
-  std::string queue;
-  std::int64_t accepted_unix_ms = 0;
-  std::string document;
-  /// Numbers of the tasks that belong to the slice; all if there are none.
-  std::vector<std::uint32_t> tasks;
-  /// Runs have higher numbers than this, which the slices that had the job
-  /// before have not exceeded.
-  RunNumber runs_above = 0;
-  /// The job's progress when it was transferred: an owner reads job rows as
-  /// they come, and progress rows only when it takes the slice over.
-  std::optional<Progress> progress;
-};
-
-std::string EncodeStoredJob(const StoredJob& job);
-std::optional<StoredJob> DecodeStoredJob(std::string_view text);
-
 /// Limits that the platform sets.
 struct FleetLimits {
   core::Duration longest_lease{};
@@ -90,7 +57,7 @@
 /// answer of a worker's life to an order with a token that this life was given
 /// lists every run that can still be on it. Starting a task therefore needs no
 /// write. The end of a run is acknowledged to the worker once it is stored.
-class SliceScheduler {
+class SliceScheduler : private SliceSchedulerTypes {
  public:
   struct Options {
     SliceInfo slice;
@@ -170,87 +137,6 @@
  private:
   struct TaskContext;
   struct ContactContext;
-  struct TaskCall {
-    std::string job;
-    std::uint32_t number = 0;
-    RunNumber run = 0;
-    core::WorkerId worker;
-    Generation generation = 0;
-    /// The least that the worker's clock showed when the order was sent.
-    std::int64_t clock_ms = 0;
-    bool starts = false;  ///< The run, instead of stopping it.
-  };
-  struct RenewalCall {
-    core::WorkerId worker;
-    Generation generation = 0;
-    core::TimePoint sent;
-    std::uint64_t acknowledged = 0;
-  };
-  struct PaceCall {
-    TaskCall run;
-  };
-  using PendingCall = std::variant<TaskCall, RenewalCall, PaceCall>;
-
-  /// Why a task is not placed on a worker.
-  enum class Obstacle {
-    kNone,
-    kEvacuated,     ///< The failure domain is evacuated.
-    kNotUsable,     ///< Silent, unlisted, leaving or quarantined.
-    kOutlivesTerm,  ///< Its lease might last for longer than the term.
-    kOtherService,
-    kNoLabel,
-    kSpread,  ///< Has the maximum number of tasks of the step.
-    kNoRoom,
-    kNominatedForOther,  ///< Capacity is held for a long-running task.
-    kNoUnusedCpu,
-    kOverTarget,  ///< A serving task there misses its latency target.
-    kDisturbs,    ///< Would bring a serving task there near its target.
-    /// Another worker may still carry out an earlier start of the task.
-    kLateStartElsewhere,
-  };
-
-  /// The move of a long-running task to another worker.
-  struct Move {
-    Task* task = nullptr;
-    Worker* to = nullptr;
-  };
-
-  /// What decided a pace, for the log.
-  struct PaceInputs {
-    double headroom = 0;  ///< Smallest headroom of a serving task there.
-    double raise = 0;     ///< Largest raise by the task at full pace.
-  };
-
-  /// Workers that long-running tasks may move to, ordered by the CPU that is
-  /// not reserved by long-running tasks.
-  using RoomIndex = std::vector<Worker*>;
-
-  /// The ends of a worker's life up to a number.
-  struct EndsOfWorker {
-    core::WorkerId worker;
-    Generation life = 0;
-    std::uint64_t last = 0;
-  };
-
-  /// A transaction that waits for the store's answer.
-  struct Commit {
-    CommitRows rows;
-    std::vector<std::string> jobs;
-    std::vector<EndsOfWorker> ends;
-    /// Workers in the roster, if it is written too.
-    std::optional<std::vector<core::WorkerId>> roster;
-    std::vector<core::WorkerId> opened;  ///< Of these, those without a time.
-    bool hand_over = false;              ///< Contains the rows of HandOver.
-    std::vector<std::string> stray_cancellations;
-  };
-
-  /// Tasks of one job, by number, and the slice that has room for them.
-  struct TransferPlan {
-    std::size_t target = 0;
-    std::vector<std::uint32_t> tasks;
-    SliceLoad left;  ///< The target's load without the room of these tasks.
-  };
-
   SliceScheduler(Options options, SliceCharts charts, CallIds& ids);
   static chart::Bindings<TaskContext> MakeTaskBindings();
   static chart::Bindings<ContactContext> MakeContactBindings();
@@ -553,10 +439,6 @@
   std::string progress_from_;
   bool progress_loaded_ = false;
   core::TimePoint progress_retry_;
-  struct StoredProgress {
-    Progress progress;
-    RowVersion version = 0;
-  };
   std::map<std::string, StoredProgress, std::less<>> stored_progress_;
   std::map<std::string, Places, std::less<>> stored_places_;
   RowVersion roster_version_ = 0;
@@ -583,13 +465,6 @@
   core::TimePoint next_transfer_;
   /// By serving image: the smallest tail latency seen, in milliseconds.
   std::map<std::string, double, std::less<>> idle_tails_;
-  /// Utilisation of a job's tasks without best-effort work beside them.
-  struct Baseline {
-    double value = 0;
-    double slope = 0;  ///< In 1/s.
-    double peak = 0;   ///< Recent maximum of `value`.
-    core::TimePoint updated;
-  };
   std::map<std::string, Baseline, std::less<>> baseline_utilisations_;
   bool placement_due_ = false;
   core::TimePoint next_placement_;
@@ -608,28 +483,8 @@
   /// read that began before the removal, and are ignored.
   std::map<std::string, RowVersion, std::less<>> removed_jobs_;
 
-  /// The transfer of tasks to another slice: of a whole job, or of a part.
-  struct Transfer {
-    std::string job;
-    TransferPlan plan;
-    std::string new_id;  ///< In the target slice.
-    RowVersion job_version = 0;
-    bool announced = false;  ///< The target slice holds room for them.
-    core::TimePoint announced_at;
-    std::optional<CallId> call;
-    core::TimePoint not_before;
-  };
   std::optional<Transfer> transfer_;
 
-  /// The transfer of whole jobs of which nothing runs.
-  struct WaitingTransfer {
-    std::vector<std::string> jobs;
-    std::size_t target = 0;
-    TransferReason reason = TransferReason::kEvacuated;
-    std::optional<CallId> call;
-    core::TimePoint not_before;
-    bool unanswered = false;  ///< A copy of the write may still take effect.
-  };
   std::optional<WaitingTransfer> waiting_transfer_;
   FailureDomains evacuated_;
   bool waiting_transfer_due_ = false;
@@ -639,13 +494,6 @@
   /// Entries of removed_jobs_ of jobs that have left, with the time.
   std::deque<std::pair<core::TimePoint, std::string>> moved_jobs_;
 
-  /// Capacity that is held on a worker for a waiting long-running task.
-  struct Nomination {
-    const Task* task = nullptr;
-    core::Resources need;
-    core::TimePoint since;
-    core::TimePoint until;
-  };
   std::map<core::WorkerId, Nomination> nominations_;
   /// Tasks of nominations_ at the start of a placement pass.
   std::set<const Task*> nominated_tasks_;
