Fix what the reviews of transfers and limits found

Cause and change: a job whose steps need labels of different workers counted as unfit in each slice and was passed on for ever; a job without cpu never left; a batch of transfers waited for the next reading of loads; a part's transfer that met a late transfer of the whole job kept the job in two slices; a job that became final after a transfer without an answer was written beside the one that had left; a transfer was sent again although a run had been reported. Short header lines of responses cost more than their bytes.

--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -197,7 +197,9 @@
     own_reason_ = "oversized";
     return false;
   }
-  if (!charge_.TryAdd(line.size())) {
+  // The list of headers may hold twice its size. Short lines cost more than
+  // their bytes.
+  if (!charge_.TryAdd(line.size() + 2 * sizeof(Header))) {
     own_reason_ = "memory_limit";
     return false;
   }
--- a/packages/http/src/front_limits.cc
+++ b/packages/http/src/front_limits.cc
@@ -27,7 +27,10 @@
 }
 
 void FrontTransport::Charge(Connection& connection) {
-  const std::size_t held = kConnectionBytes + connection.reclaimable_bytes();
+  // Pistache is about to free a connection that was shut down. If it counted
+  // until then, evictions for the fixed amounts would close all connections.
+  const std::size_t held = (connection.shut_down ? 0 : kConnectionBytes) +
+                           connection.reclaimable_bytes();
   if (held > connection.charged_bytes) {
     budget_->Take(held - connection.charged_bytes);
   } else {
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -118,6 +118,8 @@
   /// A transfer without an answer may still take effect, until the job's next
   /// write here succeeds.
   bool transfer_unsettled = false;
+  /// A transfer was sent since the job's last write here succeeded.
+  bool transfer_sent = false;
   core::TimePoint next_transfer;  ///< No transfer of the waiting job before.
   /// Since when no usable worker can run the waiting tasks.
   std::optional<core::TimePoint> unfit_since;
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -280,6 +280,7 @@
   for (const std::string& id : commit.jobs) {
     if (Job* job = jobs_.Find(id)) {
       job->progress_version = version;
+      job->transfer_sent = false;
       FinishPlaces(*job);
       SettleTransfer(*job);
     }
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -23,9 +23,8 @@
 constexpr std::int64_t kBytesPerMegabyte = 1024LL * 1024;
 
 bool IsWord(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, [](char c) {
-    return c > ' ' && c < 0x7f && c != kSeparator;
-  });
+  return !text.empty() &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; });
 }
 
 void AppendService(std::string& text,
@@ -96,7 +95,7 @@
     text += queue + ' ' + std::to_string(count) + '\n';
   }
   for (const auto& [service, room] : load.services) {
-    if (IsWord(service)) {
+    if (IsWord(service) && service.find(kSeparator) == service.npos) {
       AppendService(text, service, room);
     }
   }
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -265,7 +265,7 @@
 }
 
 bool SliceScheduler::MayTransfer(const Job& job) const {
-  // Without a worker here, only tasks that wait are transferred.
+  // Of a job that may not be stopped, WaitingTasks returns no running task.
   const bool must_leave = IsEvacuated() || !HasUsableWorker();
   return IsLongRunning(job) && !job.halted && !job.transfer_unsettled &&
          job.spec.id.size() <= kMaxPartIdBytes &&
@@ -412,6 +412,7 @@
   if (runs || commit_) {
     return;
   }
+  job->transfer_sent = true;
   CommitRows write = WriteOfTransfer(*job);
   write.call = ids_.Next();
   transfer_->call = write.call;
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -133,7 +133,8 @@
   const RowKey key = ProgressRow(options_.slice.name, id);
   const auto row = std::ranges::find(present, key, &Row::key);
   const bool exists = row != present.end() && row->version != 0;
-  if (!exists && !IsFinal(job->phase)) {
+  // A job that was final when it was last written has no row after a while.
+  if (!exists && (!IsFinal(job->phase) || job->transfer_sent)) {
     FinishMove(id, 0);
     return;
   }
@@ -172,7 +173,7 @@
   // Copied, since it may be the id in transfer_, which ends here.
   const std::string id = moved;
   const bool current = transfer_ && transfer_->job == id;
-  const bool whole = !current || transfer_->new_id == id;
+  const bool whole = version == 0 || !current || transfer_->new_id == id;
   core::LogLine line("job_transferred");
   line.Add("job", current ? transfer_->new_id : id);
   if (current) {
@@ -186,6 +187,7 @@
   Job& job = *jobs_.Find(id);
   if (whole) {
     for (Task& task : job.tasks) {
+      DropNominations(task);
       MoveAway(task);
       if (task.worker.valid()) {
         // Reported since the transfer was sent: a start that was carried out
--- a/packages/jobs/src/slice_waiting_transfer.cc
+++ b/packages/jobs/src/slice_waiting_transfer.cc
@@ -68,10 +68,12 @@
 // @returns nullopt if the job has no short-lived task that could start, or may
 // not leave. Long-running tasks that wait are transferred by themselves.
 std::optional<WaitingJob> SliceScheduler::DescribeWaiting(Job& job) {
+  const auto unfit_since = std::exchange(job.unfit_since, std::nullopt);
   if (job.halted || job.transfer_unsettled || now_ < job.next_transfer ||
       job.spec.id != job.caller_id()) {
     return std::nullopt;
   }
+  bool can_start = false;
   WaitingJob waiting{.id = job.spec.id, .service = job.queue.service};
   core::TimePoint idle_since = now_;
   for (const Group& group : job.groups) {
@@ -86,24 +88,27 @@
                                                    })
                            : 0;
     if (ready > 0) {
+      can_start = true;
       waiting.demand_millis += ready * step.need.cpu_millis;
       idle_since = std::min(idle_since, group.idle_since.value_or(now_));
     }
   }
-  if (waiting.demand_millis == 0 || !RunsNowhere(job)) {
+  if (!can_start || !RunsNowhere(job)) {
     return std::nullopt;
   }
+  const auto can_run = [&](const Worker& worker, const TaskNeeds& needs) {
+    return IsUsable(worker) && worker.entry.service == job.queue.service &&
+           Fits(needs.need, worker.entry.capacity) &&
+           (needs.label.empty() || worker.HasLabel(needs.label));
+  };
   const bool fits =
-      std::ranges::any_of(workers_.all(), [&](const auto& worker) {
-        return IsUsable(*worker) &&
-               worker->entry.service == job.queue.service &&
-               std::ranges::all_of(waiting.needs, [&](const TaskNeeds& needs) {
-                 return Fits(needs.need, worker->entry.capacity) &&
-                        (needs.label.empty() || worker->HasLabel(needs.label));
-               });
+      std::ranges::all_of(waiting.needs, [&](const TaskNeeds& needs) {
+        return std::ranges::any_of(workers_.all(), [&](const auto& worker) {
+          return can_run(*worker, needs);
+        });
       });
   job.unfit_since =
-      fits ? std::nullopt : std::optional(job.unfit_since.value_or(now_));
+      fits ? std::nullopt : std::optional(unfit_since.value_or(now_));
   waiting.candidates =
       CandidateSlices(job.caller_id(), options_.all_slices.size());
   waiting.waited = now_ - idle_since;
@@ -191,7 +196,13 @@
   }
   WaitingTransfer& transfer = *waiting_transfer_;
   std::erase_if(transfer.jobs, [this](const std::string& id) {
-    const Job* job = jobs_.Find(id);
+    Job* job = jobs_.Find(id);
+    if (job != nullptr && !job->halted && HasRuns(*job)) {
+      // A start was carried out later than any is waited for.
+      job->transfer_unsettled = true;
+      MarkDirty(*job, /*urgent=*/true);
+      return true;
+    }
     return job == nullptr || job->halted;
   });
   if (transfer.jobs.empty()) {
@@ -203,7 +214,9 @@
                                    .version = options_.fence_version}},
                    .several_parts = true};
   for (const std::string& id : transfer.jobs) {
-    AppendTransfer(write, *jobs_.Find(id), transfer.target);
+    Job& job = *jobs_.Find(id);
+    job.transfer_sent = true;
+    AppendTransfer(write, job, transfer.target);
   }
   transfer.call = write.call;
   store_commands_.push_back(std::move(write));
@@ -219,6 +232,7 @@
                      .Add("to", options_.all_slices[transfer.target].name)
                      .Add("jobs", transfer.jobs.size()));
     transferred_jobs_ += transfer.jobs.size();
+    waiting_transfer_due_ = true;
     const std::vector<std::string> jobs = std::move(transfer.jobs);
     waiting_transfer_.reset();
     for (const std::string& id : jobs) {
@@ -265,7 +279,8 @@
     job->next_transfer = now_ + kTransferRetryDelay;
     job->transfer_unsettled = true;
     if (transfer.unanswered) {
-      // The next write of the job takes the condition of late copies away.
+      // The next write changes the version of the job's row, so that late
+      // copies conflict.
       MarkDirty(*job, /*urgent=*/true);
     } else {
       SettleTransfer(*job);
--- a/packages/jobs/src/transfer_policy.cc
+++ b/packages/jobs/src/transfer_policy.cc
@@ -36,7 +36,7 @@
   if (source.evacuated) {
     return TransferReason::kEvacuated;
   }
-  if (job.unfit >= kUnfitDelay) {
+  if (job.unfit >= kUnfitDelay && job.resident >= kMinResidence) {
     return TransferReason::kNoWorkerFits;
   }
   if (job.waited >= kUnevenDemandDelay && job.resident >= kMinResidence &&
--- a/packages/jobs/tests/transfer_policy_test.cc
+++ b/packages/jobs/tests/transfer_policy_test.cc
@@ -63,6 +63,11 @@
   REQUIRE(choices.size() == 1);
   CHECK(choices[0].target == 2);
   CHECK(choices[0].reason == TransferReason::kNoWorkerFits);
+  // Nor if it came a moment ago: two slices that each lack a worker for one of
+  // its steps would pass it on for ever.
+  job.resident = 3s;
+  CHECK(ChooseTransfers(source, std::vector{job}, loads, kNoLimit).empty());
+  job.resident = 10s;
   job.unfit = 900ms;
   CHECK(ChooseTransfers(source, std::vector{job}, loads, kNoLimit).empty());
 }
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -51,6 +51,8 @@
 constexpr std::size_t kUnknownCallersConnections = 20'000;
 constexpr std::size_t kReservedDescriptors = 200;  // For files.
 constexpr std::size_t kSmallestCallersConnections = 16;
+// Idle connections hold less than a third of the budget at the limit.
+constexpr std::size_t kLeastConnectionBytes = 8 * kKilobyte;
 
 // Only the load balancer uses the readiness port, without bodies.
 constexpr std::size_t kReadinessBudget = 2 * kMegabyte;
@@ -78,6 +80,8 @@
       fds == 0 ? kUnknownCallersConnections
                : std::max((fds - std::min(fds, kReservedDescriptors)) / 2,
                           kSmallestCallersConnections);
+  front.max_connections =
+      std::min(front.max_connections, front.max_bytes / kLeastConnectionBytes);
   front.request_cost = {.bytes = kRequestBytes,
                         .body_copies = kDocumentCopies,
                         .copied_body_bytes = kLargestDocument};
