Copy the id of an ended transfer where it is taken

Cause: the linter refuses the local copy in AdoptRow. Change: the caller copies the id that lies in the transfer.

--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -105,7 +105,9 @@
       return;
     }
     const std::string caller_id(CallerId(transfer.job));
-    AdoptRow(transfer.job, conflict->present);
+    // Copied, since the transfer may end there.
+    const std::string id = transfer.job;
+    AdoptRow(id, conflict->present);
     if (transfer_) {
       // The job was cancelled, or the target has a row of that name.
       EndTransfer();
@@ -122,10 +124,8 @@
 
 // Handles the row of a job, among those of a conflict. Only this owner writes
 // it, so that it shows whether a transfer without an answer took effect.
-void SliceScheduler::AdoptRow(const std::string& adopted,
+void SliceScheduler::AdoptRow(const std::string& id,
                               std::span<const Row> present) {
-  // Copied, since it may be the id in transfer_, which may end here.
-  const std::string id = adopted;
   Job* job = jobs_.Find(id);
   if (job == nullptr) {
     return;
