Wait for the retry of a commit instead of spinning

While the store refused a write, or had not answered it, the owner's next timer was the time at which the commit had become due, in the past, so that the scheduler thread ran without a pause for the whole outage. It was found on the way, while the record of tasks run twice was read; it gives no task that runs twice, but takes the processor from the threads that send orders.

The next commit now counts from its retry, and only while no write is in flight.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -392,6 +392,8 @@
 
   // Commits.
   void MarkDirty(Job& job, bool urgent);
+  bool MayCommit() const;
+  core::TimePoint NextCommit() const;
   void StartCommit();
   void FinishCommit(const StoreEvent& event);
   void CollectJobs(Commit& commit);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -38,11 +38,21 @@
   commit_due_ = std::min(commit_due_, urgent ? now_ : now_ + kCommitDelay);
 }
 
-void SliceScheduler::StartCommit() {
+// Returns whether no write is in flight that a commit could conflict with.
+bool SliceScheduler::MayCommit() const {
   const bool in_transfer = (transfer_ && transfer_->call) ||
                            (waiting_transfer_ && waiting_transfer_->call);
-  if (commit_ || in_transfer || now_ < commit_due_ || now_ < commit_retry_ ||
-      !restored_) {
+  return restored_ && !commit_ && !in_transfer;
+}
+
+// Returns when a commit may start; max() if an answer has to come first.
+core::TimePoint SliceScheduler::NextCommit() const {
+  return MayCommit() ? std::max(commit_due_, commit_retry_)
+                     : core::TimePoint::max();
+}
+
+void SliceScheduler::StartCommit() {
+  if (now_ < NextCommit()) {
     return;
   }
   Commit commit;
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -444,7 +444,7 @@
   TransferWaitingJobs();
   LogLoad();
   StartCommit();
-  next_timer_ = std::min({now + kTick, commit_due_, job_rows_.next_timer()});
+  next_timer_ = std::min({now + kTick, NextCommit(), job_rows_.next_timer()});
 }
 
 std::vector<StoreCommand> SliceScheduler::PopStoreCommands() {
--- a/packages/jobs/tests/slice_scheduler_test.cc
+++ b/packages/jobs/tests/slice_scheduler_test.cc
@@ -62,5 +62,21 @@
   CHECK(world.commits - before <= 2);
 }
 
+// Guards against an owner that spins while the store refuses a write or leaves
+// it without an answer: the write is due, and waits for its retry or its
+// answer.
+TEST_CASE("an owner that cannot store ends waits without spinning", "[slice]") {
+  const auto fault =
+      GENERATE(FakeStore::Fault::kRefuse, FakeStore::Fault::kPostpone);
+  SliceWorld world;
+  world.StartJob("cc");
+  world.store.SetFault(fault);
+  world.workers.End(SliceWorld::Task("j", 0), EndKind::kDone);
+  for (int i = 0; i < 50; ++i) {
+    world.Advance(10ms);
+    CHECK(world.owner->next_timer() > world.now());
+  }
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
