Count leases as over only once the term has been renewed since

Callers' tasks ran twice: an owner that was cut off from the store, and from most workers, gave up their runs when their leases were over by its own reckoning, and started the tasks again on a worker that it still reached. A process of the slice's domain had claimed the slice meanwhile, adopted the runs and renewed those leases. The owner acts for 12 s after its last renewal, a successor claims after 2.8 s, and tokens turn orders away only on workers that the successor has called.

Leases now count as over only if they ended before a renewal of the term was sent that succeeded: then nobody else can have renewed them. The same holds for the usual leases that a successor waits for. So that tasks of a lost worker do not wait for the next second, the term is renewed at once where that decides. No time was added, and none is needed: an owner that cannot renew knows less than before, and keeps the runs of silent workers until it can.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -112,6 +112,9 @@
   /// @returns true once after each reading of the loads.
   bool ConsumeLoadsChanged();
 
+  /// Renews the term of a slice as soon as the pause between retries permits.
+  void RenewSoon(core::SliceId slice, core::TimePoint now);
+
   /// Ends the ownership of a slice after a worker has refused an order of the
   /// current epoch.
   void MarkFenced(core::SliceId slice, core::TimePoint now);
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -96,6 +96,10 @@
   /// granted beyond it.
   void SetTermEnd(core::TimePoint end) { term_end_ = end; }
 
+  /// @returns true while leases count as over only once the term has been
+  /// renewed.
+  bool needs_renewed_term() const { return needs_renewed_term_; }
+
   void SetStoreClock(const StoreClock& clock) { store_clock_ = clock; }
 
   /// Apply changes in the registry to workers of the slice's failure domain.
@@ -253,6 +257,8 @@
   double HeadroomShareOn(Worker& worker,
                          ImageId image,
                          const StepSpec& added) const;
+  bool AreLeasesOver(core::TimePoint end) const;
+  bool LapsesWithRenewedTerm(const Worker& worker) const;
   bool MayOutliveTerm(const Worker& worker) const;
   bool MayGrantLease(const Worker& worker) const;
   bool WritesSucceed() const;
@@ -420,6 +426,7 @@
   bool fenced_ = false;
   core::TimePoint gained_;
   core::TimePoint term_end_ = core::TimePoint::max();
+  bool needs_renewed_term_ = false;
   StoreClock store_clock_;
 
   /// States of the chart `task_run` that decisions depend on.
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -523,6 +523,12 @@
   return std::exchange(loads_changed_, false);
 }
 
+void SliceBoard::RenewSoon(core::SliceId id, core::TimePoint now) {
+  Slice& slice = slices_.at(id.value());
+  slice.next_write =
+      std::min(slice.next_write, std::max(now, slice.write_sent + kRetryPause));
+}
+
 void SliceBoard::MarkFenced(core::SliceId slice, core::TimePoint now) {
   Dispatch(slices_.at(slice.value()), "deposed", now);
 }
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -27,8 +27,8 @@
   // A worker that has not been asked yet may have ends to report.
   const bool asked =
       charts_.worker_contact.StateName(worker.contact) == "unreached";
-  return IsUnconfirmed(worker) &&
-         !(last.usual_lease && asked && now_ >= PredecessorUsualLeaseEnd());
+  return IsUnconfirmed(worker) && !(last.usual_lease && asked &&
+                                    AreLeasesOver(PredecessorUsualLeaseEnd()));
 }
 
 // Ends the waits for workers that have been heard of, or whose lease is over.
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -104,6 +104,22 @@
              : std::max(worker.lease_end, worker.lease_end_after_restart);
 }
 
+// Returns whether leases that last until @p end are over. A successor that has
+// claimed the slice may have renewed them, which nobody can have done if this
+// owner has renewed its term since.
+bool SliceScheduler::AreLeasesOver(core::TimePoint end) const {
+  return now_ >= end && term_end_ - SliceBoard::kOwnerGrace >= end;
+}
+
+// Returns whether a renewal of the term would show that the worker's lease is
+// over.
+bool SliceScheduler::LapsesWithRenewedTerm(const Worker& worker) const {
+  const std::string_view contact =
+      charts_.worker_contact.StateName(worker.contact);
+  return (contact == "silent" || contact == "unreached") &&
+         now_ >= worker.lease_end && !AreLeasesOver(worker.lease_end);
+}
+
 // Returns whether an order that grants a lease now may give the worker one that
 // outlives the term, which a successor would take for over. The worker may have
 // restarted unnoticed unless all its runs have been seen: the end of the lease
@@ -199,12 +215,14 @@
 }
 
 void SliceScheduler::RenewLeases() {
+  needs_renewed_term_ = false;
   for (const auto& worker : workers_.all()) {
-    if (now_ >= LeaseEnd(*worker)) {
+    if (AreLeasesOver(LeaseEnd(*worker))) {
       DispatchContact(*worker, "lease_over");
-    } else if (now_ >= worker->lease_end) {
+    } else if (AreLeasesOver(worker->lease_end)) {
       LoseSeenRuns(*worker);
     }
+    needs_renewed_term_ |= LapsesWithRenewedTerm(*worker);
     if (worker->in_roster && HasLeft(*worker)) {
       worker->in_roster = false;
       ScheduleRosterWrite();
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -491,5 +491,21 @@
   CHECK(b.gains[0].predecessor_term_end >= lease_end);
 }
 
+// Guards against tasks of a lost worker that wait for up to a second: its lease
+// counts as over once the term has been renewed.
+TEST_CASE("a term that is needed is renewed before its time", "[board]") {
+  Cluster cluster;
+  Member a(cluster.store, "a", "yoff");
+  cluster.Advance(2s, {&a});
+  while (cluster.now() > a.board().TermEnd(kYoff) - 11600ms) {
+    cluster.Advance(20ms, {&a});
+  }
+  cluster.Advance(400ms, {&a});
+  const core::TimePoint before = a.board().TermEnd(kYoff);
+  a.board().RenewSoon(kYoff, cluster.now());
+  cluster.Advance(40ms, {&a});
+  CHECK(a.board().TermEnd(kYoff) > before);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -350,5 +350,27 @@
   CHECK_FALSE((starts == 1 && world.workers.HoldsLease("w1", world.now())));
 }
 
+// Guards against a task that runs twice: an owner that was cut off from the
+// store, and from most workers, took their leases for over and started the
+// tasks again on a worker that it still reached. A successor had asked the
+// others, and renewed their leases.
+TEST_CASE("leases that a successor may have renewed do not count as over",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "j");
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.Submit("k", "c");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("k")) == "w2");
+  world.EndTermIn(12s);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(11s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.EndTermIn(12s);
+  world.Advance(500ms);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -99,6 +99,8 @@
       scheduler->Run(now, unix_ms);
       if (scheduler->fenced()) {
         board_->MarkFenced(id, now);
+      } else if (scheduler->needs_renewed_term()) {
+        board_->RenewSoon(id, now);
       }
     }
     ReleaseSlices(now);
