Start tasks again only after a renewal of the term has confirmed their end

A run that is taken for over without a report that says so, for whatever reason, is noted with the time; its task starts again, and another life of a worker gets a start, once a renewal of the term has been sent later and stored. The condition on the end of leases is gone again, so that a lease is over by the clock as before; what follows from it waits. One place decides (IsOwnerSince).

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -71,6 +71,9 @@
   core::WorkerId lost_start_on;
   /// Generation of the worker's last order for the run.
   Generation ordered = 0;
+  /// When its last run was taken for over. It starts again once the term has
+  /// been renewed since.
+  core::TimePoint free_since;
   core::TimePoint started;   ///< When the current run became known.
   core::TimePoint advanced;  ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -94,11 +94,11 @@
 
   /// @param end when the ownership ends if it is not renewed; no lease is
   /// granted beyond it.
-  void SetTermEnd(core::TimePoint end) { term_end_ = end; }
+  void SetTermEnd(core::TimePoint end);
 
-  /// @returns true while leases count as over only once the term has been
-  /// renewed.
-  bool needs_renewed_term() const { return needs_renewed_term_; }
+  /// @returns true while tasks wait for a renewal of the term, which shows that
+  /// no successor knows more about their last runs.
+  bool needs_renewed_term() const;
 
   void SetStoreClock(const StoreClock& clock) { store_clock_ = clock; }
 
@@ -257,8 +257,7 @@
   double HeadroomShareOn(Worker& worker,
                          ImageId image,
                          const StepSpec& added) const;
-  bool AreLeasesOver(core::TimePoint end) const;
-  bool LapsesWithRenewedTerm(const Worker& worker) const;
+  bool IsOwnerSince(core::TimePoint time) const;
   bool MayOutliveTerm(const Worker& worker) const;
   bool MayGrantLease(const Worker& worker) const;
   bool WritesSucceed() const;
@@ -426,7 +425,9 @@
   bool fenced_ = false;
   core::TimePoint gained_;
   core::TimePoint term_end_ = core::TimePoint::max();
-  bool needs_renewed_term_ = false;
+  /// When a run was last taken for over, or another life of a worker learned
+  /// of, without a report that says so.
+  core::TimePoint term_needed_since_;
   StoreClock store_clock_;
 
   /// States of the chart `task_run` that decisions depend on.
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -58,6 +58,7 @@
   /// the last lease was over. Answers to earlier orders say nothing about this
   /// life. The numbers of ends below belong to it.
   Generation life = 1;
+  core::TimePoint life_since;  ///< When that generation began.
   /// Generation of the last order with an acknowledgement.
   Generation acknowledging = 0;
   std::uint64_t last_end = 0;  ///< Highest number of an end that was handled.
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -27,8 +27,8 @@
   // A worker that has not been asked yet may have ends to report.
   const bool asked =
       charts_.worker_contact.StateName(worker.contact) == "unreached";
-  return IsUnconfirmed(worker) && !(last.usual_lease && asked &&
-                                    AreLeasesOver(PredecessorUsualLeaseEnd()));
+  return IsUnconfirmed(worker) &&
+         !(last.usual_lease && asked && now_ >= PredecessorUsualLeaseEnd());
 }
 
 // Ends the waits for workers that have been heard of, or whose lease is over.
@@ -42,8 +42,17 @@
       }
       task.unlocated = task.unlocated && !all_confirmed;
       std::erase_if(task.last_workers, [this](const LastWorker& last) {
-        return !MayRunUnseenOn(last);
+        if (MayRunUnseenOn(last)) {
+          return false;
+        }
+        if (IsUnconfirmed(workers_.Get(last.worker))) {
+          term_needed_since_ = now_;
+        }
+        return true;
       });
+      if (!MayRunUnseen(task)) {
+        task.free_since = term_needed_since_;
+      }
       waiting |= IsState(task, states_.ready) && MayRunUnseen(task);
     }
   });
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -104,20 +104,22 @@
              : std::max(worker.lease_end, worker.lease_end_after_restart);
 }
 
-// Returns whether leases that last until @p end are over. A successor that has
-// claimed the slice may have renewed them, which nobody can have done if this
-// owner has renewed its term since.
-bool SliceScheduler::AreLeasesOver(core::TimePoint end) const {
-  return now_ >= end && term_end_ - SliceBoard::kOwnerGrace >= end;
+// Returns whether no other owner had claimed the slice by @p time, since this
+// one has renewed its term later. What it concludes from silence, from the end
+// of a lease or from another life of a worker is not known to hold before: a
+// successor may have adopted the run, renewed its lease, or acknowledged its
+// end.
+bool SliceScheduler::IsOwnerSince(core::TimePoint time) const {
+  return term_end_ - SliceBoard::kOwnerGrace >= time;
 }
 
-// Returns whether a renewal of the term would show that the worker's lease is
-// over.
-bool SliceScheduler::LapsesWithRenewedTerm(const Worker& worker) const {
-  const std::string_view contact =
-      charts_.worker_contact.StateName(worker.contact);
-  return (contact == "silent" || contact == "unreached") &&
-         now_ >= worker.lease_end && !AreLeasesOver(worker.lease_end);
+bool SliceScheduler::needs_renewed_term() const {
+  return !IsOwnerSince(term_needed_since_);
+}
+
+void SliceScheduler::SetTermEnd(core::TimePoint end) {
+  placement_due_ |= end > term_end_ && needs_renewed_term();
+  term_end_ = end;
 }
 
 // Returns whether an order that grants a lease now may give the worker one that
@@ -145,9 +147,12 @@
 
 // Returns whether a task that starts on the worker now may run for longer than
 // the term. A worker that has restarted may have been given a longer lease by a
-// renewal on the clock of the life before.
+// renewal on the clock of the life before. A life that began since the last
+// renewal does not know the token of a successor.
 bool SliceScheduler::MayRunPastTerm(const Worker& worker) const {
-  return MayOutliveTerm(worker) || worker.lease_end - kClockMargin > term_end_;
+  return MayOutliveTerm(worker) ||
+         worker.lease_end - kClockMargin > term_end_ ||
+         !IsOwnerSince(worker.life_since);
 }
 
 // Handles the clock that an answer shows. An order that was granted on the
@@ -215,14 +220,12 @@
 }
 
 void SliceScheduler::RenewLeases() {
-  needs_renewed_term_ = false;
   for (const auto& worker : workers_.all()) {
-    if (AreLeasesOver(LeaseEnd(*worker))) {
+    if (now_ >= LeaseEnd(*worker)) {
       DispatchContact(*worker, "lease_over");
-    } else if (AreLeasesOver(worker->lease_end)) {
+    } else if (now_ >= worker->lease_end) {
       LoseSeenRuns(*worker);
     }
-    needs_renewed_term_ |= LapsesWithRenewedTerm(*worker);
     if (worker->in_roster && HasLeft(*worker)) {
       worker->in_roster = false;
       ScheduleRosterWrite();
@@ -233,7 +236,8 @@
         Dispatch(*task, "unanswered");
       }
     }
-    if (worker->ExpireLateStarts(now_)) {
+    if (worker->ExpireLateStarts(
+            std::min(now_, term_end_ - SliceBoard::kOwnerGrace))) {
       placement_due_ = true;
       commit_due_ = std::min(commit_due_, now_ + kTick);
     }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -47,6 +47,8 @@
       .Action("reset_ends", [](ContactContext& c) {
         BeginGeneration(c.worker);
         c.worker.life = c.worker.generation;
+        c.worker.life_since = c.scheduler.now_;
+        c.scheduler.term_needed_since_ = c.scheduler.now_;
         c.worker.last_end = 0;
         c.worker.acknowledged = 0;
         c.worker.forgotten = 0;
@@ -501,6 +503,8 @@
       ExpectLateStart(worker, task.job->spec.id, task.number, task.run);
     }
   }
+  task.free_since = now_;
+  term_needed_since_ = now_;
   Dispatch(task, "lost");
 }
 
