Extend the soak with links, power losses and jobs of all kinds

TWICE counts one end of a gang for all of its tasks; BUDGET and UNASKED (from 7 s after the last fault) are new.

rules_test.py: 18 tests pass; stage_test.py: 14 tests pass.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from stage import standin
+
 
 class Callers:
     """Hand in jobs at random times, each with up to four attempts at any process. One in ten
@@ -14,6 +16,8 @@
         self.rate, self.work_ms, self.share = options.rate, options.work, options.lasting
         self.answers = {}  # Statuses by job.
         self.lasting = {}  # Number of the step and its tasks, by job.
+        self.failing = set()  # Jobs that may fail.
+        self.cancels = {}  # By job; when it was acknowledged, or None.
         self.stopped = False
 
     async def run(self):
@@ -32,6 +36,12 @@
         tasks = sum(counts[-1] for _, counts in self.lasting.values())
         return 2000 * tasks < sum(e.cpu for e in self.world.executors)
 
+    def queue(self, _):
+        return standin.QUEUE
+
+    def vary(self, job, rng, spec, step):
+        """For callers whose steps differ in more than their number of tasks."""
+
     async def submit(self, job, rng):
         spec, steps = {"steps": {}}, []
         for step in range(rng.choice([1, 1, 2])):
@@ -41,16 +51,22 @@
             steps.append({"count": rng.randint(1, 4), "cpu": 1000, "mem_mb": 256,
                           "estimate_ms": 1000, **({"after": [step - 1]} if step else {}),
                           **({"long_running": True} if lasts else {})})
+            self.vary(job, rng, spec["steps"][str(step)], steps[-1])
             if lasts:
                 self.lasting[job] = (step, [s["count"] for s in steps])
                 break
+        queue = self.queue(rng)
         self.answers[job] = []
         for _ in range(4):
-            status = await self.world.submit(rng.choice(self.world.entries), job, spec, steps)
+            status = await self.world.submit(rng.choice(self.world.entries), job, spec, steps,
+                                             queue=queue)
             self.answers[job].append(status)
             if status == 200:
-                if rng.random() < 0.1:
-                    await asyncio.sleep(rng.uniform(0.5, 5))
-                    await self.world.submit(rng.choice(self.world.entries), job, spec, steps)
+                await self.accepted(job, queue, rng, spec, steps)
                 return
             await asyncio.sleep(0.3)
+
+    async def accepted(self, job, queue, rng, spec, steps):
+        if rng.random() < 0.1:
+            await asyncio.sleep(rng.uniform(0.5, 5))
+            await self.world.submit(rng.choice(self.world.entries), job, spec, steps, queue=queue)
--- /dev/null
+++ b/tests/soak/cuts.py
@@ -0,0 +1,155 @@
+"""Faults of links and of power, and changes of the config."""
+
+import asyncio
+import signal
+
+from faults import BOUNDS_S, REGISTRY_LAGS_MS
+from late import LateFaults
+from links import MODES
+from stage import ms, standin
+
+# How long a failure domain is cut off, from that its processes are ready until it is healed: for
+# a little less than the term of an owner, and until when the next one is cut off.
+OWNER_CUT_S, NEXT_CUT_S = 11.4, (12, 24)
+# How long a successor in another failure domain may take to claim a slice.
+CLAIM_S = 20
+
+
+class AllFaults(LateFaults):
+    """Those of LateFaults, and those of links, of power and of the config."""
+
+    def long_s(self):
+        return self.rng.choice((self.rng.uniform(10, 13), self.around(self.rng.choice(BOUNDS_S))))
+
+    async def cut_zone(self, zone, seconds, meanwhile):
+        """The zone is cut off from the others and from the store; inside it all goes on."""
+        inside = [e for e in self.world.entries if e.zone == zone]
+        executors = [e for e in self.world.executors if e.zone == zone]
+        across = [link for e in self.world.executors for link in e.server.links.values()
+                  if (link.zone == zone) != (e.zone == zone)]
+        mode = self.rng.choice(MODES)
+        self.world.record("zone_cut", zone=zone, mode=mode)
+        for link in across:
+            link.cut(mode)
+        for executor in executors:
+            executor.isolated = True
+        away = asyncio.create_task(self.with_store_fault(inside, self.denial(), seconds))
+        while not away.done():
+            await asyncio.wait([away], timeout=self.rng.uniform(0.5, 3))
+            if not away.done():
+                await meanwhile()
+        for link in across:
+            link.heal()
+        for executor in executors:
+            executor.isolated = False
+        self.world.record("zone_healed", zone=zone)
+
+    async def zone_cut(self):
+        async def nothing():
+            pass
+        meanwhile = self.rng.choice((nothing, self.restart_busy, self.restart_busy, self.kill))
+        await self.cut_zone(self.rng.choice(standin.ZONES), self.long_s(), meanwhile)
+        await asyncio.sleep(self.rng.uniform(1, 9))
+
+    async def owner_cut(self):
+        """The zone of an owner is cut off that owns a slice of another zone, in which executors
+        restart or join meanwhile; later the next zone is cut off."""
+        zone = self.rng.choice(standin.ZONES)
+        owner = await self.owner_elsewhere(zone)
+        if owner is None:
+            return
+        self.world.record("owner_cut", slice=zone, owner=owner.name)
+        renew = self.rng.choice((self.restart_in, self.restart_in, self.join_in))
+        await self.cut_zone(owner.zone, OWNER_CUT_S, lambda: renew(zone))
+        await asyncio.sleep(self.rng.choice(NEXT_CUT_S) - OWNER_CUT_S)
+        other = self.rng.choice([z for z in standin.ZONES if z != owner.zone])
+        await self.cut_zone(other, OWNER_CUT_S, lambda: renew(zone))
+
+    async def owner_elsewhere(self, zone):
+        """The processes of the zone are down until one of another zone has claimed its slice."""
+        owner = self.world.owner_of(zone + "-0")
+        if owner is not None and owner.zone != zone:
+            return owner
+        picked = [p for p in self.world.entries if p.zone == zone and p not in self.disturbed]
+        self.disturbed.update(picked)
+
+        async def claimed():
+            found = self.world.owner_of(zone + "-0")
+            return found is not None and found.zone != zone
+        await asyncio.gather(*(self.stop_process(p, signal.SIGKILL) for p in picked))
+        claims = await standin.until(claimed, CLAIM_S)
+        await asyncio.gather(*map(self.start_process, picked))
+        return self.world.owner_of(zone + "-0") if claims else None
+
+    async def restart_in(self, zone):
+        """As `restart`, in one zone."""
+        members = [e for e in self.world.executors if e.zone == zone]
+        await asyncio.gather(*(self.restart_executor(e, self.rng.uniform(0.05, 0.5))
+                               for e in self.pick(members, 3)))
+
+    async def join_in(self, zone):
+        """Executors of one zone leave, and others join at their addresses."""
+        for executor in self.pick([e for e in self.world.executors if e.zone == zone], 2):
+            await executor.leave()
+            await self.replace(executor)
+
+    async def link_cut(self):
+        """Links to an executor are cut, each in a way of its own."""
+        links = self.rng.choice(self.world.executors).server.links.values()
+        picked = [link for link in links if self.rng.random() < 0.7]
+        for link in picked:
+            link.cut(self.rng.choice(MODES))
+        await asyncio.sleep(self.long_s())
+        for link in picked:
+            link.heal()
+
+    async def slowed(self):
+        """The processes of a zone get a tenth of the time, in slices of 10 to 100 ms."""
+        zone = self.rng.choice(standin.ZONES)
+        picked = [p for p in self.world.entries if p.zone == zone and p not in self.disturbed]
+        self.disturbed.update(picked)
+        until = ms() + self.long_s() * 1000
+        while ms() < until:
+            for process in picked:
+                self.send_signal(process, signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.09, 0.9))
+            for process in picked:
+                self.send_signal(process, signal.SIGCONT)
+            await asyncio.sleep(self.rng.uniform(0.01, 0.1))
+        self.disturbed.difference_update(picked)
+
+    async def power(self):
+        """Machines lose power: their connections stay silent until they are back."""
+        async def executor_out(executor):
+            executor.lose_power()
+            await asyncio.sleep(self.off_s())
+            executor.regain_power(self.rng.choice(REGISTRY_LAGS_MS))
+            self.disturbed.discard(executor)
+
+        async def process_out(process):
+            self.send_signal(process, signal.SIGSTOP)
+            await asyncio.sleep(self.off_s())
+            await self.restart_process(process, signal.SIGKILL, 0)
+        await asyncio.gather(*map(executor_out, self.pick(self.world.executors, 3)),
+                             *map(process_out, self.pick(self.world.entries)))
+
+    def off_s(self):
+        return self.rng.choice((self.rng.uniform(0.5, 4), self.around(BOUNDS_S[1])))
+
+    async def swapped(self):
+        """Two executors lose power and come back with each other's address."""
+        pair = self.pick(self.world.executors)
+        pair += self.pick(self.world.executors)
+        for executor in pair:
+            executor.lose_power()
+        await asyncio.sleep(self.off_s())
+        if len(pair) == 2:
+            pair[0].trade_addresses(pair[1])
+        for executor in pair:
+            executor.regain_power(self.rng.choice(REGISTRY_LAGS_MS))
+            self.disturbed.discard(executor)
+
+    async def reconfigure(self):
+        """A new version of the config: time-outs change, and a route comes or goes."""
+        self.world.change_config(self.rng)
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -364,10 +364,16 @@
             await self.replace(executor)
 
     async def restart_process(self, process, number, down_s):
+        await self.stop_process(process, number)
+        await asyncio.sleep(down_s)
+        await self.start_process(process)
+
+    async def stop_process(self, process, number):
         ended = own_end(process)
         await process.end(number)
         self.own_ends += ended or own_end(process, 0 if number == signal.SIGTERM else -number)
-        await asyncio.sleep(down_s)
+
+    async def start_process(self, process):
         log = os.path.join(self.world.folder, process.name + ".log")
         size = os.path.getsize(log)
 
--- a/tests/soak/late.py
+++ b/tests/soak/late.py
@@ -10,7 +10,7 @@
 LATEST_S = 4
 
 
-class AllFaults(DomainFaults):
+class LateFaults(DomainFaults):
     """Those of DomainFaults, and those that carry out late what was sent before."""
 
     @staticmethod
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -1,11 +1,17 @@
 """The rules that the soak checks on the record of the executors."""
 
-from stage import ms
+from collections import defaultdict
+
+from stage import LATE_MS, ms
 
 # RULES.md, LOST: for 3 s from 6 s after its last run a lasting task does not run.
 LASTING_GAP_MS = 9000
 # docs/hard-load.md, R8: bounds.evacuate_ms.
 EVACUATE_MS = 5000
+# The settings' cancel_ms and stop_ms.
+CANCEL_MS, STOP_MS = 3000, 200
+# After the last fault a process is in touch again, and all executors are in the registry.
+CALM_MS = 3000 + 4000
 
 
 def counts_as_noted(run, executor):
@@ -67,7 +73,48 @@
                        f"acknowledged")
 
 
-def broken_rules(world, answers, lasting):
+def starts_after_end(runs):
+    """Pairs of a run that ended as done, which was taken note of, and a later start of the
+    task. The end of one member of a gang stands for all. `runs` are pairs with the executor."""
+    units = defaultdict(list)
+    for run, executor in runs:
+        units[run.task.rsplit(".", 1)[0] if run.gang else run.task].append((run, executor))
+    for unit in units.values():
+        for done, executor in unit:
+            if done.how == "done" and counts_as_noted(done, executor):
+                yield from ((done, run) for run, _ in unit if run.begun > done.ended)
+
+
+def starts_beyond_attempts(runs, attempts):
+    """Starts after so many runs of the task have ended as failed, which was taken note of."""
+    tasks = defaultdict(list)
+    for run, executor in runs:
+        tasks[run.task].append((run, executor))
+    for members in tasks.values():
+        failed = sorted(run.ended for run, executor in members
+                        if run.how == "failed" and counts_as_noted(run, executor))
+        yield from (run for run, _ in members
+                    if len(failed) >= attempts and run.begun > failed[attempts - 1])
+
+
+def cancelled_runs(runs, cancels, calm_from, now):
+    """Runs of cancelled jobs that started, or went on, long after the acknowledgement and
+    after the last fault."""
+    for run in runs:
+        acknowledged = cancels.get(run.task.split(".")[0])
+        if acknowledged is None:
+            continue
+        calm = calm_from + CALM_MS
+        if run.late_ms <= LATE_MS and run.begun > max(acknowledged + CANCEL_MS, calm):
+            yield f"UNASKED: {run.task} run {run.number} started after its job was cancelled"
+        gone_by = max(acknowledged, calm, run.begun + CALM_MS) + CANCEL_MS + STOP_MS + LATE_MS
+        if (now if run.ended is None else run.ended) > gone_by:
+            yield f"UNASKED: {run.task} run {run.number} ran on after its job was cancelled"
+
+
+def broken_rules(world, callers, calm_from):
+    answers, lasting, cancels = callers.answers, callers.lasting, callers.cancels
+
     def told(run):
         """The run with the call that started it."""
         return (f"run {run.number} on {world.where(run).id} ({run.how}, at "
@@ -77,16 +124,20 @@
     broken = [f"TWICE: {a.task} {told(a)} and {told(b)} at the same time for {overlap_ms:.0f} ms"
               for a, b, overlap_ms in world.overlaps()]
     runs = [(run, executor) for executor in world.executors for run in executor.runs]
-    for done, executor in runs:
-        if done.how == "done" and counts_as_noted(done, executor):
-            broken += [f"TWICE: {run.task} {told(run)} started after {told(done)} was done and "
-                       f"acknowledged" for run, _ in runs if run.task == done.task and run.begun > done.ended]
+    broken += [f"TWICE: {run.task} {told(run)} started after {told(done)} was done and "
+               f"acknowledged" for done, run in starts_after_end(runs)]
+    broken += [f"BUDGET: {run.task} {told(run)} started after {world.max_attempts} failures"
+               for run in starts_beyond_attempts(runs, world.max_attempts)
+               if run.task.split(".")[0] not in lasting]
+    broken += cancelled_runs([run for run, _ in runs], cancels, calm_from, ms())
     broken += evacuated_starts([(run, executor.zone) for run, executor in runs],
                                world.evacuations)
     started = {run.task.split(".")[0] for run, _ in runs}
     for job, statuses in answers.items():
         if job in started and all(status in (429, 503) for status in statuses):
             broken.append(f"REFUSED: {job} was answered {statuses} and has started")
-        if 200 in statuses and job not in started:
+        if 200 in statuses and job not in started and job not in cancels:
             broken.append(f"LOST: {job} was accepted and has not started")
-    return broken + list(lost_tasks([run for run, _ in runs], answers, lasting, ms()))
+    owed = {job: steps for job, steps in lasting.items()
+            if job not in cancels and job not in callers.failing}
+    return broken + list(lost_tasks([run for run, _ in runs], answers, owed, ms()))
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -90,6 +90,59 @@
         self.assertEqual(self.starts(31000, late_ms=2000), 1)
 
 
+class Ends(unittest.TestCase):
+    """`runs` have the life 0 on an executor that has noted the ends in `noted`."""
+
+    @staticmethod
+    def runs(*rows, noted, gang=None, lapses=()):
+        executor = types.SimpleNamespace(lapses=lapses, noted={
+            (task, number, 0): at for task, number, at in noted})
+        return [(types.SimpleNamespace(task=task, number=number, begun=begun, ended=ended,
+                                       how=how, life=0, gang=gang, late_ms=0), executor)
+                for task, number, begun, ended, how in rows]
+
+    def after_done(self, task="a.0.0.0", begun=300, **arguments):
+        runs = self.runs(("a.0.0.0", 1, 0, 200, "done"), (task, 2, begun, None, None),
+                         **{"noted": [("a.0.0.0", 1, 250)], **arguments})
+        return len(list(rules.starts_after_end(runs)))
+
+    def test_start_after_an_end_that_was_noted(self):
+        self.assertEqual(self.after_done(), 1)
+        self.assertEqual(self.after_done(begun=100), 0)
+        self.assertEqual(self.after_done(noted=[]), 0)
+        self.assertEqual(self.after_done(lapses=[220]), 0)
+        self.assertEqual(self.after_done(task="a.0.0.1"), 0)
+
+    def test_end_of_one_member_stands_for_the_gang(self):
+        self.assertEqual(self.after_done(task="a.0.0.1", gang=object()), 1)
+        self.assertEqual(self.after_done(task="a.0.1.0", gang=object()), 0)
+
+    def test_start_beyond_the_attempts(self):
+        def beyond(begun, attempts=2, noted=(1, 2)):
+            runs = self.runs(
+                ("a.0.0.0", 1, 0, 100, "failed"), ("a.0.0.0", 2, 150, 200, "failed"),
+                ("a.0.0.0", 3, begun, None, None), noted=[("a.0.0.0", n, 210) for n in noted])
+            return len(list(rules.starts_beyond_attempts(runs, attempts)))
+        self.assertEqual(beyond(300), 1)
+        self.assertEqual(beyond(199), 0)
+        self.assertEqual(beyond(300, attempts=3), 0)
+        self.assertEqual(beyond(300, noted=(1,)), 0)
+
+    def test_run_of_a_cancelled_job(self):
+        def broken(begun, ended, late_ms=0, acknowledged=10000, calm_from=0):
+            (run, _), = self.runs(("a.0.0.0", 1, begun, ended, "stopped"), noted=[])
+            run.late_ms = late_ms
+            return len(list(rules.cancelled_runs([run], {"a": acknowledged}, calm_from, NOW)))
+        self.assertEqual(broken(0, 13200), 0)
+        self.assertEqual(broken(0, 13400), 1)
+        self.assertEqual(broken(0, None), 1)
+        self.assertEqual(broken(13001, 13002), 1)
+        self.assertEqual(broken(13001, 13002, late_ms=2000), 0)
+        self.assertEqual(broken(13001, 30000, late_ms=2000), 1)
+        self.assertEqual(broken(0, None, acknowledged=None), 0)
+        self.assertEqual(broken(0, 20000, calm_from=13000), 0)
+
+
 class OwnEnds(unittest.TestCase):
     def test_status(self):
         def ends(status, expected=None):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 
 Usage: soak.py SEED SECONDS FAULT[,FAULT...] [--rate JOBS_PER_S] [--work MIN,MAX]
                [--lasting SHARE] [--cpu MILLIS] [--hold MS]
+               [--mixed]
                [--program PATH] [--folder FOLDER]
 Build the program first, with the line `build` of deploy/system.toml or, for
 --program, in any other build folder.
@@ -24,9 +25,10 @@
 import signal
 import sys
 
+import mixed
 from callers import Callers
+from cuts import AllFaults as Faults
 from faults import REGISTRY_LAGS_MS  # noqa: F401  For scripts that add faults.
-from late import AllFaults as Faults
 from rules import broken_rules, long_gaps, own_end
 from stage import ROOT, CannotRun, World, ms, standin
 
@@ -40,10 +42,11 @@
     standin.HOLD_MAX_MS = options.hold
     standin.SETTINGS = standin.SETTINGS.replace("hold_max_ms: 6000",
                                                 f"hold_max_ms: {options.hold}")
-    world = World(folder, options.seed, options.cpu)
+    world = (World(folder, options.seed, options.cpu, mixed.QUEUES, mixed.LABELS)
+             if options.mixed else World(folder, options.seed, options.cpu))
     try:
         await world.start()
-        callers = Callers(world, options)
+        callers = (mixed.MixedCallers if options.mixed else Callers)(world, options)
         calling = asyncio.create_task(callers.run())
         await asyncio.sleep(4)
         disturbed, own_ends = set(), []
@@ -51,12 +54,13 @@
         await asyncio.gather(*(
             Faults(world, options.seed, disturbed, own_ends).run(name, end)
             for name in options.faults))
+        calm_from = ms()
         await asyncio.sleep(2)
         callers.stopped = True
         await calling
         # Longer than a term and the start of a task after it.
         await asyncio.sleep(16)
-        broken = broken_rules(world, callers.answers, callers.lasting) + own_ends
+        broken = broken_rules(world, callers, calm_from) + own_ends
         if PLANNED.issuperset(options.faults):
             broken += long_gaps([r for e in world.executors for r in e.runs],
                                 callers.answers, callers.lasting)
@@ -86,6 +90,7 @@
     parser.add_argument("--lasting", type=float, default=0.03, help="share of lasting steps")
     parser.add_argument("--cpu", type=int, default=32000, help="CPU of an executor, in 1/1000")
     parser.add_argument("--hold", type=int, default=6000, help="longest lease in ms")
+    parser.add_argument("--mixed", action="store_true", help="jobs of all kinds, and cancels")
     parser.add_argument("--folder", default="/tmp", help="where the record is written")
     parser.add_argument("--program", type=os.path.abspath,
                         help="the program to play, instead of the one of the deploy file")
--- a/tests/soak/stage_test.py
+++ b/tests/soak/stage_test.py
@@ -3,6 +3,8 @@
 record that takes the same run of two lives for one."""
 
 import asyncio
+import base64
+import json
 import os
 import tempfile
 import types
@@ -10,7 +12,7 @@
 
 import rules
 import stage
-from late import AllFaults
+from cuts import AllFaults
 
 TASK = "a.0.0.0"
 
@@ -20,10 +22,9 @@
         path=path, headers={"target-instance": executor.id}, json=lambda: body))
 
 
-def start(executor, run=1, deadline_ms=5000, cpu=0):
-    spec = '{"ms": 10000, "cpu": %d}' % cpu
-    return call(executor, "/api/run-start", task=TASK, run=run, spec=spec,
-                deadline_ms=deadline_ms, fencing_token=7)
+def start(executor, run=1, deadline_ms=5000, task=TASK, **spec):
+    return call(executor, "/api/run-start", task=task, run=run, fencing_token=7,
+                deadline_ms=deadline_ms, spec=json.dumps({"ms": 10000, **spec}))
 
 
 class Stage(unittest.IsolatedAsyncioTestCase):
@@ -32,9 +33,10 @@
         self.world = stage.World(folder, 1, 1000)
         self.addCleanup(os.rmdir, self.world.folder)
         self.addCleanup(self.world.record.file.close)
-        self.executor = self.world.executors[0]
-        self.executor.new_life()
-        self.executor.up, self.executor.beats = True, asyncio.Future()
+        self.executor, self.other = self.world.executors[:2]
+        for executor in (self.executor, self.other):
+            executor.new_life()
+            executor.up, executor.beats = True, asyncio.Future()
 
     async def test_rejected_starts_extend_the_lease(self):
         await start(self.executor, deadline_ms=1000)
@@ -111,6 +113,88 @@
         self.assertEqual((run.sent_life, run.life_number), (1, self.executor.lives))
         self.assertGreater(self.executor.lives, 1)
 
+    async def gang(self, **spec):
+        for index, executor in enumerate((self.executor, self.other)):
+            await start(executor, task=f"a.0.0.{index}", gang=2, **spec)
+        await asyncio.sleep(0.05)
+        return self.executor.runs + self.other.runs
+
+    async def test_gang_ends_as_done_together(self):
+        runs = await self.gang(ms=100)
+        self.assertEqual([run.how for run in runs], [None, None])
+        await asyncio.sleep(0.15)
+        self.assertEqual([run.how for run in runs], ["done", "done"])
+
+    async def test_end_of_one_member_breaks_the_gang(self):
+        runs = await self.gang()
+        self.executor.end(("a.0.0.0", 1), "stopped")
+        await asyncio.sleep(0.05)
+        self.assertEqual([run.how for run in runs], ["stopped", "broken"])
+
+    async def test_member_without_the_others_ends_alone(self):
+        await start(self.executor, gang=2)
+        self.executor.runs[0].begun -= 1500
+        await asyncio.sleep(0.05)
+        self.assertIsNone(self.executor.runs[0].how)
+        self.executor.runs[0].begun -= 1500
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.executor.runs[0].how, "alone")
+
+    async def test_step_that_fills_takes_no_capacity(self):
+        for number, (fills, reason) in enumerate(((True, None), (False, None), (True, None),
+                                                  (False, "room"))):
+            _, answer = await start(self.executor, task=f"a.0.0.{number}", cpu=1000,
+                                    fills=fills)
+            self.assertEqual(answer.get("reason"), reason)
+
+    async def test_calls_stay_silent_while_power_is_lost(self):
+        await start(self.executor)
+        waiting = asyncio.create_task(call(self.executor, "/api/hold", wait_ms=2000,
+                                           fencing_token=7))
+        await asyncio.sleep(0.05)
+        self.executor.lose_power()
+        later = asyncio.create_task(start(self.executor, run=2))
+        await asyncio.sleep(2.1)
+        self.assertEqual(self.executor.runs[0].how, "crashed")
+        self.assertFalse(waiting.done() or later.done())
+        self.executor.regain_power(0)
+        for silent in (waiting, later):
+            with self.assertRaises(stage.Reset):
+                await silent
+        self.assertEqual(len(self.executor.runs), 1)
+
+    async def test_held_link_carries_out_calls_when_it_is_healed(self):
+        link = self.executor.server.links[self.world.entries[0].name]
+        link.cut("held")
+        request = types.SimpleNamespace(
+            path="/api/run-start", headers={"target-instance": self.executor.id}, json=lambda: {
+                "task": TASK, "run": 1, "spec": "{}", "deadline_ms": 5000, "fencing_token": 7})
+        held = asyncio.create_task(link.receive(request))
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.executor.runs, [])
+        self.executor.start_again(0)
+        held.cancel()  # The caller gives up.
+        link.heal()
+        await asyncio.sleep(1.1)
+        self.assertEqual([run.sent_life for run in self.executor.runs], [self.executor.lives - 1])
+
+    async def test_each_process_reads_the_addresses_of_its_links(self):
+        self.executor.trade_addresses(self.other)
+        self.executor.announce()
+        self.world.store.put("servers", "foreign", [])
+        query = {"table": "servers"}
+        seen = set()
+        for entry in self.world.entries:
+            _, answer = await self.world.pass_on(entry, types.SimpleNamespace(
+                path="/api/rows-get", query=query))
+            values = [json.loads(base64.b64decode(row["value"])) for row in answer["rows"]]
+            self.assertEqual(values[0], [])
+            seen.add(values[1]["address"])
+            link = self.executor.server.links[entry.name]
+            self.assertIs(link.end.executor, self.executor)
+            self.assertTrue(values[1]["address"].endswith(f":{link.server.port}"))
+        self.assertEqual(len(seen), len(self.world.entries))
+
 
 if __name__ == "__main__":
     unittest.main()
