--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -21,15 +21,16 @@
     def long_s(self):
         return self.rng.choice((self.rng.uniform(10, 13), self.around(self.rng.choice(BOUNDS_S))))
 
-    async def cut_zone(self, zone, seconds, meanwhile):
-        """The zone is cut off from the others and from the store; inside it all goes on."""
+    async def cut_zone(self, zone, seconds, meanwhile, modes=MODES):
+        """The zone is cut off from the others and from the store; inside it all goes on. With
+        the mode None the links stay."""
         inside = [e for e in self.world.entries if e.zone == zone]
         executors = [e for e in self.world.executors if e.zone == zone]
         across = [link for e in self.world.executors for link in e.server.links.values()
                   if (link.zone == zone) != (e.zone == zone)]
-        mode = self.rng.choice(MODES)
+        mode = self.rng.choice(modes)
         self.world.record("zone_cut", zone=zone, mode=mode)
-        for link in across:
+        for link in across if mode else ():
             link.cut(mode)
         for executor in executors:
             executor.isolated = True
@@ -53,17 +54,19 @@
 
     async def owner_cut(self):
         """The zone of an owner is cut off that owns a slice of another zone, in which executors
-        restart or join meanwhile; later the next zone is cut off."""
+        restart or join meanwhile; later the next zone is cut off. Either from the store alone,
+        or from the other zones, too."""
+        modes = (None, *MODES)
         zone = self.rng.choice(standin.ZONES)
         owner = await self.owner_elsewhere(zone)
         if owner is None:
             return
         self.world.record("owner_cut", slice=zone, owner=owner.name)
         renew = self.rng.choice((self.restart_in, self.restart_in, self.join_in))
-        await self.cut_zone(owner.zone, OWNER_CUT_S, lambda: renew(zone))
+        await self.cut_zone(owner.zone, OWNER_CUT_S, lambda: renew(zone), modes)
         await asyncio.sleep(self.rng.choice(NEXT_CUT_S) - OWNER_CUT_S)
         other = self.rng.choice([z for z in standin.ZONES if z != owner.zone])
-        await self.cut_zone(other, OWNER_CUT_S, lambda: renew(zone))
+        await self.cut_zone(other, OWNER_CUT_S, lambda: renew(zone), modes)
 
     async def owner_elsewhere(self, zone):
         """The processes of the zone are down until one of another zone has claimed its slice."""
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -146,6 +146,8 @@
         self.server.executor, other.server.executor = self, other
 
     async def leave(self):
+        if self.isolated:
+            return await self.crash()  # Its entry expires.
         await super().leave()
         self.store.announced.pop(self.id, None)
 
