--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -274,7 +274,7 @@
     async def drain(self, executor):
         """It serves on for drain_ms, 2 s, after the store has its report, or a little longer."""
         executor.state = "draining"
-        while self.world.store.closures:
+        while self.world.store.closures or executor.isolated:
             await asyncio.sleep(0.05)
         executor.announce()
         await asyncio.sleep(self.rng.uniform(2, 3) + self.rng.choice((0, 0, 5)))
