--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -307,8 +307,9 @@
 
     def owner_of(self, slice_name):
         """The process named in the slice's row."""
-        words = (self.store.text("slices", "", slice_name) or "").split()
-        return next((e for e in self.entries if words[1:2] == [e.name]), None)
+        words = (self.store.text("slices", "", slice_name) or "0 -").split()
+        name = words[1].split("/")[0]
+        return next((e for e in self.entries if e.name == name), None)
 
     async def start(self):
         self.expiry = asyncio.create_task(self.store.expire())
--- a/tests/soak/stage_test.py
+++ b/tests/soak/stage_test.py
@@ -178,6 +178,13 @@
         await asyncio.sleep(1.1)
         self.assertEqual([run.sent_life for run in self.executor.runs], [self.executor.lives - 1])
 
+    async def test_owner_is_the_process_in_the_row(self):
+        self.assertIsNone(self.world.owner_of("zone-a-0"))
+        owner = self.world.entries[1]
+        value = base64.b64encode(f"2 {owner.name}/127.0.0.1 7f 250 0 0 0\nload".encode())
+        self.world.store.write([(("slices", "", "zone-a-0"), value.decode())])
+        self.assertIs(self.world.owner_of("zone-a-0"), owner)
+
     async def test_each_process_reads_the_addresses_of_its_links(self):
         self.executor.trade_addresses(self.other)
         self.executor.announce()
