--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -68,6 +68,17 @@
         other = self.rng.choice([z for z in standin.ZONES if z != owner.zone])
         await self.cut_zone(other, OWNER_CUT_S, lambda: renew(zone), modes)
 
+    async def cut_in_turn(self):
+        """Each zone is cut off once, so that a slice gets an owner of another zone, which is
+        cut off next."""
+        every_s = self.rng.choice(NEXT_CUT_S)
+        modes = (None, *MODES)
+        zones = self.rng.sample(standin.ZONES, len(standin.ZONES))
+        for number, zone in enumerate(zones):
+            previous = zones[number - 1]
+            await self.cut_zone(zone, OWNER_CUT_S, lambda: self.restart_in(previous), modes)
+            await asyncio.sleep(every_s - OWNER_CUT_S)
+
     async def owner_elsewhere(self, zone):
         """The processes of the zone are down until one of another zone has claimed its slice."""
         owner = self.world.owner_of(zone + "-0")
