--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -56,7 +56,7 @@
         """The zone of an owner is cut off that owns a slice of another zone, in which executors
         restart or join meanwhile; later the next zone is cut off. Either from the store alone,
         or from the other zones, too."""
-        modes = (None, *MODES)
+        modes = (None, None, None, *MODES)
         zone = self.rng.choice(standin.ZONES)
         owner = await self.owner_elsewhere(zone)
         if owner is None:
@@ -72,7 +72,7 @@
         """Each zone is cut off once, so that a slice gets an owner of another zone, which is
         cut off next."""
         every_s = self.rng.choice(NEXT_CUT_S)
-        modes = (None, *MODES)
+        modes = (None, None, None, *MODES)
         zones = self.rng.sample(standin.ZONES, len(standin.ZONES))
         for number, zone in enumerate(zones):
             previous = zones[number - 1]
