--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -79,6 +79,43 @@
             await self.cut_zone(zone, OWNER_CUT_S, lambda: self.restart_in(previous), modes)
             await asyncio.sleep(every_s - OWNER_CUT_S)
 
+    async def owner_back(self):
+        """An owner loses the store and, before a successor claims the slice, its executors.
+        Executors start again, and the owner reaches these, still without the store, and then
+        the others."""
+        zone = self.rng.choice(standin.ZONES)
+        owner = self.world.owner_of(zone + "-0")
+        if owner is None or owner in self.disturbed:
+            return
+        self.disturbed.add(owner)
+        members = [e for e in self.world.executors if e.zone == zone]
+        mode = self.rng.choice(("reset", "silent", "oneway"))
+        self.world.record("owner_cut", slice=zone, owner=owner.name, mode=mode)
+        denied = asyncio.create_task(self.with_store_fault(
+            [owner], self.denial(kinds=("reset", 503)), OWNER_CUT_S))
+        begun = ms()
+        await asyncio.sleep(self.rng.uniform(1.4, 2.4))
+        for executor in members:
+            executor.server.links[owner.name].cut(mode)
+
+        async def claimed():
+            return self.world.owner_of(zone + "-0") is not owner
+        await standin.until(claimed, 3)
+        await asyncio.sleep(self.rng.uniform(0.15, 0.6))
+        again = self.pick(members, 2)
+        for executor in again:
+            executor.start_again(self.rng.choice(REGISTRY_LAGS_MS))
+        self.disturbed.difference_update(again)
+        await asyncio.sleep(max(0, (begun - ms()) / 1000 + self.rng.uniform(3.8, 5)))
+        for executor in again:
+            executor.server.links[owner.name].heal()
+        await asyncio.sleep(self.rng.choice((0, 0.7, 1.5)))
+        for executor in members:
+            executor.server.links[owner.name].heal()
+        self.world.record("owner_back", slice=zone, owner=owner.name)
+        await denied
+        self.disturbed.discard(owner)
+
     async def owner_elsewhere(self, zone):
         """The processes of the zone are down until one of another zone has claimed its slice."""
         owner = self.world.owner_of(zone + "-0")
