--- a/packages/jobs/tests/fake_workers.cc
+++ b/packages/jobs/tests/fake_workers.cc
@@ -113,16 +113,16 @@
   const bool there = std::ranges::any_of(worker.runs, [&](const Run& run) {
     return run.task == order.task && run.number == order.run;
   });
+  const Origin& origin = OriginOf(worker, order.call, now_);
+  const bool strayed = origin.born != worker.born;
+  Extend(worker, order.lease_until_ms, now, strayed);
   if (there) {
     return OrderOutcome::kCarriedOut;
   }
-  const Origin& origin = OriginOf(worker, order.call, now_);
-  const bool strayed = origin.born != worker.born;
   const auto closed = worker.closed.find(ToText(order.task));
   if (closed != worker.closed.end() && closed->second >= order.run) {
     return OrderOutcome::kSuperseded;
   }
-  Extend(worker, order.lease_until_ms, now, strayed);
   worker.runs.push_back({.task = order.task,
                          .number = order.run,
                          .checkpoint = order.checkpoint});
@@ -225,21 +225,41 @@
                       std::string checkpoint) {
   for (auto& [name, worker] : workers_) {
     const auto found = std::ranges::find(worker.runs, task, &Run::task);
-    if (found == worker.runs.end()) {
-      continue;
+    if (found != worker.runs.end()) {
+      EndRun(name, worker, found, kind, std::move(checkpoint));
+      return;
     }
-    worker.ends.push_back({.number = worker.next_end++,
-                           .task = task,
-                           .run = found->number,
-                           .kind = kind,
-                           .checkpoint = std::move(checkpoint)});
-    NoteEnd(name, worker, &worker.ends.back(), *found);
-    Close(worker, task, found->number);
-    worker.runs.erase(found);
-    return;
   }
 }
 
+void FakeWorkers::EndRun(const std::string& worker,
+                         const TaskAddress& task,
+                         RunNumber number,
+                         EndKind kind) {
+  Worker& state = workers_[worker];
+  const auto found = std::ranges::find_if(state.runs, [&](const Run& run) {
+    return run.task == task && run.number == number;
+  });
+  if (found != state.runs.end()) {
+    EndRun(worker, state, found, kind, {});
+  }
+}
+
+void FakeWorkers::EndRun(const std::string& name,
+                         Worker& worker,
+                         std::vector<Run>::iterator run,
+                         EndKind kind,
+                         std::string checkpoint) {
+  worker.ends.push_back({.number = worker.next_end++,
+                         .task = run->task,
+                         .run = run->number,
+                         .kind = kind,
+                         .checkpoint = std::move(checkpoint)});
+  NoteEnd(name, worker, &worker.ends.back(), *run);
+  Close(worker, run->task, run->number);
+  worker.runs.erase(run);
+}
+
 void FakeWorkers::ExecuteLateCommands(const std::string& worker) {
   Worker& target = workers_[worker];
   for (const StartRun& order : std::exchange(target.late, {})) {
--- a/packages/jobs/tests/fake_workers.h
+++ b/packages/jobs/tests/fake_workers.h
@@ -105,6 +105,12 @@
 
   /// Ends the run of a task on whichever worker runs it.
   void End(const TaskAddress& task, EndKind kind, std::string checkpoint = {});
+
+  /// Ends one run. Nothing happens unless that worker runs it.
+  void EndRun(const std::string& worker,
+              const TaskAddress& task,
+              RunNumber number,
+              EndKind kind);
   void ExecuteLateCommands(const std::string& worker);
 
   /// Handles the lease of a renewal that arrives and then waits for an end.
@@ -191,6 +197,11 @@
   const Origin& OriginOf(const Worker& worker,
                          CallId call,
                          core::TimePoint now);
+  void EndRun(const std::string& name,
+              Worker& worker,
+              std::vector<Run>::iterator run,
+              EndKind kind,
+              std::string checkpoint);
   void Close(Worker& worker, const TaskAddress& task, RunNumber run);
   void NoteEnd(const std::string& worker,
                const Worker& state,
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -6,7 +6,6 @@
 #include <variant>
 #include <vector>
 
-#include "chart_yaml/load.h"
 #include "fake_store.h"
 #include "jobs/slice_board.h"
 #include "slice_world.h"
@@ -22,17 +21,6 @@
 // How long SliceScheduler takes a lease of 6 s to last at most.
 constexpr std::chrono::milliseconds kLongestLease(6320);
 
-const chart::Chart& OwnershipChart() {
-  static const chart::Chart kChart = [] {
-    chart_yaml::Loader loader;
-    auto chart =
-        loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/slice_ownership.yaml");
-    REQUIRE(chart.has_value());
-    return *std::move(chart);
-  }();
-  return kChart;
-}
-
 /// One process of the slice's failure domain with its own board.
 class Process {
  public:
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -25,16 +25,6 @@
   return *std::move(chart);
 }
 
-const chart::Chart& TaskChart() {
-  static const chart::Chart kChart = LoadChart("task_run");
-  return kChart;
-}
-
-const chart::Chart& ContactChart() {
-  static const chart::Chart kChart = LoadChart("worker_contact");
-  return kChart;
-}
-
 constexpr std::int64_t kGigabyte = 1'000'000'000;
 
 constexpr core::Resources kCapacity = {.cpu_millis = 32'000,
@@ -91,6 +81,40 @@
   return kSteps;
 }
 
+}  // namespace
+
+const chart::Chart& TaskChart() {
+  static const chart::Chart kChart = LoadChart("task_run");
+  return kChart;
+}
+
+const chart::Chart& ContactChart() {
+  static const chart::Chart kChart = LoadChart("worker_contact");
+  return kChart;
+}
+
+const chart::Chart& OwnershipChart() {
+  static const chart::Chart kChart = LoadChart("slice_ownership");
+  return kChart;
+}
+
+WorkerEntry EntryOfWorker(const std::string& id, const std::string& domain) {
+  return {.id = id,
+          .service = "noise",
+          .address = id + ":1",
+          .failure_domain = domain,
+          .capacity = kCapacity};
+}
+
+QueueConfigPtr OneQueue() {
+  return std::make_shared<const QueueConfig>(
+      1, std::vector<Queue>{{.name = "diary",
+                             .host = "h",
+                             .path_prefix = "/d/",
+                             .service = "noise",
+                             .max_attempts = 2}});
+}
+
 std::optional<JobSpec> ReadSteps(const StoredJob& stored) {
   JobSpec spec{.payload = "payload"};
   for (const char kind : stored.document) {
@@ -106,8 +130,6 @@
   return spec;
 }
 
-}  // namespace
-
 SliceWorld::SliceWorld()
     : own_store_(std::make_unique<FakeStore>()), store(*own_store_) {
   TakeOver();
@@ -119,11 +141,7 @@
 }
 
 WorkerEntry SliceWorld::EntryOf(const std::string& id) const {
-  return {.id = id,
-          .service = "noise",
-          .address = id + ":1",
-          .failure_domain = slice_ == kSlice ? "yoff" : "port",
-          .capacity = kCapacity};
+  return EntryOfWorker(id, slice_ == kSlice ? "yoff" : "port");
 }
 
 void SliceWorld::AddWorker(const std::string& id) {
@@ -203,13 +221,7 @@
 }
 
 void SliceWorld::Configure() {
-  owner->SetConfig(std::make_shared<const QueueConfig>(
-                       1, std::vector<Queue>{{.name = "diary",
-                                              .host = "h",
-                                              .path_prefix = "/d/",
-                                              .service = "noise",
-                                              .max_attempts = 2}}),
-                   now_);
+  owner->SetConfig(OneQueue(), now_);
 }
 
 void SliceWorld::Submit(const std::string& id, const std::string& steps) {
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -18,6 +18,19 @@
 inline const std::string kSlice = "yoff-0";
 inline const std::string kOtherSlice = "port-0";
 
+const chart::Chart& TaskChart();
+const chart::Chart& ContactChart();
+const chart::Chart& OwnershipChart();
+
+/// @returns the entry of a worker with 32 cores and 125 GB.
+WorkerEntry EntryOfWorker(const std::string& id, const std::string& domain);
+
+/// @returns a configuration with the queue of SliceWorld::Submit.
+QueueConfigPtr OneQueue();
+
+/// Reads a document as SliceWorld::Submit describes it.
+std::optional<JobSpec> ReadSteps(const StoredJob& stored);
+
 /// Simulates the owner of one slice with a fake store, fake workers and a clock
 /// that the test advances.
 class SliceWorld {
