--- a/packages/jobs/tests/slice_owners_search_test.cc
+++ b/packages/jobs/tests/slice_owners_search_test.cc
@@ -574,7 +574,8 @@
 
 // Guards against tasks that run twice while two owners of a slice act at the
 // same time. SLICE_SEARCH_FIRST and SLICE_SEARCH_COUNT select other seeds,
-// SLICE_SEARCH_LATE carries calls out late, and SLICE_SEARCH_TRACE prints the
+// SLICE_SEARCH_LATE carries calls out late, SLICE_SEARCH_NO_SPLIT never divides
+// the workers between two owners, and SLICE_SEARCH_TRACE prints the
 // log of the shortest play that shows each fault.
 TEST_CASE("random faults between two owners start no task twice", "[slice]") {
   const std::uint32_t first = FromEnvironment("SLICE_SEARCH_FIRST", 1);
