Give each log line a level

Change: LogLine has a level, which the logger writes after the event. The line decides it where it is written. Ports hand over the line instead of its text. The test of dropped lines now expects the level between event and count.

--- a/packages/core/src/log_line.cc
+++ b/packages/core/src/log_line.cc
@@ -29,10 +29,27 @@
 
 }  // namespace
 
-LogLine::LogLine(std::string_view event) {
+std::string_view ToString(LogLevel level) {
+  constexpr std::array<std::string_view, 3> kNames = {"info", "warning",
+                                                      "error"};
+  return kNames.at(static_cast<std::size_t>(level));
+}
+
+LogLine::LogLine(std::string_view event, LogLevel level) : level_(level) {
   text_.reserve(160);
   text_ += "event=";
   text_ += event;
+  event_size_ = text_.size();
+}
+
+std::string LogLine::TextWithLevel() const {
+  std::string line;
+  line.reserve(text_.size() + 16);
+  line.append(text_, 0, event_size_);
+  line += " level=";
+  line += ToString(level_);
+  line.append(text_, event_size_);
+  return line;
 }
 
 LogLine& LogLine::Add(std::string_view key, std::string_view value) {
--- a/packages/core/tests/log_line_test.cc
+++ b/packages/core/tests/log_line_test.cc
@@ -32,5 +32,17 @@
         "event=e n=12000 b=true d=0.25");
 }
 
+// Guards against a log in which a warning looks like any other line, and
+// against readers that no longer find the event first.
+TEST_CASE("the level follows the event and is no part of the text") {
+  LogLine line("run_lost", LogLevel::kWarning);
+  line.Add("level", "forged");
+  CHECK(line.TextWithLevel() == "event=run_lost level=warning level=forged");
+  CHECK(line.text() == "event=run_lost level=forged");
+  CHECK(LogLine("e").TextWithLevel() == "event=e level=info");
+  CHECK(LogLine("e", LogLevel::kError).TextWithLevel() ==
+        "event=e level=error");
+}
+
 }  // namespace
 }  // namespace hickoryusher::core
--- a/packages/entry/src/process.cc
+++ b/packages/entry/src/process.cc
@@ -316,7 +316,7 @@
   http::Front::Builder builder;
   builder.options(MakeFrontOptions(settings))
       .on_request([this](http::IncomingRequest& r) { return TakeRequest(r); })
-      .log([this](std::string line) { logger.WriteText(std::move(line)); });
+      .log([this](const core::LogLine& line) { logger.Write(line); });
   front = builder.Start();
   if (!front) {
     errors.push_back(builder.last_error());
--- a/packages/http/include/http/front.h
+++ b/packages/http/include/http/front.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/log_line.h"
 #include "http/message.h"
 #include "http/ring_sink.h"
 #include "runtime/ring.h"
@@ -19,7 +20,7 @@
 namespace hickoryusher::http {
 
 /// Receives one log line. Called on the front's or upstream's own threads.
-using LogSink = std::function<void(std::string)>;
+using LogSink = std::function<void(const core::LogLine&)>;
 
 /// What a request in progress is charged beyond its own bytes, for what it
 /// causes behind the front.
--- a/packages/http/src/front_limits.cc
+++ b/packages/http/src/front_limits.cc
@@ -133,7 +133,7 @@
   const core::TimePoint now = Now();
   shared_->Log(shared_->report.Closed(
       std::move(
-          core::LogLine("connection_closed")
+          core::LogLine("connection_closed", core::LogLevel::kWarning)
               .Add("reason", reason)
               .Add("bytes", connection.charged_bytes)
               .Add("incomplete_request", connection.parser.started())
--- a/packages/http/src/front_shared_p.h
+++ b/packages/http/src/front_shared_p.h
@@ -51,15 +51,15 @@
   std::mutex idle_mutex;
   std::condition_variable idle;
 
-  void Log(core::LogLine&& line) const {
+  void Log(const core::LogLine& line) const {
     if (log) {
-      log(std::move(line).Take());
+      log(line);
     }
   }
 
-  void Log(std::optional<core::LogLine>&& line) const {
+  void Log(const std::optional<core::LogLine>& line) const {
     if (line) {
-      Log(*std::move(line));
+      Log(*line);
     }
   }
 
--- a/packages/http/tests/front_budget_test.cc
+++ b/packages/http/tests/front_budget_test.cc
@@ -51,9 +51,9 @@
     front = Front::Builder()
                 .options(std::move(options))
                 .requests(ring_)
-                .log([this](const std::string& line) {
+                .log([this](const core::LogLine& line) {
                   const std::lock_guard lock(mutex_);
-                  log_ += line + "\n";
+                  log_ += std::string(line.text()) + "\n";
                 })
                 .Start();
     REQUIRE(front != nullptr);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -214,7 +214,7 @@
   if (now_ >= next_commit_log_) {
     next_commit_log_ = now_ + kCommitLogInterval;
     options_.log(
-        core::LogLine("commit_not_stored")
+        core::LogLine("commit_not_stored", core::LogLevel::kWarning)
             .Add("slice", options_.slice.name)
             .Add("reason", conflict != nullptr ? "conflict"
                            : std::holds_alternative<StoreRefused>(event)
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -189,7 +189,7 @@
 void SliceScheduler::HandlePlaces(const Row& row) {
   auto places = DecodePlaces(row.value);
   if (!places) {
-    options_.log(core::LogLine("places_row_unreadable")
+    options_.log(core::LogLine("places_row_unreadable", core::LogLevel::kError)
                      .Add("slice", options_.slice.name)
                      .Add("row", row.key.key));
     return;
@@ -274,9 +274,10 @@
 void SliceScheduler::HandleHandOver(const Row& row, std::int64_t clock_ms) {
   const auto hand_over = DecodeHandOver(row.value);
   if (!hand_over) {
-    options_.log(core::LogLine("hand_over_row_unreadable")
-                     .Add("slice", options_.slice.name)
-                     .Add("row", row.key.key));
+    options_.log(
+        core::LogLine("hand_over_row_unreadable", core::LogLevel::kError)
+            .Add("slice", options_.slice.name)
+            .Add("row", row.key.key));
     hand_over_rejected_ = true;
     handed_over_workers_.reset();
     return;
--- a/packages/jobs_process/src/intake_duty.cc
+++ b/packages/jobs_process/src/intake_duty.cc
@@ -158,7 +158,8 @@
                      now - last_table_answer_ < kReadinessStoreTimeout;
   if (ready != std::exchange(was_ready_, ready)) {
     outputs_.log(
-        core::LogLine("readiness_changed")
+        core::LogLine("readiness_changed",
+                      ready ? core::LogLevel::kInfo : core::LogLevel::kWarning)
             .Add("ready", ready)
             .Add("configured", configured)
             .Add("draining", draining_.load())
--- a/packages/jobs_process/src/operator_rows.cc
+++ b/packages/jobs_process/src/operator_rows.cc
@@ -65,8 +65,8 @@
 bool OperatorRows::ApplyConfig(const jobs::Row& row) {
   auto config = options_.read_config(row.value);
   if (!config) {
-    options_.log(
-        core::LogLine("config_unreadable").Add("row_version", row.version));
+    options_.log(core::LogLine("config_unreadable", core::LogLevel::kError)
+                     .Add("row_version", row.version));
     return false;
   }
   if (state_.config != nullptr &&
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -224,7 +224,7 @@
   http::Front::Builder builder;
   builder.options(front_options)
       .on_request(std::move(sink))
-      .log([this](std::string line) { logger.WriteText(std::move(line)); });
+      .log([this](const core::LogLine& line) { logger.Write(line); });
   auto front = builder.Start();
   if (!front) {
     errors.push_back(builder.last_error());
--- a/packages/telemetry/include/telemetry/logger.h
+++ b/packages/telemetry/include/telemetry/logger.h
@@ -25,10 +25,7 @@
   Logger(const Logger&) = delete;
   Logger& operator=(const Logger&) = delete;
 
-  void Write(const core::LogLine& line) { WriteText(std::string(line.text())); }
-
-  /// @param line text of a complete core::LogLine.
-  void WriteText(std::string line);
+  void Write(const core::LogLine& line);
 
   /// @returns lines dropped because the ring was full.
   std::uint64_t dropped() const {
--- a/packages/telemetry/src/logger.cc
+++ b/packages/telemetry/src/logger.cc
@@ -74,8 +74,8 @@
       "standard_error");
 }
 
-void Logger::WriteText(std::string line) {
-  if (!ring_.TryPush(std::move(line))) {
+void Logger::Write(const core::LogLine& line) {
+  if (!ring_.TryPush(line.TextWithLevel())) {
     dropped_.fetch_add(1, std::memory_order_relaxed);
   }
 }
@@ -89,10 +89,10 @@
                           [](const std::string& line) { LOG(INFO) << line; });
     lines.clear();
     if (const std::uint64_t total = dropped(); total != reported) {
-      LOG(INFO) << core::LogLine("log_lines_dropped")
+      LOG(INFO) << core::LogLine("log_lines_dropped", core::LogLevel::kWarning)
                        .Add("lines", total - reported)
                        .Add("reason", "reader_too_slow")
-                       .text();
+                       .TextWithLevel();
       reported = total;
     }
     WritePending();
--- a/packages/telemetry/tests/telemetry_test.cc
+++ b/packages/telemetry/tests/telemetry_test.cc
@@ -102,8 +102,10 @@
     logger.Write(core::LogLine("placed").Add("number", i));
   }
   REQUIRE(logger.dropped() > 0);
-  const std::string read = pipe.ReadUntil("event=log_lines_dropped lines=");
-  CHECK(read.find("event=log_lines_dropped lines=") != std::string::npos);
+  const std::string read =
+      pipe.ReadUntil("event=log_lines_dropped level=warning lines=");
+  CHECK(read.find("event=log_lines_dropped level=warning lines=") !=
+        std::string::npos);
 }
 
 }  // namespace
