Sum up refusals of jobs and queues that do not exist

Change: calls_refused counts them by second and reason, with the last path and host. Other refusals keep their line, as a warning unless the document is bad.

--- a/packages/core/include/core/log_limiter.h
+++ b/packages/core/include/core/log_limiter.h
@@ -47,6 +47,33 @@
   std::uint64_t suppressed_ = 0;
 };
 
+/// Sums up lines of one kind that need not be read one by one. Not thread-safe.
+class LogSummary {
+ public:
+  /// Counts a line. The first one since the last summary begins a second.
+  void Count(TimePoint now) {
+    if (lines_++ == 0) {
+      due_ = now + std::chrono::seconds(1);
+    }
+  }
+
+  /// @returns when the next summary is due; max() if nothing was counted.
+  TimePoint due() const { return due_; }
+
+  /// @returns the lines of a second that is over, once; 0 if none is due.
+  std::uint64_t Take(TimePoint now) {
+    if (now < due_) {
+      return 0;
+    }
+    due_ = TimePoint::max();
+    return std::exchange(lines_, 0);
+  }
+
+ private:
+  TimePoint due_ = TimePoint::max();
+  std::uint64_t lines_ = 0;
+};
+
 }  // namespace hickoryusher::core
 
 #endif  // CORE_LOG_LIMITER_H_
--- a/packages/core/tests/log_limiter_test.cc
+++ b/packages/core/tests/log_limiter_test.cc
@@ -23,6 +23,24 @@
   CHECK(limiter.Admit(start + milliseconds(2000)) == 1U);
 }
 
+// Guards against a summary that is written for each line, and against lines
+// that are not counted or counted twice.
+TEST_CASE("a log summary counts the lines of a second") {
+  LogSummary summary;
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  CHECK(summary.due() == TimePoint::max());
+  CHECK(summary.Take(start) == 0);
+  summary.Count(start);
+  summary.Count(start + milliseconds(900));
+  CHECK(summary.due() == start + milliseconds(1000));
+  CHECK(summary.Take(start + milliseconds(999)) == 0);
+  CHECK(summary.Take(start + milliseconds(1000)) == 2);
+  CHECK(summary.Take(start + milliseconds(1000)) == 0);
+  summary.Count(start + milliseconds(5000));
+  CHECK(summary.due() == start + milliseconds(6000));
+  CHECK(summary.Take(start + milliseconds(6000)) == 1);
+}
+
 // Guards against log lines as long as a request head.
 TEST_CASE("text of a caller is truncated for the log") {
   CHECK(TruncateForLog("/short") == "/short");
--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -1,6 +1,8 @@
 #ifndef JOBS_INTAKE_H_
 #define JOBS_INTAKE_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -64,6 +66,8 @@
   kUnknownOutcome,  ///< The job may have been stored.
 };
 
+inline constexpr std::size_t kRefusals = 7;
+
 std::string_view ToString(Refusal refusal);
 
 /// The job (kSubmit) or its cancellation (kCancel) has been stored, or the job
@@ -150,8 +154,19 @@
     core::TimePoint send_at;
   };
 
+  /// Refused calls for what does not exist.
+  struct RefusalSummary {
+    core::LogSummary calls;
+    std::string path;  ///< Of the last one.
+    std::string host;
+  };
+
   void Answer(const ClientCall& call, ClientResult result);
   void Refuse(const ClientCall& call, Refusal refusal, std::string detail = {});
+  void LogRefusal(const ClientCall& call,
+                  Refusal refusal,
+                  std::string_view detail);
+  void LogRefusalSummaries();
   void Submit(ClientCall call,
               const Queue& queue,
               std::string job,
@@ -186,6 +201,7 @@
   Options options_;
   CallIds& ids_;
   core::LogLimiter refusal_lines_{kRefusalLinesPerSecond};
+  std::array<RefusalSummary, kRefusals> refusal_summaries_;  ///< By Refusal.
   QueueConfigPtr config_;
   FailureDomains evacuated_;
   core::TimePoint now_;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -60,7 +60,7 @@
 }  // namespace
 
 std::string_view ToString(Refusal refusal) {
-  constexpr std::array<std::string_view, 7> kNames = {
+  constexpr std::array<std::string_view, kRefusals> kNames = {
       "not_configured", "store_down",  "no_capacity",    "unknown_queue",
       "bad_document",   "no_such_job", "unknown_outcome"};
   return kNames.at(static_cast<std::size_t>(refusal));
@@ -88,18 +88,7 @@
 void Intake::Refuse(const ClientCall& call,
                     Refusal refusal,
                     std::string detail) {
-  if (const auto suppressed = refusal_lines_.Admit(now_)) {
-    core::LogLine line("call_refused");
-    line.Add("path", core::TruncateForLog(call.path))
-        .Add("host", core::TruncateForLog(call.host))
-        .Add("reason", ToString(refusal))
-        .Add("detail", core::TruncateForLog(detail))
-        .Add("config", config_ ? config_->version() : 0);
-    if (*suppressed > 0) {
-      line.Add("suppressed", *suppressed);
-    }
-    options_.log(line);
-  }
+  LogRefusal(call, refusal, detail);
   CallRefused refused{.refusal = refusal, .detail = std::move(detail)};
   if (refusal == Refusal::kNotConfigured || refusal == Refusal::kStoreDown) {
     refused.retry_after = kStoreRetryAfter;
@@ -110,6 +99,49 @@
   Answer(call, std::move(refused));
 }
 
+void Intake::LogRefusal(const ClientCall& call,
+                        Refusal refusal,
+                        std::string_view detail) {
+  if (refusal == Refusal::kUnknownQueue || refusal == Refusal::kNoSuchJob) {
+    RefusalSummary& summary =
+        refusal_summaries_.at(static_cast<std::size_t>(refusal));
+    summary.calls.Count(now_);
+    summary.path = core::TruncateForLog(call.path);
+    summary.host = core::TruncateForLog(call.host);
+    return;
+  }
+  const auto suppressed = refusal_lines_.Admit(now_);
+  if (!suppressed) {
+    return;
+  }
+  core::LogLine line("call_refused", refusal == Refusal::kBadDocument
+                                         ? core::LogLevel::kInfo
+                                         : core::LogLevel::kWarning);
+  line.Add("path", core::TruncateForLog(call.path))
+      .Add("host", core::TruncateForLog(call.host))
+      .Add("reason", ToString(refusal))
+      .Add("detail", core::TruncateForLog(detail))
+      .Add("config", config_ ? config_->version() : 0);
+  if (*suppressed > 0) {
+    line.Add("suppressed", *suppressed);
+  }
+  options_.log(line);
+}
+
+void Intake::LogRefusalSummaries() {
+  for (std::size_t i = 0; i < refusal_summaries_.size(); ++i) {
+    RefusalSummary& summary = refusal_summaries_[i];
+    if (const std::uint64_t calls = summary.calls.Take(now_); calls > 0) {
+      options_.log(core::LogLine("calls_refused")
+                       .Add("reason", ToString(static_cast<Refusal>(i)))
+                       .Add("calls", calls)
+                       .Add("last_path", summary.path)
+                       .Add("last_host", summary.host)
+                       .Add("config", config_ ? config_->version() : 0));
+    }
+  }
+}
+
 void Intake::Take(ClientCall call, core::TimePoint now, std::int64_t unix_ms) {
   now_ = now;
   unix_ms_ = unix_ms;
@@ -465,7 +497,8 @@
   const auto progress = DecodeProgress(row.value);
   if (!progress) {
     options_.log(
-        core::LogLine("progress_row_unreadable").Add("job", pending.job));
+        core::LogLine("progress_row_unreadable", core::LogLevel::kError)
+            .Add("job", pending.job));
     Refuse(pending.call, Refusal::kUnknownOutcome,
            "the stored progress of the job cannot be decoded");
     return;
@@ -530,6 +563,7 @@
 
 void Intake::Run(core::TimePoint now) {
   now_ = now;
+  LogRefusalSummaries();
   std::vector<CallId> due;
   for (const auto& [id, pending] : pending_) {
     if (now >= pending.call.give_up ||
@@ -558,6 +592,9 @@
 
 core::TimePoint Intake::next_timer() const {
   core::TimePoint next = core::TimePoint::max();
+  for (const RefusalSummary& summary : refusal_summaries_) {
+    next = std::min(next, summary.calls.due());
+  }
   for (const auto& [id, pending] : pending_) {
     next =
         std::min({next, pending.call.give_up,
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -83,12 +83,16 @@
   FakeStore store;
   std::optional<ClientResult> last;
   std::int64_t long_running_millis = 0;  ///< Of submitted jobs.
+  std::vector<std::string> log;
 
  private:
   core::TimePoint now_{1h};
   CallIds ids_;
   Intake intake_{{.slices = {{.name = "a-0"}, {.name = "b-0"}},
-                  .log = [](const core::LogLine&) {}},
+                  .log =
+                      [this](const core::LogLine& line) {
+                        log.push_back(line.TextWithLevel());
+                      }},
                  ids_};
 };
 
@@ -403,6 +407,43 @@
   CHECK(world.TakeRefusal() == Refusal::kStoreDown);
 }
 
+// Guards against a log in which calls for what never existed hide the lines
+// that matter.
+TEST_CASE("refusals of what does not exist are summed up by the second",
+          "[intake]") {
+  IntakeWorld world;
+  const auto call = [&](const std::string& path, Refusal expected) {
+    world.Call(ClientVerb::kQuery, path);
+    CHECK(world.TakeRefusal() == expected);
+  };
+  call("/d/none1", Refusal::kNoSuchJob);
+  call("/d/none2", Refusal::kNoSuchJob);
+  call("/x/", Refusal::kUnknownQueue);
+  CHECK(world.log.empty());
+  world.Advance(1100ms);
+  CHECK(world.intake().next_timer() == core::TimePoint::max());
+  CHECK(world.log ==
+        std::vector<std::string>{
+            "event=calls_refused level=info reason=no_such_job calls=2 "
+            "last_path=/d/none2 last_host=h config=1",
+            "event=calls_refused level=info reason=unknown_queue calls=1 "
+            "last_path=/x/ last_host=h config=1"});
+}
+
+// Guards against a caller whose job was refused and of which no line tells.
+TEST_CASE("a refusal of what may exist has a line of its own", "[intake]") {
+  IntakeWorld world;
+  world.store.Put({.table = SliceTableName(), .part = {}, .key = "a-0"},
+                  "1 p 1");
+  world.Call(ClientVerb::kQuery, "/d/");
+  CHECK(world.TakeRefusal() == Refusal::kStoreDown);
+  CHECK(world.log ==
+        std::vector<std::string>{
+            "event=call_refused level=warning path=/d/ host=h "
+            "reason=store_down detail=\"no recent count of waiting jobs in "
+            "slice a-0\" config=1"});
+}
+
 TEST_CASE("paths without a queue and calls before the configuration",
           "[intake]") {
   IntakeWorld world;
