Log orders to workers that are written late

Cause: nothing tells whether an order left a process long after it was decided on, as after a suspension of the process.

--- a/packages/http/include/http/upstream.h
+++ b/packages/http/include/http/upstream.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/time.h"
 #include "http/byte_budget.h"
 #include "http/message.h"
 #include "http/ring_sink.h"
@@ -41,6 +42,8 @@
   /// Nothing is written from this time on. Unlike the time limits, it covers
   /// the time before the exchange starts, in which the process may be frozen.
   core::TimePoint write_before = core::TimePoint::max();
+  /// When the request was decided on, for `write_delay` of its end.
+  core::TimePoint decided{};
   std::size_t max_connections_per_host = 8;
   std::size_t max_response_bytes = 8UL * 1024 * 1024;
 };
@@ -78,6 +81,9 @@
   std::vector<Header> headers;
   std::string body;
   core::TimePoint at;
+  /// From `decided` until the last copy of the request could be written; 0 if
+  /// none was, or without `decided`.
+  core::Duration write_delay{};
 };
 
 /// The exchange ended without a complete answer.
@@ -92,6 +98,7 @@
   std::string_view reason;
   std::string detail;  ///< For the log.
   core::TimePoint at;
+  core::Duration write_delay{};  ///< As in Completed.
 };
 
 /// Each started exchange ends with exactly one Completed or Failed.
--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -158,7 +158,8 @@
 
 int Exchange::OnPreRequest(void* self, char*, char*, int, int) {
   auto* exchange = static_cast<Exchange*>(self);
-  if (std::chrono::steady_clock::now() >= exchange->command_.write_before) {
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  if (now >= exchange->command_.write_before) {
     exchange->own_reason_ = "deadline_passed";
     return CURL_PREREQFUNC_ABORT;
   }
@@ -168,6 +169,9 @@
     return CURL_PREREQFUNC_ABORT;
   }
   exchange->may_have_written_ = true;
+  if (exchange->command_.decided != core::TimePoint()) {
+    exchange->write_delay_ = now - exchange->command_.decided;
+  }
   return CURL_PREREQFUNC_OK;
 }
 
@@ -335,7 +339,8 @@
                    .status = static_cast<int>(status),
                    .headers = std::move(headers_),
                    .body = std::move(body_),
-                   .at = now};
+                   .at = now,
+                   .write_delay = write_delay_};
 }
 
 Failed Exchange::Fail(std::string_view reason, core::TimePoint now) const {
@@ -343,7 +348,8 @@
           .stage = stage(),
           .reason = reason,
           .detail = error_,
-          .at = now};
+          .at = now,
+          .write_delay = write_delay_};
 }
 
 }  // namespace hickoryusher::http
--- a/packages/http/src/exchange_p.h
+++ b/packages/http/src/exchange_p.h
@@ -95,6 +95,7 @@
   bool socket_opened_ = false;
   bool may_have_written_ = false;
   bool answer_started_ = false;
+  core::Duration write_delay_{};
   /// Why a callback ended the transfer; empty if none did.
   std::string_view own_reason_;
   std::vector<Header> headers_;
--- a/packages/http/tests/upstream_test.cc
+++ b/packages/http/tests/upstream_test.cc
@@ -108,6 +108,24 @@
   CHECK(endpoint->record().stats().runs == 0);
 }
 
+// Guards against an order that leaves a suspended process late, and that looks
+// like any other: the delay counts from the decision, not from the exchange.
+TEST_CASE("the end of an exchange tells how late it was written") {
+  const auto endpoint = EndpointStandIn::Start({});
+  Harness harness;
+  StartExchange late = Post(UrlOf(*endpoint), "late");
+  late.decided = std::chrono::steady_clock::now() - milliseconds(700);
+  harness.Start(std::move(late));
+  CHECK(harness.Success().write_delay >= milliseconds(700));
+  harness.Start(Post(UrlOf(*endpoint), "plain"));
+  CHECK(harness.Success().write_delay == core::Duration());
+  StartExchange unwritten = Post(UrlOf(*endpoint), "unwritten");
+  unwritten.decided = std::chrono::steady_clock::now() - milliseconds(700);
+  unwritten.write_before = unwritten.decided;
+  harness.Start(std::move(unwritten));
+  CHECK(harness.Failure().write_delay == core::Duration());
+}
+
 // Guards against a broken answer that is passed on as complete.
 TEST_CASE("a truncated, oversized or malformed answer is a failure") {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -37,6 +37,7 @@
       options_(std::move(options)),
       charts_(std::move(charts)),
       codec_(ports.make_codec(options_.log)),
+      late_orders_(options_.log),
       inputs_(kRingSlots) {}
 
 SchedulerDuty::~SchedulerDuty() {
@@ -167,6 +168,7 @@
 
 void SchedulerDuty::HandleEvent(const http::UpstreamEvent& event,
                                 core::TimePoint now) {
+  late_orders_.Handle(event, now);
   const auto decoded = codec_.decode(event);
   if (!decoded) {
     return;
@@ -329,6 +331,7 @@
     exchange = codec_.encode_store(command);
   } else {
     exchange = codec_.encode_worker(command);
+    exchange.decided = now;
   }
   const core::AttemptId id = exchange.id;
   if (!upstream_->TrySend(std::move(exchange))) {
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -17,6 +17,7 @@
 #include "jobs/slice_scheduler.h"
 #include "jobs/table_follower.h"
 #include "jobs_process/ports.h"
+#include "late_order_log_p.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
 
@@ -93,6 +94,7 @@
   Options options_;
   SchedulerCharts charts_;
   OutsideCodec codec_;
+  LateOrderLog late_orders_;
   jobs::CallIds ids_;
   std::unique_ptr<jobs::SliceBoard> board_;
   std::map<core::SliceId, std::unique_ptr<jobs::SliceScheduler>> schedulers_;
