Tell lives of workers, owners and late starts apart in the log

Change: lines about workers give born, generation, slice and epoch; lines about owners give the incarnation. New are worker_unheard 1 s after a takeover, slice_lost with late_start_left, late_start_seen and late_start_expired, each bounded. run_lost, start_unanswered, unknown_run_stopped, lapsed runs and lost contact are warnings. No decision changes.

--- a/packages/ctl/src/story.cc
+++ b/packages/ctl/src/story.cc
@@ -14,9 +14,10 @@
 using std::chrono::milliseconds;
 
 // What is said of workers and slices, not of a job.
-constexpr std::array<std::string_view, 6> kAroundEvents = {
-    "worker_contact",  "worker_quarantined", "worker_unlisted",
-    "slice_ownership", "slice_restored",     "commit_not_stored"};
+constexpr std::array<std::string_view, 8> kAroundEvents = {
+    "worker_contact", "worker_quarantined", "worker_unlisted",
+    "worker_unheard", "slice_ownership",    "slice_restored",
+    "slice_lost",     "commit_not_stored"};
 
 // A slice's load is shown from this long before until as long after the job's
 // tasks wait; slices report it every 2 s.
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -71,8 +71,9 @@
   core::WorkerId lost_start_on;
   /// Generation of the worker's last order for the run.
   Generation ordered = 0;
-  core::TimePoint started;   ///< When the current run became known.
-  core::TimePoint advanced;  ///< When `percent` last grew.
+  core::TimePoint start_sent;  ///< Of the last start by this owner.
+  core::TimePoint started;     ///< When the current run became known.
+  core::TimePoint advanced;    ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
   /// run is not on the worker. max() while an order is unanswered.
   core::TimePoint settled = core::TimePoint::max();
--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -43,10 +43,15 @@
   core::TimePoint earlier_term_end;
   /// As in OwnerRecord, of the owner before; 0 if there was none.
   Epoch places_since = 0;
+  /// As in the OwnerRecord that was claimed: the owner before, or "-" if that
+  /// one has released the slice.
+  std::string predecessor;
+  std::string predecessor_incarnation;
 };
 
 struct SliceLost {
   core::SliceId slice;
+  std::string cause;  ///< Event of the chart `slice_ownership`.
 };
 
 using SliceNotice = std::variant<SliceGained, SliceLost>;
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -17,6 +17,7 @@
 
 #include "chart/chart.h"
 #include "chart/interpreter.h"
+#include "core/log_limiter.h"
 #include "core/log_line.h"
 #include "core/name_table.h"
 #include "jobs/hand_over.h"
@@ -69,6 +70,9 @@
     core::TimePoint predecessor_term_end;  ///< As in SliceGained.
     core::TimePoint earlier_term_end;      ///< As in SliceGained.
     Epoch places_since = 0;                ///< As in SliceGained.
+    std::string incarnation;               ///< Of this process.
+    std::string predecessor;               ///< As in SliceGained.
+    std::string predecessor_incarnation;   ///< As in SliceGained.
     FleetLimits limits;
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
@@ -130,6 +134,10 @@
   /// @returns true once the slice may be released after HandOver.
   bool handed_over() const;
 
+  /// Logs why the slice was lost, and what of this owner may still reach
+  /// workers. @param cause as in SliceLost.
+  void LogLoss(std::string_view cause, core::TimePoint now);
+
   /// @returns true once a worker has refused an order with this owner's epoch.
   bool fenced() const { return fenced_; }
   core::SliceId slice() const { return options_.id; }
@@ -298,6 +306,18 @@
   bool IsReady(const Task& task) const;
   bool MayStart(const Task& task) const;
 
+  // Log lines about workers and changes of the owner.
+  core::LogLine& AddLife(core::LogLine& line, const Worker& worker) const;
+  core::LogLine LineOf(std::string_view event,
+                       core::LogLevel level,
+                       const Worker& worker,
+                       const Worker::LateStart& start);
+  void LogRestored();
+  std::string_view ReasonUnheard(const Worker& worker) const;
+  void LogUnheard();
+  void LogLateStartSeen(Worker& worker, const Task& task, RunNumber run);
+  void LogExpiredLateStarts(const Worker& worker);
+
   // Waits.
   void LogWait(Job& job, const Group& group);
   void LogUnconfirmed();
@@ -406,6 +426,9 @@
   void LogLoad();
   static void AddWorkerTo(SliceLoad& load, const WorkerEntry& entry);
 
+  // Late starts can be many after a worker or a network was lost.
+  static constexpr std::uint64_t kLateStartLinesPerSecond = 20;
+
   Options options_;
   SliceCharts charts_;
   CallIds& ids_;
@@ -506,6 +529,8 @@
   core::TimePoint incoming_until_;
 
   std::uint64_t candidates_evaluated_ = 0;
+  core::LogLimiter late_start_lines_{kLateStartLinesPerSecond};
+  core::TimePoint unheard_log_due_ = core::TimePoint::max();
   core::TimePoint next_wait_log_;
   core::TimePoint next_unconfirmed_log_;
   core::TimePoint next_load_log_;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -87,6 +87,7 @@
     std::uint32_t task = 0;  ///< Its number in the job.
     RunNumber run = 0;
     core::TimePoint until;  ///< When it can come no more.
+    bool seen = false;      ///< A copy of it was seen carried out.
   };
   std::vector<LateStart> late_starts;
 
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -95,6 +95,7 @@
   Epoch claim_places_since = 0;       ///< In the owner record of the claim.
   bool vacant = false;     ///< The slice was vacant when it was claimed.
   Epoch places_since = 0;  ///< Of the owner before this process's claim.
+  OwnerRecord claimed;     ///< The owner record that was claimed.
   bool claim_unanswered = false;
   bool release_due = false;
   bool write_releases = false;  ///< The write in flight is a release.
@@ -103,6 +104,7 @@
 struct SliceBoard::Context {
   SliceBoard& board;
   Slice& slice;
+  std::string_view event;
   core::TimePoint now;
 };
 
@@ -128,18 +130,21 @@
               [](Context& c) {
                 c.slice.term_end = TermEndOf(c.slice);
                 c.slice.next_write = c.now + kRenewInterval;
-                c.board.notices_.push_back(
-                    SliceGained{.slice = c.slice.id,
-                                .epoch = c.slice.owner.epoch,
-                                .fence_version = c.slice.claim_version,
-                                .predecessor_ended = c.slice.vacant,
-                                .predecessor_term_end = c.slice.owner_term_end,
-                                .earlier_term_end = c.slice.earlier_term_end,
-                                .places_since = c.slice.places_since});
+                c.board.notices_.push_back(SliceGained{
+                    .slice = c.slice.id,
+                    .epoch = c.slice.owner.epoch,
+                    .fence_version = c.slice.claim_version,
+                    .predecessor_ended = c.slice.vacant,
+                    .predecessor_term_end = c.slice.owner_term_end,
+                    .earlier_term_end = c.slice.earlier_term_end,
+                    .places_since = c.slice.places_since,
+                    .predecessor = c.slice.claimed.process,
+                    .predecessor_incarnation = c.slice.claimed.incarnation});
               })
       .Action("announce_loss", [](Context& c) {
         c.slice.unchanged_since = c.now;
-        c.board.notices_.push_back(SliceLost{.slice = c.slice.id});
+        c.board.notices_.push_back(
+            SliceLost{.slice = c.slice.id, .cause = std::string(c.event)});
       });
   return bindings;
 }
@@ -169,17 +174,22 @@
 void SliceBoard::Dispatch(Slice& slice,
                           std::string_view event,
                           core::TimePoint now) {
-  Context context{*this, slice, now};
+  Context context{*this, slice, event, now};
   const chart::StateId before = slice.state;
   slice.state =
       interpreter_->Dispatch(before, chart_.FindEvent(event), context).state;
   if (slice.state != before) {
-    options_.log(core::LogLine("slice_ownership")
+    const bool lost = event == "deposed" || event == "expired";
+    options_.log(core::LogLine("slice_ownership", lost
+                                                      ? core::LogLevel::kWarning
+                                                      : core::LogLevel::kInfo)
                      .Add("slice", slice.info.name)
                      .Add("cause", event)
                      .Add("state", chart_.StateName(slice.state))
                      .Add("epoch", slice.owner.epoch)
-                     .Add("holder", slice.owner.process));
+                     .Add("holder", slice.owner.process)
+                     .Add("holder_incarnation", slice.owner.incarnation)
+                     .Add("incarnation", options_.incarnation));
   }
 }
 
@@ -330,6 +340,7 @@
       owner.places_since = owner.epoch;
     }
     slice.places_since = slice.owner.places_since;
+    slice.claimed = slice.owner;
     slice.claim_places_since = owner.places_since;
     slice.vacant = IsVacant(slice);
     slice.claim_earlier_ms = owner.earlier_term_end_ms;
@@ -406,7 +417,7 @@
   if (row != nullptr) {
     const auto owner = DecodeOwnerRecord(row->value);
     if (!owner) {
-      options_.log(core::LogLine("slice_row_unreadable")
+      options_.log(core::LogLine("slice_row_unreadable", core::LogLevel::kError)
                        .Add("slice", slice.info.name)
                        .Add("value", row->value));
     }
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -215,6 +215,7 @@
         Dispatch(*task, "unanswered");
       }
     }
+    LogExpiredLateStarts(*worker);
     if (worker->ExpireLateStarts(now_)) {
       placement_due_ = true;
       commit_due_ = std::min(commit_due_, now_ + kTick);
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -126,16 +126,7 @@
   restored_ = true;
   stored_progress_.clear();
   stored_places_.clear();
-  options_.log(
-      core::LogLine("slice_restored")
-          .Add("slice", options_.slice.name)
-          .Add("epoch", options_.epoch)
-          .Add("jobs", jobs_.size())
-          .Add("predecessor_lease_left_ms",
-               core::ToMillis(
-                   PredecessorLeaseEnd(options_.limits.longest_lease) - now_))
-          .Add("usual_lease_left_ms",
-               core::ToMillis(PredecessorUsualLeaseEnd() - now_)));
+  LogRestored();
 }
 
 // Without the roster or a job's progress, tasks would be started that may
@@ -145,7 +136,7 @@
   if (row == page.rows.end()) {
     return true;
   }
-  options_.log(core::LogLine("progress_row_unreadable")
+  options_.log(core::LogLine("progress_row_unreadable", core::LogLevel::kError)
                    .Add("slice", options_.slice.name)
                    .Add("job", row->key.key));
   return false;
@@ -167,9 +158,10 @@
     }
     auto progress = DecodeProgress(row.value);
     if (!progress) {
-      options_.log(core::LogLine("progress_row_unreadable")
-                       .Add("slice", options_.slice.name)
-                       .Add("job", row.key.key));
+      options_.log(
+          core::LogLine("progress_row_unreadable", core::LogLevel::kError)
+              .Add("slice", options_.slice.name)
+              .Add("job", row.key.key));
       continue;
     }
     if (IsFinal(progress->phase)) {
@@ -235,7 +227,7 @@
   const auto stored = DecodeStoredJob(row.value);
   auto spec = stored ? options_.read_document(*stored) : std::nullopt;
   if (!spec) {
-    options_.log(core::LogLine("job_row_unreadable")
+    options_.log(core::LogLine("job_row_unreadable", core::LogLevel::kError)
                      .Add("slice", options_.slice.name)
                      .Add("job", row.key.key));
     return;
@@ -427,6 +419,7 @@
     }
   });
   RenewLeases();
+  LogUnheard();
   if (now >= next_placement_) {
     // Quarantines and pauses end without an event.
     next_placement_ = now + kPlacementInterval;
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -133,7 +133,7 @@
           ->Dispatch(task.state, charts_.task_run.FindEvent(event), context)
           .state;
   if (job.halted && !was_halted) {
-    options_.log(core::LogLine("job_failed")
+    options_.log(core::LogLine("job_failed", core::LogLevel::kWarning)
                      .Add("job", job.spec.id)
                      .Add("task", ToText(job.AddressOf(task)))
                      .Add("failures", task.failures.size()));
@@ -214,14 +214,17 @@
                                       .payload = job.spec.payload,
                                       .checkpoint = task.checkpoint,
                                       .lease_until_ms = until});
+  task.start_sent = now_;
   options_.log(
-      core::LogLine("task_placed")
-          .Add("task", ToText(job.AddressOf(task)))
-          .Add("run", task.run)
-          .Add("worker", worker.entry.id)
-          .Add("generation", worker.generation)
-          .Add("free_millis", worker.free().cpu_millis)
-          .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)));
+      AddLife(core::LogLine("task_placed")
+                  .Add("task", ToText(job.AddressOf(task)))
+                  .Add("run", task.run)
+                  .Add("worker", worker.entry.id)
+                  .Add("call", call.value())
+                  .Add("copy", task.start_copies)
+                  .Add("free_millis", worker.free().cpu_millis)
+                  .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)),
+              worker));
 }
 
 void SliceScheduler::SendStop(Task& task) {
@@ -282,13 +285,15 @@
     }
     return;
   }
-  options_.log(core::LogLine("start_unanswered")
-                   .Add("job", call.job)
-                   .Add("task", call.number)
-                   .Add("run", call.run)
-                   .Add("worker", worker.entry.id)
-                   .Add("born", worker.born_unix_ms)
-                   .Add("generation", call.generation));
+  options_.log(
+      AddLife(core::LogLine("start_unanswered", core::LogLevel::kWarning)
+                  .Add("job", call.job)
+                  .Add("task", call.number)
+                  .Add("run", call.run)
+                  .Add("worker", worker.entry.id)
+                  .Add("call", answer.call.value())
+                  .Add("ordered", call.generation),
+              worker));
   ExpectLateStart(worker, call.job, call.number, call.run);
   if (job != nullptr && job->tasks[call.number].run_seen) {
     ForgetLateStart(worker, job->tasks[call.number], call.run);
@@ -375,10 +380,13 @@
       DispatchContact(worker, "no_answer");
       [[fallthrough]];
     default:
-      options_.log(core::LogLine("start_refused")
-                       .Add("task", ToText(job->AddressOf(task)))
-                       .Add("worker", worker.entry.id)
-                       .Add("reason", ToString(answer.outcome)));
+      options_.log(AddLife(core::LogLine("start_refused")
+                               .Add("task", ToText(job->AddressOf(task)))
+                               .Add("run", task.run)
+                               .Add("worker", worker.entry.id)
+                               .Add("reason", ToString(answer.outcome))
+                               .Add("ordered", call.generation),
+                           worker));
       if (answer.outcome == OrderOutcome::kRefused) {
         UpdateQuarantine(worker, EndKind::kFailed, call.job);
       }
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -69,18 +69,19 @@
     if (IsRosterOutdated(worker)) {
       ScheduleRosterWrite();
     }
-    options_.log(
-        core::LogLine("worker_contact")
+    const bool answers = event == "report" || event == "partial_report";
+    options_.log(AddLife(
+        core::LogLine("worker_contact", answers ? core::LogLevel::kInfo
+                                                : core::LogLevel::kWarning)
             .Add("worker", worker.entry.id)
-            .Add("born", worker.born_unix_ms)
-            .Add("generation", worker.generation)
             .Add("cause", event)
             .Add("from", charts_.worker_contact.StateName(before))
             .Add("state", charts_.worker_contact.StateName(worker.contact))
             .Add("draining", worker.entry.draining)
             .Add("lease_left_ms", core::ToMillis(LeaseEnd(worker) - now_))
             .Add("term_left_ms", core::ToMillis(term_end_ - now_))
-            .Add("tasks", worker.tasks.size()));
+            .Add("tasks", worker.tasks.size()),
+        worker));
   }
 }
 
@@ -115,9 +116,10 @@
   now_ = now;
   if (Worker* worker = workers_.Find(id)) {
     worker->listed = false;
-    options_.log(core::LogLine("worker_unlisted")
-                     .Add("worker", id)
-                     .Add("tasks", worker->tasks.size()));
+    options_.log(AddLife(core::LogLine("worker_unlisted")
+                             .Add("worker", id)
+                             .Add("tasks", worker->tasks.size()),
+                         *worker));
   }
 }
 
@@ -256,12 +258,17 @@
   // Stored with the next commit, even if nothing else changes.
   commit_due_ = std::min(commit_due_, now_ + kTick);
   Task* task = jobs_.FindTask(end.task);
-  options_.log(core::LogLine("run_ended")
-                   .Add("task", ToText(end.task))
-                   .Add("run", end.run)
-                   .Add("worker", worker.entry.id)
-                   .Add("how", ToString(end.kind))
-                   .Add("known", task != nullptr));
+  const bool lapsed = end.kind == EndKind::kLapsed;
+  options_.log(
+      AddLife(core::LogLine("run_ended", lapsed ? core::LogLevel::kWarning
+                                                : core::LogLevel::kInfo)
+                  .Add("task", ToText(end.task))
+                  .Add("run", end.run)
+                  .Add("worker", worker.entry.id)
+                  .Add("number", end.number),
+              worker)
+          .Add("how", ToString(end.kind))
+          .Add("known", task != nullptr));
   if (task == nullptr) {
     HoldUnknownEnd(worker, end);
   } else {
@@ -271,6 +278,7 @@
 
 void SliceScheduler::ApplyEnd(Worker& worker, Task& task, const EndedRun& end) {
   Job* job = task.job;
+  LogLateStartSeen(worker, task, end.run);
   ForgetLateStart(worker, task, end.run);
   if (const auto until = worker.LateStartOf(task);
       until && end.kind == EndKind::kDone) {
@@ -347,7 +355,7 @@
   ++worker.quarantines;
   // After the pause, a failure of one more job renews the quarantine.
   worker.failing_jobs.pop_back();
-  options_.log(core::LogLine("worker_quarantined")
+  options_.log(core::LogLine("worker_quarantined", core::LogLevel::kWarning)
                    .Add("worker", worker.entry.id)
                    .Add("pause_ms", core::ToMillis(pause)));
 }
@@ -368,6 +376,7 @@
 void SliceScheduler::HandleActive(Worker& worker,
                                   Task& task,
                                   const ActiveRun& run) {
+  LogLateStartSeen(worker, task, run.run);
   ForgetLateStart(worker, task, run.run);
   const bool idle =
       IsState(task, states_.blocked) || IsState(task, states_.ready);
@@ -424,10 +433,18 @@
 }
 
 void SliceScheduler::StopUnknown(Worker& worker, const ActiveRun& run) {
-  options_.log(core::LogLine("unknown_run_stopped")
-                   .Add("task", ToText(run.task))
-                   .Add("run", run.run)
-                   .Add("worker", worker.entry.id));
+  core::LogLine line("unknown_run_stopped", core::LogLevel::kWarning);
+  line.Add("task", ToText(run.task))
+      .Add("run", run.run)
+      .Add("worker", worker.entry.id);
+  AddLife(line, worker);
+  if (const Task* task = jobs_.FindTask(run.task)) {
+    line.Add("other_run", task->run)
+        .Add("other_worker", task->worker.valid()
+                                 ? workers_.Get(task->worker).entry.id
+                                 : std::string());
+  }
+  options_.log(line);
   worker_commands_.push_back(StopRun{.call = ids_.Next(),
                                      .to = DestinationOf(worker),
                                      .token = NextToken(worker),
@@ -485,15 +502,16 @@
 void SliceScheduler::LoseRun(Worker& worker,
                              Task& task,
                              std::string_view cause) {
-  options_.log(core::LogLine("run_lost")
-                   .Add("task", ToText(task.job->AddressOf(task)))
-                   .Add("run", task.run)
-                   .Add("worker", worker.entry.id)
-                   .Add("born", worker.born_unix_ms)
-                   .Add("seen", task.run_seen)
-                   .Add("cause", cause)
-                   .Add("ends", worker.last_end)
-                   .Add("acknowledged", worker.acknowledged));
+  options_.log(AddLife(core::LogLine("run_lost", core::LogLevel::kWarning)
+                           .Add("task", ToText(task.job->AddressOf(task)))
+                           .Add("run", task.run)
+                           .Add("worker", worker.entry.id)
+                           .Add("seen", task.run_seen)
+                           .Add("cause", cause)
+                           .Add("ordered", task.ordered)
+                           .Add("ends", worker.last_end)
+                           .Add("acknowledged", worker.acknowledged),
+                       worker));
   if (!task.run_seen) {
     task.lost_start_on = worker.id;
     if (!worker.LateStartOf(task)) {
--- a/packages/jobs/tests/slice_board_test.cc
+++ b/packages/jobs/tests/slice_board_test.cc
@@ -61,6 +61,7 @@
         gains.push_back(*gained);
       } else {
         ++losses;
+        last_loss = std::get<SliceLost>(notice).cause;
       }
     }
   }
@@ -71,6 +72,7 @@
   bool may_write = true;  ///< The store refuses its writes otherwise.
   std::vector<SliceGained> gains;
   std::size_t losses = 0;
+  std::string last_loss;  ///< Its cause.
 
  private:
   FakeStore& store_;
@@ -113,6 +115,27 @@
   CHECK(a.losses + b.losses == 0);
 }
 
+// Guards against a log that does not tell whether an owner follows another
+// process or an earlier life of itself, and why an owner has ended.
+TEST_CASE("a change of the owner names the owner before and the cause",
+          "[board]") {
+  Cluster cluster;
+  Member first(cluster.store, "a", "yoff", "1");
+  cluster.Advance(2s, {&first});
+  REQUIRE(first.gains.size() == 1);
+  CHECK(first.gains[0].predecessor.empty());
+  Member second(cluster.store, "a", "yoff", "2");
+  cluster.Advance(5s, {&second});
+  REQUIRE(second.gains.size() == 1);
+  CHECK(second.gains[0].predecessor == "a");
+  CHECK(second.gains[0].predecessor_incarnation == "1");
+  cluster.Advance(1200ms, {&first});
+  CHECK(first.last_loss == "deposed");
+  second.reaches_store = false;
+  cluster.Advance(13s, {&second});
+  CHECK(second.last_loss == "expired");
+}
+
 TEST_CASE("a dead owner is succeeded by a process of its failure domain",
           "[board]") {
   Cluster cluster;
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -175,6 +175,9 @@
        .log =
            [this](const core::LogLine& line) {
              log.emplace_back(line.text());
+             if (line.level() != core::LogLevel::kInfo) {
+               warnings.emplace_back(line.text());
+             }
            }},
       {.task_run = TaskChart(), .worker_contact = ContactChart()}, ids_, now_,
       problems);
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -119,6 +119,8 @@
 
   /// Log lines of all owners.
   std::vector<std::string> log;
+  /// Those of them that are warnings or errors.
+  std::vector<std::string> warnings;
 
   /// Removed rows that reads of the job table still return.
   std::vector<Row> late_rows;
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -147,6 +147,7 @@
 
   ProcessOptions options;
   Ports ports;
+  const std::string incarnation = std::to_string(UnixMillis());
   telemetry::Logger logger{kLogRingSlots};
   std::unique_ptr<IntakeDuty> intake;
   std::unique_ptr<SchedulerDuty> scheduler;
@@ -179,7 +180,7 @@
   scheduler = SchedulerDuty::Create(
       ports,
       {.process = options.process,
-       .incarnation = std::to_string(UnixMillis()),
+       .incarnation = incarnation,
        .failure_domain = options.failure_domain,
        .cpu_millis = options.cpu_millis,
        .slices = slices,
@@ -263,6 +264,7 @@
   intake->Start(*intake_upstream);
   logger.Write(core::LogLine("process_started")
                    .Add("process", options.process)
+                   .Add("incarnation", incarnation)
                    .Add("failure_domain", options.failure_domain));
   return true;
 }
--- a/packages/jobs_process/src/scheduler_duty.cc
+++ b/packages/jobs_process/src/scheduler_duty.cc
@@ -131,7 +131,7 @@
   for (const auto& [id, scheduler] : schedulers_) {
     candidates_evaluated += scheduler->candidates_evaluated();
   }
-  options_.log(core::LogLine("scheduler_round_slow")
+  options_.log(core::LogLine("scheduler_round_slow", core::LogLevel::kWarning)
                    .Add("ms", core::ToMillis(end - begun))
                    .Add("slices", schedulers_.size())
                    .Add("considerations", candidates_evaluated));
@@ -245,9 +245,10 @@
     return;
   }
   next_unreadable_entry_log_ = now + kUnreadableEntryLogInterval;
-  options_.log(core::LogLine("worker_entry_unreadable")
-                   .Add("key", row.key.key.substr(0, kMaxLoggedKeyBytes))
-                   .Add("total", unreadable_entries_));
+  options_.log(
+      core::LogLine("worker_entry_unreadable", core::LogLevel::kWarning)
+          .Add("key", row.key.key.substr(0, kMaxLoggedKeyBytes))
+          .Add("total", unreadable_entries_));
 }
 
 void SchedulerDuty::StartScheduler(const jobs::SliceGained& gained,
@@ -263,6 +264,9 @@
        .predecessor_term_end = gained.predecessor_term_end,
        .earlier_term_end = gained.earlier_term_end,
        .places_since = gained.places_since,
+       .incarnation = options_.incarnation,
+       .predecessor = gained.predecessor,
+       .predecessor_incarnation = gained.predecessor_incarnation,
        .limits = options_.limits,
        .read_document = ports_.read_document,
        .log = options_.log},
@@ -270,8 +274,8 @@
       ids_, now, problems);
   if (scheduler == nullptr) {
     for (const chart::Problem& problem : problems) {
-      options_.log(
-          core::LogLine("chart_unusable").Add("problem", problem.text));
+      options_.log(core::LogLine("chart_unusable", core::LogLevel::kError)
+                       .Add("problem", problem.text));
     }
     return;
   }
@@ -308,13 +312,22 @@
   options_.publish_loads(board_->Loads());
 }
 
+void SchedulerDuty::EndScheduler(const jobs::SliceLost& lost,
+                                 core::TimePoint now) {
+  const auto found = schedulers_.find(lost.slice);
+  if (found != schedulers_.end()) {
+    found->second->LogLoss(lost.cause, now);
+    schedulers_.erase(found);
+  }
+}
+
 void SchedulerDuty::PopNotices(core::TimePoint now) {
   for (const jobs::SliceNotice& notice : board_->PopNotices()) {
     std::visit(core::Overloaded{[&](const jobs::SliceGained& gained) {
                                   StartScheduler(gained, now);
                                 },
                                 [&](const jobs::SliceLost& lost) {
-                                  schedulers_.erase(lost.slice);
+                                  EndScheduler(lost, now);
                                 }},
                notice);
   }
@@ -335,7 +348,8 @@
   }
   const core::AttemptId id = exchange.id;
   if (!upstream_->TrySend(std::move(exchange))) {
-    options_.log(core::LogLine("upstream_ring_full").Add("call", id.value()));
+    options_.log(core::LogLine("upstream_ring_full", core::LogLevel::kWarning)
+                     .Add("call", id.value()));
     HandleEvent(http::Failed{.id = id,
                              .stage = http::Stage::kBeforeConnection,
                              .reason = "ring_full",
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -80,6 +80,7 @@
   void RemoveMissingWorkers(const jobs::TableSnapshot& snapshot,
                             core::TimePoint now);
   void PopNotices(core::TimePoint now);
+  void EndScheduler(const jobs::SliceLost& lost, core::TimePoint now);
   void PublishLoads();
   void ReleaseSlices(core::TimePoint now);
   void StartScheduler(const jobs::SliceGained& gained, core::TimePoint now);
