--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -74,8 +74,9 @@
   /// When its last run was taken for over. It starts again once the term has
   /// been renewed since.
   core::TimePoint free_since;
-  core::TimePoint started;   ///< When the current run became known.
-  core::TimePoint advanced;  ///< When `percent` last grew.
+  core::TimePoint start_sent;  ///< Of the last start by this owner.
+  core::TimePoint started;     ///< When the current run became known.
+  core::TimePoint advanced;    ///< When `percent` last grew.
   /// If a report was requested later than this and does not list the run, the
   /// run is not on the worker. max() while an order is unanswered.
   core::TimePoint settled = core::TimePoint::max();
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -163,11 +163,9 @@
     Worker* worker = workers_.Find(entry.id);
     if (worker == nullptr) {
       // Its tasks may still run although it is not in the registry.
-      UpdateWorker({.id = entry.id,
-                    .address = entry.address,
-                    .failure_domain = options_.slice.failure_domain},
-                   now_);
-      worker = workers_.Find(entry.id);
+      worker = &AddWorker({.id = entry.id,
+                           .address = entry.address,
+                           .failure_domain = options_.slice.failure_domain});
       worker->listed = false;
     }
     worker->in_roster = true;
@@ -224,7 +222,7 @@
   if (now_ >= next_commit_log_) {
     next_commit_log_ = now_ + kCommitLogInterval;
     options_.log(
-        core::LogLine("commit_not_stored")
+        core::LogLine("commit_not_stored", core::LogLevel::kWarning)
             .Add("slice", options_.slice.name)
             .Add("reason", conflict != nullptr ? "conflict"
                            : std::holds_alternative<StoreRefused>(event)
--- a/packages/jobs/src/slice_leases.cc
+++ b/packages/jobs/src/slice_leases.cc
@@ -220,6 +220,8 @@
 }
 
 void SliceScheduler::RenewLeases() {
+  const core::TimePoint owned_until =
+      std::min(now_, term_end_ - SliceBoard::kOwnerGrace);
   for (const auto& worker : workers_.all()) {
     if (now_ >= LeaseEnd(*worker)) {
       DispatchContact(*worker, "lease_over");
@@ -236,8 +238,8 @@
         Dispatch(*task, "unanswered");
       }
     }
-    if (worker->ExpireLateStarts(
-            std::min(now_, term_end_ - SliceBoard::kOwnerGrace))) {
+    LogExpiredLateStarts(*worker, owned_until);
+    if (worker->ExpireLateStarts(owned_until)) {
       placement_due_ = true;
       commit_due_ = std::min(commit_due_, now_ + kTick);
     }
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -17,6 +17,7 @@
 #include "jobs/slice_scheduler.h"
 #include "jobs/table_follower.h"
 #include "jobs_process/ports.h"
+#include "late_order_log_p.h"
 #include "runtime/duty_thread.h"
 #include "runtime/ring.h"
 
@@ -79,6 +80,7 @@
   void RemoveMissingWorkers(const jobs::TableSnapshot& snapshot,
                             core::TimePoint now);
   void PopNotices(core::TimePoint now);
+  void EndScheduler(const jobs::SliceLost& lost, core::TimePoint now);
   void PublishLoads();
   void ReleaseSlices(core::TimePoint now);
   void StartScheduler(const jobs::SliceGained& gained, core::TimePoint now);
@@ -93,6 +95,7 @@
   Options options_;
   SchedulerCharts charts_;
   OutsideCodec codec_;
+  LateOrderLog late_orders_;
   jobs::CallIds ids_;
   std::unique_ptr<jobs::SliceBoard> board_;
   std::map<core::SliceId, std::unique_ptr<jobs::SliceScheduler>> schedulers_;
--- a/tests/process/settings.sh
+++ b/tests/process/settings.sh
@@ -140,7 +140,7 @@
 settings 1 set /teams/bruit/services/carnet/floors/batch 0.75 > "$work/set.out"
 settings 1 set /teams/bruit/services/carnet/first_byte_timeout_ms 321 > "$work/set.out"
 for e in 0 1 2; do
-  until grep -qF 'event=service_policy service=carnet floor_latency_critical=0 floor_batch=0.75 floor_watcher=0 first_byte_timeout_ms=321' "$work/e$e.log"; do
+  until grep -qF 'event=service_policy level=info service=carnet floor_latency_critical=0 floor_batch=0.75 floor_watcher=0 first_byte_timeout_ms=321' "$work/e$e.log"; do
     [ $(($(millis) - began)) -lt 3000 ] || fail "e$e's router does not use the settings after 3 s"
     sleep 0.05
   done
