Hand over the starts that may come late

Callers saw tasks run twice after a planned change of the owner: a start without an answer was the first order of a later life of its worker, and the next owner, which did not know of it, had started the task elsewhere.

Cause: an owner that leaves lists what may run, but neither the starts that it has given up nor those whose answers it will not handle.

Each entry of the roster takes the late starts of its worker, with the run number, the number of copies and the time on the store's clock until which they may come. The hand-over writes the roster if there are any. The next owner restores them as if they were its own: the task stays on that worker and repeats the start under its number, and its end as done is not acknowledged. A start that the worker's first report lists is forgotten, so that tasks whose start was carried out do not wait.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -203,7 +203,14 @@
                        std::string_view job,
                        std::uint32_t task,
                        RunNumber run) const;
-  static void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
+  void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
+  void ExpectPendingStarts();
+  void RestoreLateStarts(Worker& worker,
+                         const RosterEntry& entry,
+                         std::int64_t clock_ms) const;
+  void RestoreLateStarts(Job& job) const;
+  std::vector<RosterLateStart> LateStartsOf(const Worker& worker,
+                                            std::size_t limit);
   void NoteStartAnswer(const TaskCall& call,
                        const OrderAnswered& answer,
                        Job* job);
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -87,6 +87,8 @@
     std::uint32_t task = 0;  ///< Its number in the job.
     RunNumber run = 0;
     core::TimePoint until;  ///< When it can come no more.
+    /// Of an earlier owner's start; as in RosterLateStart.
+    std::uint32_t copies = 0;
   };
   std::vector<LateStart> late_starts;
 
@@ -143,8 +145,8 @@
                        core::TimePoint until);
 
   /// Records that the start can come no more: it was answered, or its run is
-  /// reported.
-  void ForgetLateStart(std::string_view job, std::uint32_t task, RunNumber run);
+  /// reported. @returns whether it was expected.
+  bool ForgetLateStart(std::string_view job, std::uint32_t task, RunNumber run);
 
   /// @returns when the last late start of the task can come no more; nothing if
   /// there is none.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -26,6 +26,10 @@
 constexpr std::size_t kJobsPerCommit = 16;
 constexpr std::size_t kRemovalsPerCommit = 5;
 
+// Late starts in the roster, of about 45 bytes each. The store's limit for the
+// value of a row is 64 KiB, and several hundred workers take half of that.
+constexpr std::size_t kLateStartsInRoster = 500;
+
 // Minimum time between two log lines about failed commits.
 constexpr core::Duration kCommitLogInterval = milliseconds(500);
 
@@ -126,12 +130,15 @@
   roster_due_ = false;
   commit.roster.emplace();
   std::vector<RosterEntry> entries;
+  std::size_t late_starts_left = kLateStartsInRoster;
   for (const auto& worker : workers_.all()) {
     const bool answers =
         charts_.worker_contact.StateName(worker->contact) == "live";
     if (!HasLeft(*worker) && (worker->in_roster || answers)) {
       RosterEntry& entry =
           entries.emplace_back(worker->entry.id, worker->entry.address);
+      entry.late_starts = LateStartsOf(*worker, late_starts_left);
+      late_starts_left -= entry.late_starts.size();
       commit.roster->push_back(worker->id);
       if (MayCloseLeases(*worker)) {
         worker->leases_closed = true;
@@ -161,6 +168,7 @@
       worker->listed = false;
     }
     worker->in_roster = true;
+    RestoreLateStarts(*worker, entry, clock_ms);
     if (const auto handed_over = handed_over_leases_.find(entry.id);
         handed_over != handed_over_leases_.end()) {
       worker->lease_end = std::min(worker->lease_end, handed_over->second);
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -205,6 +205,7 @@
   now_ = now;
   closing_ = true;
   closing_until_ = now + kHandOverTimeout;
+  ExpectPendingStarts();
   commit_due_ = now;
 }
 
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -288,6 +288,7 @@
     ApplyProgress(job, *stored.progress);
   }
   InitLastWorkers(job);
+  RestoreLateStarts(job);
   if (cancelled_jobs_.contains(job.caller_id()) && !job.halted) {
     Halt(job, JobPhase::kCancelled);
   }
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -267,8 +267,82 @@
 void SliceScheduler::ForgetLateStart(Worker& worker,
                                      const Task& task,
                                      RunNumber run) {
-  if (task.run == run && task.start_copies == 1) {
-    worker.ForgetLateStart(task.job->spec.id, task.number, run);
+  if (task.run == run && task.start_copies == 1 &&
+      worker.ForgetLateStart(task.job->spec.id, task.number, run)) {
+    roster_due_ = true;  // With the next commit.
+  }
+}
+
+// Gives up the starts whose answers this owner will not handle.
+void SliceScheduler::ExpectPendingStarts() {
+  for (const auto& [id, pending] : calls_) {
+    const auto* call = std::get_if<TaskCall>(&pending);
+    if (call != nullptr && call->starts) {
+      ExpectLateStart(workers_.Get(call->worker), call->job, call->number,
+                      call->run);
+    }
+  }
+  roster_due_ |= std::ranges::any_of(workers_.all(), [](const auto& worker) {
+    return !worker->late_starts.empty();
+  });
+}
+
+// Returns up to @p limit starts that the worker may still carry out, for the
+// roster. A start of a job that is closed delays no task.
+std::vector<RosterLateStart> SliceScheduler::LateStartsOf(const Worker& worker,
+                                                          std::size_t limit) {
+  std::vector<RosterLateStart> starts;
+  for (const Worker::LateStart& start : worker.late_starts) {
+    const Job* job = jobs_.Find(start.job);
+    if (job == nullptr || start.task >= job->tasks.size() ||
+        starts.size() >= limit) {
+      continue;
+    }
+    const Task& task = job->tasks[start.task];
+    starts.push_back({.job = start.job,
+                      .task = start.task,
+                      .run = start.run,
+                      .copies = task.run == start.run ? task.start_copies : 0,
+                      .until_ms = store_clock_.known()
+                                      ? store_clock_.LatestAt(start.until)
+                                      : 0});
+  }
+  return starts;
+}
+
+void SliceScheduler::RestoreLateStarts(Worker& worker,
+                                       const RosterEntry& entry,
+                                       std::int64_t clock_ms) const {
+  for (const RosterLateStart& start : entry.late_starts) {
+    const bool known = start.until_ms != 0 && clock_ms != 0;
+    worker.late_starts.push_back(
+        {.job = start.job,
+         .task = start.task,
+         .run = start.run,
+         .until = now_ + (known ? milliseconds(start.until_ms - clock_ms)
+                                : kLateStartTime),
+         .copies = start.copies});
+  }
+}
+
+// Lets the tasks of a restored job wait for the starts that an earlier owner
+// has given up.
+void SliceScheduler::RestoreLateStarts(Job& job) const {
+  for (const auto& worker : workers_.all()) {
+    for (const Worker::LateStart& start : worker->late_starts) {
+      if (start.job != job.spec.id || start.task >= job.tasks.size()) {
+        continue;
+      }
+      Task& task = job.tasks[start.task];
+      if (start.copies > 0 || !task.lost_start_on.valid()) {
+        task.lost_start_on = worker->id;
+      }
+      if (start.copies > 0) {
+        task.start_copies = start.copies;
+        // The members of a gang get a new number together.
+        task.run = job.StepOf(task).gang ? task.run : start.run;
+      }
+    }
   }
 }
 
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -61,12 +61,12 @@
   }
 }
 
-void Worker::ForgetLateStart(std::string_view job,
+bool Worker::ForgetLateStart(std::string_view job,
                              std::uint32_t task,
                              RunNumber run) {
-  std::erase_if(late_starts, [&](const LateStart& start) {
-    return start.run == run && start.task == task && start.job == job;
-  });
+  return std::erase_if(late_starts, [&](const LateStart& start) {
+           return start.run == run && start.task == task && start.job == job;
+         }) > 0;
 }
 
 std::optional<core::TimePoint> Worker::LateStartOf(const Task& task) const {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -30,12 +30,25 @@
 TEST_CASE("a roster is unchanged by encoding and decoding", "[records]") {
   const std::vector<RosterEntry> roster = {
       {.id = "w1", .address = "10.0.0.1:80"},
-      {.id = "w2", .address = "10.0.0.2:80", .over_ms = 12'345}};
+      {.id = "w2", .address = "10.0.0.2:80", .over_ms = 12'345},
+      {.id = "w3",
+       .address = "10.0.0.3:80",
+       .late_starts = {{.job = "j-1.4",
+                        .task = 4,
+                        .run = 10'001,
+                        .copies = 2,
+                        .until_ms = 23'456},
+                       {.job = "k", .run = 3}}},
+      {.id = "w4",
+       .address = "10.0.0.4:80",
+       .over_ms = 12'345,
+       .late_starts = {{.job = "k", .task = 1, .run = 3, .until_ms = 5}}}};
   CHECK(DecodeRoster(EncodeRoster(roster)) == roster);
   CHECK(DecodeRoster("").empty());
   // A time that cannot be read must not end the wait for a worker.
   const std::vector<RosterEntry> damaged = {{.id = "w", .address = "a:1"}};
   CHECK(DecodeRoster("w a:1@x\n") == damaged);
+  CHECK(DecodeRoster("w a:1@0!j!j,1,2,3!j,1,2,3,x!j,1,2,3,4,5\n") == damaged);
 }
 
 TEST_CASE("damaged records are refused", "[records]") {
--- a/packages/jobs/tests/slice_late_start_test.cc
+++ b/packages/jobs/tests/slice_late_start_test.cc
@@ -139,6 +139,71 @@
   CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
 }
 
+// Guards against a task that runs twice: its owner left in good order, and the
+// next one did not know that a start without an answer may come late.
+TEST_CASE("a late start is handed over", "[slice]") {
+  const bool answer_pending = GENERATE(true, false);
+  HeldStart held;
+  if (!answer_pending) {
+    held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+    held.world.Advance(1500ms);
+    held.world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  }
+  held.world.HandOver();
+  held.world.Drain("w1");
+  held.world.Advance(5s);
+  held.RestartFirst();
+  held.world.workers.DeliverOldest(held.world.now());
+  held.world.Advance(1s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+}
+
+// Guards against a task that runs twice on one worker: the next owner started
+// it there under a new number, and another life carried out the first start,
+// too.
+TEST_CASE("a start that is handed over is repeated under its number",
+          "[slice]") {
+  HeldStart held;
+  held.world.HandOver();
+  held.world.workers.Hold(IsStart);
+  held.world.Advance(500ms);
+  REQUIRE(held.world.workers.held().size() >= 2);
+  held.world.workers.Hold({});
+  held.RestartFirst();
+  while (held.world.workers.DeliverOldest(held.world.now())) {
+  }
+  CHECK(held.starts() == 1);
+  held.world.Advance(3s);
+  CHECK(held.starts() == 1);
+}
+
+// Guards against a task that waits after each hand-over because its start had
+// not been answered yet, although it was carried out.
+TEST_CASE("a start that is seen after a hand-over can come late no more",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.answer_delay = 200ms;
+  world.Submit("j", GENERATE("c", "t"));
+  world.AddWorker("w2");
+  const TaskAddress task = SliceWorld::Task("j");
+  while (world.workers.starts(task) == 0) {
+    world.Advance(10ms);
+  }
+  world.HandOver();
+  world.answer_delay = 0ms;
+  world.Advance(3s);
+  REQUIRE(world.workers.starts(task) == 1);
+  const std::string worker = world.workers.WorkerOf(task);
+  world.Drain(worker);
+  world.workers.End(task, EndKind::kFailed);
+  world.Advance(1s);
+  CHECK(world.workers.starts(task) == 2);
+  CHECK(world.workers.WorkerOf(task) != worker);
+}
+
 // Guards against a task that runs twice: its owner has changed, and the new one
 // does not know that a start by the earlier one may come late.
 TEST_CASE("a successor waits for a late start of its predecessor", "[slice]") {
