Store the starts that had no answer in the roster

An owner now writes the roster 0.1 s after it has given up a start, once for all starts of that time, usually beside the entry that the worker is silent. Nothing is written for a start that is answered, or reported before its call ends. An owner that did not hand over may have sent the start again since, so that its successor takes the run in a report for one of several copies. The entry of a worker that has left stays in the row while a start may come late, with a lease that is over. Starts of closed jobs stay, too: the end as done of such a task would be acknowledged and the task run again.

"starts without an answer are stored by one write" and "a successor waits no longer than the start may come late" guard against the cost.

The new life is registered now, as in "a task whose start may come late waits for its unusable worker".

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -202,7 +202,8 @@
   void ExpectLateStart(Worker& worker,
                        std::string_view job,
                        std::uint32_t task,
-                       RunNumber run) const;
+                       RunNumber run);
+  static bool IsOnlyCopy(const Task& task, RunNumber run);
   void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
   void ExpectPendingStarts();
   void RestoreLateStarts(Worker& worker,
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -152,6 +152,9 @@
   /// there is none.
   std::optional<core::TimePoint> LateStartOf(const Task& task) const;
 
+  /// The same of all tasks of a job.
+  std::optional<core::TimePoint> LateStartOf(std::string_view job) const;
+
   /// Forgets the starts that can come no more at @p now, and the ends that are
   /// safe since. @returns whether there were any.
   bool ExpireLateStarts(core::TimePoint now);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -134,7 +134,16 @@
   for (const auto& worker : workers_.all()) {
     const bool answers =
         charts_.worker_contact.StateName(worker->contact) == "live";
-    if (!HasLeft(*worker) && (worker->in_roster || answers)) {
+    if (HasLeft(*worker)) {
+      if (!worker->late_starts.empty() && store_clock_.known()) {
+        entries.push_back(
+            {.id = worker->entry.id,
+             .address = worker->entry.address,
+             .over_ms = store_clock_.LatestAt(now_),
+             .late_starts = LateStartsOf(*worker, late_starts_left)});
+        late_starts_left -= entries.back().late_starts.size();
+      }
+    } else if (worker->in_roster || answers) {
       RosterEntry& entry =
           entries.emplace_back(worker->entry.id, worker->entry.address);
       entry.late_starts = LateStartsOf(*worker, late_starts_left);
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -254,12 +254,18 @@
 }
 
 // The start may be the first order of a later life of the worker, which no
-// token turns away.
+// token turns away. The roster says so to a successor.
 void SliceScheduler::ExpectLateStart(Worker& worker,
                                      std::string_view job,
                                      std::uint32_t task,
-                                     RunNumber run) const {
+                                     RunNumber run) {
   worker.ExpectLateStart(job, task, run, now_ + kLateStartTime);
+  ScheduleRosterWrite();
+}
+
+// Returns whether the start of the run was sent once, and is the task's last.
+bool SliceScheduler::IsOnlyCopy(const Task& task, RunNumber run) {
+  return task.run == run && task.start_copies == 1;
 }
 
 // Handles that the start of the run was answered, or that the run is reported.
@@ -267,7 +273,7 @@
 void SliceScheduler::ForgetLateStart(Worker& worker,
                                      const Task& task,
                                      RunNumber run) {
-  if (task.run == run && task.start_copies == 1 &&
+  if (IsOnlyCopy(task, run) &&
       worker.ForgetLateStart(task.job->spec.id, task.number, run)) {
     roster_due_ = true;  // With the next commit.
   }
@@ -288,21 +294,21 @@
 }
 
 // Returns up to @p limit starts that the worker may still carry out, for the
-// roster. A start of a job that is closed delays no task.
+// roster.
 std::vector<RosterLateStart> SliceScheduler::LateStartsOf(const Worker& worker,
                                                           std::size_t limit) {
   std::vector<RosterLateStart> starts;
   for (const Worker::LateStart& start : worker.late_starts) {
-    const Job* job = jobs_.Find(start.job);
-    if (job == nullptr || start.task >= job->tasks.size() ||
-        starts.size() >= limit) {
-      continue;
+    if (starts.size() >= limit) {
+      break;
     }
-    const Task& task = job->tasks[start.task];
+    const Job* job = jobs_.Find(start.job);
+    const bool last = job != nullptr && start.task < job->tasks.size() &&
+                      job->tasks[start.task].run == start.run;
     starts.push_back({.job = start.job,
                       .task = start.task,
                       .run = start.run,
-                      .copies = task.run == start.run ? task.start_copies : 0,
+                      .copies = last ? job->tasks[start.task].start_copies : 0,
                       .until_ms = store_clock_.known()
                                       ? store_clock_.LatestAt(start.until)
                                       : 0});
@@ -315,13 +321,15 @@
                                        std::int64_t clock_ms) const {
   for (const RosterLateStart& start : entry.late_starts) {
     const bool known = start.until_ms != 0 && clock_ms != 0;
+    // An owner that did not hand over may have sent it again since.
+    const bool again = start.copies > 0 && !handed_over_workers_;
     worker.late_starts.push_back(
         {.job = start.job,
          .task = start.task,
          .run = start.run,
          .until = now_ + (known ? milliseconds(start.until_ms - clock_ms)
                                 : kLateStartTime),
-         .copies = start.copies});
+         .copies = start.copies + (again ? 1 : 0)});
   }
 }
 
@@ -363,9 +371,11 @@
                    .Add("worker", worker.entry.id)
                    .Add("born", worker.born_unix_ms)
                    .Add("generation", call.generation));
-  ExpectLateStart(worker, call.job, call.number, call.run);
-  if (job != nullptr && job->tasks[call.number].run_seen) {
-    ForgetLateStart(worker, job->tasks[call.number], call.run);
+  const Task* task = job == nullptr ? nullptr : &job->tasks[call.number];
+  if (task != nullptr && task->run_seen && IsOnlyCopy(*task, call.run)) {
+    ForgetLateStart(worker, *task, call.run);
+  } else {
+    ExpectLateStart(worker, call.job, call.number, call.run);
   }
 }
 
--- a/packages/jobs/src/slice_unknown_runs.cc
+++ b/packages/jobs/src/slice_unknown_runs.cc
@@ -18,6 +18,10 @@
 }
 
 void SliceScheduler::HoldUnknownEnd(Worker& worker, const EndedRun& end) {
+  if (const auto until = worker.LateStartOf(end.task.job);
+      until && end.kind == EndKind::kDone) {
+    worker.unsafe_ends.push_back({.number = end.number, .until = *until});
+  }
   if (!IsClosed(end.task.job)) {
     worker.unknown_ends.push_back({.end = end, .unread_since = now_});
     job_rows_.Refresh(now_);
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -79,6 +79,16 @@
   return until;
 }
 
+std::optional<core::TimePoint> Worker::LateStartOf(std::string_view job) const {
+  std::optional<core::TimePoint> until;
+  for (const LateStart& start : late_starts) {
+    if (start.job == job) {
+      until = std::max(until.value_or(start.until), start.until);
+    }
+  }
+  return until;
+}
+
 bool Worker::ExpireLateStarts(core::TimePoint now) {
   const auto over = [now](const auto& entry) { return entry.until <= now; };
   const std::size_t starts = std::erase_if(late_starts, over);
--- a/packages/jobs/tests/slice_late_start_test.cc
+++ b/packages/jobs/tests/slice_late_start_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <variant>
 
+#include "jobs/roster.h"
 #include "slice_world.h"
 
 /// Starts without an answer that are the first order of a later life of their
@@ -153,6 +154,7 @@
   held.world.Drain("w1");
   held.world.Advance(5s);
   held.RestartFirst();
+  held.world.Register("w1", held.born);
   held.world.workers.DeliverOldest(held.world.now());
   held.world.Advance(1s);
   CHECK(held.starts() == 1);
@@ -204,6 +206,63 @@
   CHECK(world.workers.WorkerOf(task) != worker);
 }
 
+// Guards against a task that runs twice: its owner failed after a start had no
+// answer, and the next one did not know that it may come late.
+TEST_CASE("a successor waits for a start that had no answer", "[slice]") {
+  const bool repeated = GENERATE(false, true);
+  HeldStart held;
+  if (!repeated) {
+    held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  }
+  held.world.Advance(1500ms);
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
+  const std::size_t before = held.starts();
+  REQUIRE(before == (repeated ? 1 : 0));
+  for (int i = 0; i < 2; ++i) {
+    held.world.TakeOver();
+    held.world.Drain("w1");
+    held.world.Advance(2s);
+  }
+  held.RestartFirst();
+  held.world.Register("w1", held.born);
+  held.world.workers.DeliverOldest(held.world.now());
+  held.world.Advance(1s);
+  CHECK(held.starts() == before + 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w1");
+}
+
+// Guards against a task that waits after a change of the owner for a start that
+// can come late no more.
+TEST_CASE("a successor waits no longer than the start may come late",
+          "[slice]") {
+  HeldStart held;
+  held.world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  held.world.Advance(8s);
+  REQUIRE(held.starts() == 0);
+  held.world.TakeOver();
+  held.world.Advance(kLatest - 8s + 1s);
+  CHECK(held.starts() == 1);
+  CHECK(held.world.workers.WorkerOf(held.kTask) == "w2");
+}
+
+// Guards against a write for each of many starts without an answer. One more
+// write says that their worker is silent.
+TEST_CASE("starts without an answer are stored by one write", "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  for (int i = 0; i < 20; ++i) {
+    world.Submit("j" + std::to_string(i), "c");
+  }
+  const std::size_t before = world.commits;
+  world.Advance(3s);
+  CHECK(world.commits <= before + 2);
+  const auto roster = world.store.Find(RosterRow(kSlice));
+  REQUIRE(roster.has_value());
+  CHECK(DecodeRoster(roster->value).front().late_starts.size() == 20);
+}
+
 // Guards against a task that runs twice: its owner has changed, and the new one
 // does not know that a start by the earlier one may come late.
 TEST_CASE("a successor waits for a late start of its predecessor", "[slice]") {
@@ -212,6 +271,7 @@
   held.world.Drain("w1");
   held.world.Advance(5s);
   held.RestartFirst();
+  held.world.Register("w1", held.born);
   held.world.workers.DeliverOldest(held.world.now());
   held.world.Advance(1s);
   CHECK(held.starts() == 1);
