Start no job that is read long after the last renewal

Callers saw tasks run twice after a takeover: an owner whose renewals the store refused went on reading jobs for the rest of its term, 12 s, and started them on a worker that its successor could not reach. The successor started jobs that it read over 4 s after its claim at once.

Cause: the 4 s assumed that the earlier owner learns of its loss by then, which nothing ensures. They also counted from when the successor read a job, not from when the job was stored.

An owner now starts no job that it reads over 2.8 s (kOwnerTimeout) after its last renewal, until it renews. That renewal precedes any claim, so a job that was stored over 2.8 s after the claim is not started by an earlier owner, and the successor need not wait. Whether it was stored later follows from the reads of the job table that are complete; one read is sent at 2.8 s. The same decides whether a hand-over is complete. kPredecessorDelay is gone: tasks wait 1.2 s less than before, unless reads were late. An outage of the whole store costs nothing more, since no job is read in it.

"a new job waits for workers that an earlier owner may still reach" sent the first owner's order itself, 5 s after the claim. Owners send no such order any more, so the test plays a whole first owner now, at six times after the claim, and checks as before that the job starts once. "a job that is read late waits for what an earlier owner may have run" has the order sent by hand, at 1.1 s.

"tasks start on workers in use until the term ends" and "no start on a worker in use outlives the term after a restart" submitted a job in an outage, which no owner can read. They let the second step of a known job become ready instead, and check the same.

--- a/packages/jobs/include/jobs/slice_board.h
+++ b/packages/jobs/include/jobs/slice_board.h
@@ -75,6 +75,10 @@
   /// outages last up to 9 s.
   static constexpr core::Duration kOwnerGrace = std::chrono::seconds(12);
 
+  /// A slice is claimed once its owner has not renewed it for this long.
+  static constexpr core::Duration kOwnerTimeout =
+      std::chrono::milliseconds(2800);
+
   struct Options {
     std::string process;      ///< Unique among running processes.
     std::string incarnation;  ///< Unique among the runs of this process.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -380,6 +380,8 @@
   bool HasUnreadRuns() const;
 
   // Runs of earlier owners.
+  bool MayBeStarted(core::TimePoint stored) const;
+  bool IsReadTooLate(const Job& job) const;
   bool KnowsAllRuns() const;
   bool MayRunUnseen(const Task& task) const;
   bool MayRunUnseenOn(const LastWorker& last);
@@ -443,6 +445,8 @@
   JobTable jobs_;
   WorkerPool workers_;
   TableFollower job_rows_;
+  /// complete_until() of job_rows_ before its last answer.
+  core::TimePoint rows_complete_before_;
   std::optional<CallId> progress_read_;
   std::string progress_from_;
   bool progress_loaded_ = false;
--- a/packages/jobs/src/slice_board.cc
+++ b/packages/jobs/src/slice_board.cc
@@ -16,12 +16,11 @@
 constexpr std::string_view kReleased = "-";
 
 // With one renewal and one read of all slices per second, every process stays
-// under two store calls per second. A dead owner is detected within 4 s, before
-// the tasks' leases of 6 s expire.
+// under two store calls per second. A dead owner is detected within 4 s
+// (kOwnerTimeout), before the tasks' leases of 6 s expire.
 constexpr core::Duration kRenewInterval = milliseconds(1000);
 constexpr core::Duration kListInterval = milliseconds(1000);
 constexpr core::Duration kRetryPause = milliseconds(300);
-constexpr core::Duration kOwnerTimeout = milliseconds(2800);
 
 // Additional wait of processes in other failure domains, so that processes of
 // the slice's own failure domain claim it first.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -408,7 +408,7 @@
       });
   // A task that arrives might wait for workers that have not reported.
   const bool settled = handed_over_workers_ || AllConfirmed() ||
-                       now_ >= gained_ + kPredecessorDelay;
+                       !MayBeStarted(job_rows_.complete_until());
   const bool offers_room =
       settled && !needs_room && !IsEvacuated() && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <utility>
 
+#include "jobs/slice_board.h"
 #include "slice_scheduler_p.h"
 
 /// Runs of earlier owners: what an owner leaves behind for its successor, and
@@ -214,12 +215,26 @@
                       now_ >= closing_until_);
 }
 
+// Returns whether an earlier owner may have started a job that was stored after
+// @p stored. It starts none that it reads later than this after its last
+// renewal, which was before this owner's claim.
+bool SliceScheduler::MayBeStarted(core::TimePoint stored) const {
+  return stored < gained_ + SliceBoard::kOwnerTimeout;
+}
+
+// Returns whether a successor may have claimed the slice before the job was
+// stored: this owner has not renewed its term for as long when it read the job.
+bool SliceScheduler::IsReadTooLate(const Job& job) const {
+  return job.known_since >
+         term_end_ - SliceBoard::kOwnerGrace + SliceBoard::kOwnerTimeout;
+}
+
 // Returns whether no owner before may have started a job that this one has not
 // read.
 bool SliceScheduler::KnowsAllRuns() const {
   return !HasUnreadRuns() &&
          (handed_over_workers_ || options_.predecessor_ended ||
-          now_ >= gained_ + kPredecessorDelay);
+          !MayBeStarted(job_rows_.complete_until()));
 }
 
 // Returns the tasks that may run on the worker as far as this owner knows.
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -63,7 +63,7 @@
 
 bool SliceScheduler::MayStart(const Task& task) const {
   return IsState(task, states_.ready) && !MayRunUnseen(task) &&
-         !task.transferring;
+         !task.transferring && !IsReadTooLate(*task.job);
 }
 
 bool SliceScheduler::IsReady(const Task& task) const {
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "jobs/slice_board.h"
 #include "slice_scheduler_p.h"
 
 namespace hickoryusher::jobs {
@@ -108,6 +109,7 @@
     FinishCommit(event);
     return;
   }
+  rows_complete_before_ = job_rows_.complete_until();
   if (const auto update = job_rows_.Handle(event, now)) {
     const auto& rows = std::visit(
         [](const auto& u) -> const auto& { return u.rows; }, *update);
@@ -257,7 +259,7 @@
     group.image = images_.Intern(job.StepOf(group).image);
   }
   job.restored = row.version < options_.fence_version ||
-                 now_ < gained_ + kPredecessorDelay;
+                 MayBeStarted(rows_complete_before_);
   job.accepted_unix_ms = stored.accepted_unix_ms;
   if (std::ranges::all_of(job.spec.steps, &StepSpec::long_running) ||
       !stored.tasks.empty()) {
@@ -415,6 +417,12 @@
                  .part = options_.slice.name,
                  .from = progress_from_});
   }
+  const core::TimePoint started_until = gained_ + SliceBoard::kOwnerTimeout;
+  if (now >= started_until && MayBeStarted(job_rows_.complete_until())) {
+    // A call that waits for a change would leave open for longer which jobs
+    // were stored since.
+    job_rows_.Refresh(started_until);
+  }
   if (auto command = job_rows_.Next(now)) {
     store_commands_.push_back(*std::move(command));
   }
--- a/packages/jobs/src/slice_scheduler_p.h
+++ b/packages/jobs/src/slice_scheduler_p.h
@@ -20,12 +20,6 @@
 inline constexpr core::Duration kNominationTime =
     std::chrono::milliseconds(2000);
 
-/// An earlier owner that is partly cut off from the store may still start jobs
-/// until it learns that it is fenced, from a lease renewal (one a second) or
-/// from a worker.
-inline constexpr core::Duration kPredecessorDelay =
-    std::chrono::milliseconds(4000);
-
 /// How long a slice holds room for tasks that another slice has announced. They
 /// arrive once they have stopped (within 200 ms) and one write is done.
 inline constexpr core::Duration kIncomingTimeout =
--- a/packages/jobs/src/table_follower.cc
+++ b/packages/jobs/src/table_follower.cc
@@ -36,7 +36,7 @@
 }
 
 void TableFollower::Refresh(core::TimePoint now) {
-  refresh_until_ = now;
+  refresh_until_ = std::max(refresh_until_, now);
   if (call_ && call_waits_) {
     call_.reset();
   }
--- a/packages/jobs/tests/slice_lease_bounds_test.cc
+++ b/packages/jobs/tests/slice_lease_bounds_test.cc
@@ -181,12 +181,13 @@
   SliceWorld world;
   UseLongLeases(world);
   world.StartJob();
+  world.Submit("k", "cc");
   world.Advance(20s);
   world.EndTermIn(10s);
   world.Advance(7s);
-  world.Submit("k", "c");
+  world.workers.End(SliceWorld::Task("k", 0), EndKind::kDone);
   world.Advance(1s);
-  CHECK(world.workers.starts(SliceWorld::Task("k")) == 1);
+  CHECK(world.workers.starts(SliceWorld::Task("k", 1)) == 1);
 }
 
 // Guards against a task that runs twice: an owner that had not renewed its term
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -259,23 +260,111 @@
   CHECK(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
 }
 
+/// The first owner of a slice beside its successor. The store takes none of its
+/// writes, so that its term is not renewed, and serves its reads.
+class CutOffOwner {
+ public:
+  explicit CutOffOwner(SliceWorld& world) : world_(world) {
+    // Ends the read that waits for a change. Its answer would go to the next
+    // owner.
+    world_.store.SetFault(FakeStore::Fault::kRefuse);
+    world_.Advance(20ms);
+    world_.store.SetFault(FakeStore::Fault::kNone);
+    owner_ = std::move(world_.owner);
+    owner_->SetTermEnd(world.now() + SliceBoard::kOwnerGrace);
+    world_.TakeOver(/*predecessor_ended=*/false);
+  }
+
+  /// Advances both owners. Only the first one reaches @p worker.
+  void Advance(std::chrono::milliseconds duration, const std::string& worker) {
+    for (; duration > 0ms; duration -= 10ms) {
+      world_.workers.SetFault(worker, FakeWorkers::Fault::kSilent);
+      world_.Advance(10ms);
+      world_.workers.SetFault(worker, FakeWorkers::Fault::kNone);
+      owner_->Run(world_.now(), 0);
+      for (const StoreCommand& command : owner_->PopStoreCommands()) {
+        commands_.push_back(command);
+      }
+      for (const StoreCommand& command : std::exchange(commands_, {})) {
+        Execute(command);
+      }
+      for (const WorkerCommand& command : owner_->PopWorkerCommands()) {
+        if (const auto answer = world_.workers.Handle(command, world_.now())) {
+          owner_->Handle(*answer, world_.now());
+        }
+      }
+    }
+  }
+
+ private:
+  void Execute(const StoreCommand& command) {
+    if (std::holds_alternative<CommitRows>(command)) {
+      owner_->Handle(StoreRefused{.call = CallOf(command)}, world_.now());
+    } else if (const auto answer = world_.store.Run(command)) {
+      owner_->Handle(*answer, world_.now());
+    } else {
+      commands_.push_back(command);  // Waits for a change.
+    }
+  }
+
+  SliceWorld& world_;
+  std::unique_ptr<SliceScheduler> owner_;
+  std::vector<StoreCommand> commands_;
+};
+
 // Guards against a task that runs twice: an earlier owner, which was cut off
-// from its own renewals only, ran a job in its term, over 4 s after its
+// from its own renewals only, ran a job in its term that was stored after its
 // successor's claim, on a worker that the successor had not reached.
 TEST_CASE("a new job waits for workers that an earlier owner may still reach",
           "[slice]") {
+  const std::chrono::milliseconds passed =
+      GENERATE(500ms, 2000ms, 2700ms, 3500ms, 5000ms, 9000ms);
   SliceWorld world;
   world.AddWorker("w1");
   world.Advance(500ms);
-  world.TakeOver(/*predecessor_ended=*/false);
-  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  CutOffOwner first(world);
   world.AddWorker("w2");
-  world.Advance(5s);
+  first.Advance(passed, "w1");
   world.Submit("j", "c");
+  first.Advance(2s, "w1");
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
+// Guards against the same where the successor is served no reads for a while,
+// and reads a job that was stored soon after its claim much later.
+TEST_CASE(
+    "a job that is read late waits for what an earlier owner may have run",
+    "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  CutOffOwner first(world);
+  world.AddWorker("w2");
+  first.Advance(1s, "w1");
+  world.store.SetFault(FakeStore::Fault::kRefuse);
+  first.Advance(100ms, "w1");
+  StoreJob(world, "j");
   world.workers.SetFault("w1", FakeWorkers::Fault::kNone);
   StartByFirstOwner(world, "j");
-  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  first.Advance(4s, "w1");
+  world.store.SetFault(FakeStore::Fault::kNone);
+  first.Advance(1s, "w1");
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+}
+
+// Guards against a job that never starts, or late, because its owner had not
+// renewed its term when it read the job.
+TEST_CASE("a job that is read without a renewal starts after the next one",
+          "[slice]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.EndTermIn(12s);
+  world.Advance(4s);
+  world.Submit("j", "c");
   world.Advance(1s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 0);
+  world.EndTermIn(12s);
+  world.Advance(600ms);
   CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
 }
 
@@ -324,15 +413,26 @@
   const std::chrono::milliseconds left = GENERATE(1s, 3s, 5s);
   SliceWorld world;
   world.workers.longest_lease = 6s;
-  world.StartJob();
+  const TaskAddress task = SliceWorld::Task("k", 1);
+  world.AddWorker("w0");
+  world.Submit("k", "cc");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("k")) == "w0");
+  // Leaves more room on w1.
+  world.Submit("other", "v");
+  world.AddWorker("w1");
+  world.Advance(500ms);
+  world.Submit("j", "c");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("j")) == "w1");
   world.Advance(20s);
   world.EndTermIn(left + 7s);
   world.Advance(7s);
   world.workers.Restart("w1", 2);
   world.workers.SetBackClock("w1", 27s);
-  world.Submit("k", "c");
+  world.workers.End(SliceWorld::Task("k"), EndKind::kDone);
   world.Advance(100ms);
-  const std::size_t starts = world.workers.starts(SliceWorld::Task("k"));
+  const std::size_t starts = world.workers.starts(task);
   // The store answers again when the term has ended.
   world.predecessor_term = left - 100ms;
   world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
@@ -340,12 +440,12 @@
   world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
   world.AddWorker("w2");
   for (int i = 0; i < 1000; ++i) {
-    if (world.workers.starts(SliceWorld::Task("k")) > starts) {
+    if (world.workers.starts(task) > starts) {
       break;
     }
     world.Advance(20ms);
   }
-  REQUIRE(world.workers.starts(SliceWorld::Task("k")) == starts + 1);
+  REQUIRE(world.workers.starts(task) == starts + 1);
   CAPTURE(starts, left.count());
   CHECK_FALSE((starts == 1 && world.workers.HoldsLease("w1", world.now())));
 }
