--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -94,7 +94,11 @@
 
   /// @param end when the ownership ends if it is not renewed; no lease is
   /// granted beyond it.
-  void SetTermEnd(core::TimePoint end) { term_end_ = end; }
+  void SetTermEnd(core::TimePoint end);
+
+  /// @returns true while tasks wait for a renewal of the term, which shows that
+  /// no successor knows more about their last runs.
+  bool needs_renewed_term() const;
 
   void SetStoreClock(const StoreClock& clock) { store_clock_ = clock; }
 
@@ -261,6 +265,7 @@
   double HeadroomShareOn(Worker& worker,
                          ImageId image,
                          const StepSpec& added) const;
+  bool IsOwnerSince(core::TimePoint time) const;
   bool MayOutliveTerm(const Worker& worker) const;
   bool MayGrantLease(const Worker& worker) const;
   bool WritesSucceed() const;
@@ -402,6 +407,8 @@
 
   // Commits.
   void MarkDirty(Job& job, bool urgent);
+  bool MayCommit() const;
+  core::TimePoint NextCommit() const;
   void StartCommit();
   void FinishCommit(const StoreEvent& event);
   void CollectJobs(Commit& commit);
@@ -428,6 +435,9 @@
   bool fenced_ = false;
   core::TimePoint gained_;
   core::TimePoint term_end_ = core::TimePoint::max();
+  /// When a run was last taken for over, or another life of a worker learned
+  /// of, without a report that says so.
+  core::TimePoint term_needed_since_;
   StoreClock store_clock_;
 
   /// States of the chart `task_run` that decisions depend on.
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -43,8 +43,17 @@
       }
       task.unlocated = task.unlocated && !all_confirmed;
       std::erase_if(task.last_workers, [this](const LastWorker& last) {
-        return !MayRunUnseenOn(last);
+        if (MayRunUnseenOn(last)) {
+          return false;
+        }
+        if (IsUnconfirmed(workers_.Get(last.worker))) {
+          term_needed_since_ = now_;
+        }
+        return true;
       });
+      if (!MayRunUnseen(task)) {
+        task.free_since = term_needed_since_;
+      }
       waiting |= IsState(task, states_.ready) && MayRunUnseen(task);
     }
   });
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -63,7 +63,8 @@
 
 bool SliceScheduler::MayStart(const Task& task) const {
   return IsState(task, states_.ready) && !MayRunUnseen(task) &&
-         !task.transferring && !IsReadTooLate(*task.job);
+         !task.transferring && IsOwnerSince(task.free_since) &&
+         !IsReadTooLate(*task.job);
 }
 
 bool SliceScheduler::IsReady(const Task& task) const {
--- a/packages/jobs/tests/slice_two_owners_test.cc
+++ b/packages/jobs/tests/slice_two_owners_test.cc
@@ -7,7 +7,6 @@
 #include <variant>
 #include <vector>
 
-#include "chart_yaml/load.h"
 #include "fake_store.h"
 #include "jobs/slice_board.h"
 #include "slice_world.h"
@@ -23,17 +22,6 @@
 // How long SliceScheduler takes a lease of 6 s to last at most.
 constexpr std::chrono::milliseconds kLongestLease(6320);
 
-const chart::Chart& OwnershipChart() {
-  static const chart::Chart kChart = [] {
-    chart_yaml::Loader loader;
-    auto chart =
-        loader.LoadFile(HICKORYUSHER_SOURCE_DIR "/charts/slice_ownership.yaml");
-    REQUIRE(chart.has_value());
-    return *std::move(chart);
-  }();
-  return kChart;
-}
-
 /// One process of the slice's failure domain with its own board.
 class Process {
  public:
@@ -450,5 +438,27 @@
   CHECK_FALSE((starts == 1 && world.workers.HoldsLease("w1", world.now())));
 }
 
+// Guards against a task that runs twice: an owner that was cut off from the
+// store, and from most workers, took their leases for over and started the
+// tasks again on a worker that it still reached. A successor had asked the
+// others, and renewed their leases.
+TEST_CASE("leases that a successor may have renewed do not count as over",
+          "[slice]") {
+  SliceWorld world;
+  world.StartJob("c", "j");
+  world.AddWorker("w2");
+  world.Advance(500ms);
+  world.Submit("k", "c");
+  world.Advance(500ms);
+  REQUIRE(world.workers.WorkerOf(SliceWorld::Task("k")) == "w2");
+  world.EndTermIn(12s);
+  world.workers.SetFault("w1", FakeWorkers::Fault::kSilent);
+  world.Advance(11s);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 1);
+  world.EndTermIn(12s);
+  world.Advance(500ms);
+  CHECK(world.workers.starts(SliceWorld::Task("j")) == 2);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
