--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -215,8 +215,16 @@
   void ExpectLateStart(Worker& worker,
                        std::string_view job,
                        std::uint32_t task,
-                       RunNumber run) const;
-  static void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
+                       RunNumber run);
+  static bool IsOnlyCopy(const Task& task, RunNumber run);
+  void ForgetLateStart(Worker& worker, const Task& task, RunNumber run);
+  void ExpectPendingStarts();
+  void RestoreLateStarts(Worker& worker,
+                         const RosterEntry& entry,
+                         std::int64_t clock_ms) const;
+  void RestoreLateStarts(Job& job) const;
+  std::vector<RosterLateStart> LateStartsOf(const Worker& worker,
+                                            std::size_t limit);
   void NoteStartAnswer(const TaskCall& call,
                        const OrderAnswered& answer,
                        Job* job);
@@ -398,6 +406,8 @@
   bool HasUnreadRuns() const;
 
   // Runs of earlier owners.
+  bool MayBeStarted(core::TimePoint stored) const;
+  bool IsReadTooLate(const Job& job) const;
   bool KnowsAllRuns() const;
   bool MayRunUnseen(const Task& task) const;
   bool MayRunUnseenOn(const LastWorker& last);
@@ -469,6 +479,8 @@
   JobTable jobs_;
   WorkerPool workers_;
   TableFollower job_rows_;
+  /// complete_until() of job_rows_ before its last answer.
+  core::TimePoint rows_complete_before_;
   std::optional<CallId> progress_read_;
   std::string progress_from_;
   bool progress_loaded_ = false;
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -89,6 +89,8 @@
     RunNumber run = 0;
     core::TimePoint until;  ///< When it can come no more.
     bool seen = false;      ///< A copy of it was seen carried out.
+    /// Of an earlier owner's start; as in RosterLateStart.
+    std::uint32_t copies = 0;
   };
   std::vector<LateStart> late_starts;
 
@@ -145,13 +147,16 @@
                        core::TimePoint until);
 
   /// Records that the start can come no more: it was answered, or its run is
-  /// reported.
-  void ForgetLateStart(std::string_view job, std::uint32_t task, RunNumber run);
+  /// reported. @returns whether it was expected.
+  bool ForgetLateStart(std::string_view job, std::uint32_t task, RunNumber run);
 
   /// @returns when the last late start of the task can come no more; nothing if
   /// there is none.
   std::optional<core::TimePoint> LateStartOf(const Task& task) const;
 
+  /// The same of all tasks of a job.
+  std::optional<core::TimePoint> LateStartOf(std::string_view job) const;
+
   /// Forgets the starts that can come no more at @p now, and the ends that are
   /// safe since. @returns whether there were any.
   bool ExpireLateStarts(core::TimePoint now);
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -26,6 +26,10 @@
 constexpr std::size_t kJobsPerCommit = 16;
 constexpr std::size_t kRemovalsPerCommit = 5;
 
+// Late starts in the roster, of about 45 bytes each. The store's limit for the
+// value of a row is 64 KiB, and several hundred workers take half of that.
+constexpr std::size_t kLateStartsInRoster = 500;
+
 // Minimum time between two log lines about failed commits.
 constexpr core::Duration kCommitLogInterval = milliseconds(500);
 
@@ -136,12 +140,24 @@
   roster_due_ = false;
   commit.roster.emplace();
   std::vector<RosterEntry> entries;
+  std::size_t late_starts_left = kLateStartsInRoster;
   for (const auto& worker : workers_.all()) {
     const bool answers =
         charts_.worker_contact.StateName(worker->contact) == "live";
-    if (!HasLeft(*worker) && (worker->in_roster || answers)) {
+    if (HasLeft(*worker)) {
+      if (!worker->late_starts.empty() && store_clock_.known()) {
+        entries.push_back(
+            {.id = worker->entry.id,
+             .address = worker->entry.address,
+             .over_ms = store_clock_.LatestAt(now_),
+             .late_starts = LateStartsOf(*worker, late_starts_left)});
+        late_starts_left -= entries.back().late_starts.size();
+      }
+    } else if (worker->in_roster || answers) {
       RosterEntry& entry =
           entries.emplace_back(worker->entry.id, worker->entry.address);
+      entry.late_starts = LateStartsOf(*worker, late_starts_left);
+      late_starts_left -= entry.late_starts.size();
       commit.roster->push_back(worker->id);
       if (MayCloseLeases(*worker)) {
         worker->leases_closed = true;
@@ -169,6 +185,7 @@
       worker->listed = false;
     }
     worker->in_roster = true;
+    RestoreLateStarts(*worker, entry, clock_ms);
     if (const auto handed_over = handed_over_leases_.find(entry.id);
         handed_over != handed_over_leases_.end()) {
       worker->lease_end = std::min(worker->lease_end, handed_over->second);
@@ -399,7 +416,7 @@
       });
   // A task that arrives might wait for workers that have not reported.
   const bool settled = handed_over_workers_ || AllConfirmed() ||
-                       now_ >= gained_ + kPredecessorDelay;
+                       !MayBeStarted(job_rows_.complete_until());
   const bool offers_room =
       settled && !needs_room && !IsEvacuated() && now_ >= incoming_until_;
   for (const auto& worker : workers_.all()) {
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -68,6 +68,30 @@
         other = self.rng.choice([z for z in standin.ZONES if z != owner.zone])
         await self.cut_zone(other, OWNER_CUT_S, lambda: renew(zone), modes)
 
+    async def side_cut(self):
+        """The processes of a zone are cut off together with one executor of each zone, which
+        they still reach; if there is an owner of another zone's slice, those of its zone."""
+        owners = [(zone, self.world.owner_of(zone + "-0")) for zone in standin.ZONES]
+        elsewhere = [o.zone for zone, o in owners if o is not None and o.zone != zone]
+        zone = self.rng.choice(elsewhere or standin.ZONES)
+        inside = [p for p in self.world.entries if p.zone == zone]
+        executors = [self.rng.choice([e for e in self.world.executors if e.zone == z])
+                     for z in standin.ZONES]
+        across = [link for e in self.world.executors for link in e.server.links.values()
+                  if (link.zone == zone) != (e in executors)]
+        self.world.record("side_cut", zone=zone, executors=[e.id for e in executors])
+        for link in across:
+            link.cut("silent")
+        for executor in executors:
+            executor.isolated = True
+        await self.with_store_fault(inside, self.denial(kinds=("silent",)), OWNER_CUT_S)
+        for link in across:
+            link.heal()
+        for executor in executors:
+            executor.isolated = False
+        self.world.record("side_healed", zone=zone)
+        await asyncio.sleep(self.rng.choice(NEXT_CUT_S) - OWNER_CUT_S)
+
     async def cut_in_turn(self):
         """Each zone is cut off once, so that a slice gets an owner of another zone, which is
         cut off next."""
