Leave the name of a world's links to scripts that add them

The users' linked_soak.py sets World.links, which was a property without a setter and is not used here: the script ended with an AttributeError.

--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -267,10 +267,6 @@
         for entry in self.entries:
             entry.entrance.handle = functools.partial(self.pass_on, entry)
 
-    @property
-    def links(self):
-        return [link for e in self.executors for link in e.server.links.values()]
-
     async def pass_on(self, entry, request):
         """The store, as seen by a process: executors have the addresses of its links."""
         status, answer = await entry.pass_on(request)
