--- a/packages/jobs/tests/owners_world.cc
+++ b/packages/jobs/tests/owners_world.cc
@@ -283,8 +283,7 @@
   }
   std::vector<std::size_t> still_open;
   for (const std::size_t index : open_runs_) {
-    // A copy: ends change the list.
-    const FakeWorkers::StartedRun run = started[index];
+    const FakeWorkers::StartedRun& run = started[index];
     if (run.ended == core::TimePoint::max()) {
       const RunEnd end = ends_(run);
       if (now_ >= run.begun + end.after) {
