--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -653,7 +653,7 @@
             return 0, None
 
     async def _call(self, node, method, path, body, port):
-        data = json.dumps(body).encode() if body is not None else b""
+        data = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
         reader, writer = await asyncio.open_connection(HOST, port or node.front)
         try:
             writer.write((f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
