Hold the tasks only of occurrences that are due and not done

Callers saw: 40 scheduled jobs of 20,000 occurrences, accepted in 6 s, never began, nor did a plain job after them. The owner was killed for its memory (260 MB), read the same jobs after its next claim, and was killed again, for good.

Cause: the job table made a task (336 bytes) and a group for each occurrence of a job when its row was read, 7 MB for such a job, of which one was due. The memory grew with what was accepted, not with what was due. Ruled out: what clients send (the processes that did not own the slice stayed at 23 MB).

Change: a job has the tasks of a window of occurrences. One is added when it is due, or when a report, the stored progress, a place or a late start names it, since the clock of an earlier owner may have been ahead; the first ones are removed once they are done. Numbers of tasks stay as they are, so that rows and orders do not change. A run that is reported of a removed occurrence is stopped at once, as before.

--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -1,6 +1,7 @@
 #ifndef JOBS_JOB_TABLE_H_
 #define JOBS_JOB_TABLE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +16,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "jobs/interference_model.h"
+#include "jobs/numbered_window.h"
 #include "jobs/progress.h"
 #include "jobs/queues.h"
 #include "jobs/tail_estimate.h"
@@ -138,8 +140,15 @@
   core::TimePoint known_since;    ///< When this owner learned of it.
   core::TimePoint objective;      ///< When the job should be completed.
   core::TimePoint useless_after;  ///< A later result is of no use.
-  std::vector<Group> groups;
-  std::vector<Task> tasks;
+  /// Some tasks belong to other slices, and `tasks` has all that are left here.
+  bool is_part = false;
+  /// An earlier owner has stored where the long-running tasks may run.
+  bool has_places = false;
+  /// Of the occurrences that are due and not done, in the order of their
+  /// numbers: a job may have thousands that are due in weeks.
+  NumberedWindow<Group> groups;
+  NumberedWindow<Task> tasks;   ///< Of these groups.
+  std::size_t fixed_bytes = 0;  ///< As of FixedBytesOf.
 
   const StepSpec& StepOf(const Group& group) const {
     return spec.steps[group.step];
@@ -147,15 +156,40 @@
   const StepSpec& StepOf(const Task& task) const {
     return StepOf(groups[task.group]);
   }
-  std::span<Task> TasksOf(const Group& group) {
-    return std::span(tasks).subspan(group.first, group.count);
+  auto TasksOf(const Group& group) {
+    return tasks.View(group.first, group.count);
+  }
+  auto TasksOf(const Group& group) const {
+    return tasks.View(group.first, group.count);
   }
   TaskAddress AddressOf(const Task& task) const;
 
+  std::uint32_t occurrence_count() const {
+    return std::max(spec.repeat_count, 1U);
+  }
+
+  std::uint32_t tasks_per_occurrence() const;
+
+  /// Number of tasks of all occurrences.
+  std::uint32_t task_count() const {
+    return tasks_per_occurrence() * occurrence_count();
+  }
+  std::uint32_t OccurrenceOf(std::uint32_t task) const;
+
+  /// The occurrences of which `tasks` has the tasks begin and end here.
+  std::uint32_t first_occurrence() const;
+  std::uint32_t end_occurrence() const;
+
+  /// @returns true if the job has no task, here or in another slice, that is
+  /// not in `tasks`.
+  bool has_all_tasks() const {
+    return tasks.first_number() == 0 && tasks.end_number() == task_count();
+  }
+
   /// @returns the id under which the caller submitted the job.
   std::string_view caller_id() const { return CallerId(spec.id); }
 
-  /// @returns the task, or nullptr.
+  /// @returns the task, or nullptr if it is not in `tasks`.
   Task* Find(const TaskAddress& address);
 
   /// @returns when occurrence @p occurrence is due, in Unix time.
@@ -182,6 +216,13 @@
 /// seconds.
 double RemainingWork(const Job& job);
 
+/// @returns about how much memory a job takes beside its tasks.
+/// @param row_bytes size of the row that holds it.
+std::size_t FixedBytesOf(const JobSpec& spec, std::size_t row_bytes);
+
+/// @returns about how much memory the tasks of one occurrence take.
+std::size_t OccurrenceBytesOf(const JobSpec& spec);
+
 /// The open jobs of one slice.
 class JobTable {
  public:
@@ -190,8 +231,16 @@
   JobTable(chart::StateId initial, chart::StateId elsewhere)
       : initial_(initial), elsewhere_(elsewhere) {}
 
-  /// Adds a job whose id is not in the table.
-  Job& Add(JobSpec spec);
+  /// Adds a job whose id is not in the table, without an occurrence.
+  /// @param stored_text as in Job.
+  Job& Add(JobSpec spec, std::string stored_text);
+
+  /// Adds the tasks of the occurrence Job::end_occurrence.
+  void AddOccurrence(Job& job);
+
+  /// Removes the first occurrences of a job of which all tasks are in the state
+  /// @p closed, and on no worker.
+  void RemoveClosed(Job& job, chart::StateId closed);
 
   /// @returns the job, or nullptr.
   Job* Find(std::string_view id);
@@ -206,6 +255,9 @@
 
   std::size_t size() const { return jobs_.size(); }
 
+  /// About how much memory the jobs take.
+  std::size_t bytes() const { return bytes_; }
+
   template <typename Function>
   void ForEach(Function function) {
     for (auto& [id, job] : jobs_) {
@@ -216,6 +268,7 @@
  private:
   chart::StateId initial_;
   chart::StateId elsewhere_;
+  std::size_t bytes_ = 0;
   std::map<std::string, std::unique_ptr<Job>, std::less<>> jobs_;
 };
 
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -127,6 +127,9 @@
   /// nothing before the slice's jobs have been read.
   std::optional<SliceLoad> load();
 
+  /// @returns about how much memory the slice's jobs take.
+  std::size_t job_bytes() const { return jobs_.bytes(); }
+
   /// @returns how often a worker was evaluated for a task. These evaluations
   /// take most of the time of placement.
   std::uint64_t candidates_evaluated() const { return candidates_evaluated_; }
@@ -157,6 +160,12 @@
   void HandleRow(const Row& row);
   void HandleJobRow(const Row& row);
   void AddJob(const Row& row, JobSpec spec, const StoredJob& stored);
+  void AddOccurrence(Job& job);
+  void AddLaterOccurrence(Job& job);
+  void AddDueOccurrences(Job& job);
+  void RestoreOccurrences(Job& job,
+                          const StoredJob& stored,
+                          const Progress& progress);
   void DropTasks(Job& job, const StoredJob& stored);
   void HandleCancellation(std::string_view id);
   std::string JobText(const Job& job, std::span<const std::uint32_t> tasks);
@@ -227,7 +236,7 @@
                                             std::size_t limit);
   void NoteStartAnswer(const TaskCall& call,
                        const OrderAnswered& answer,
-                       Job* job);
+                       const Task* task);
   bool WaitsForLateStart(const Task& task) const;
   bool RepeatsStart(const Task& task) const;
   void StopUnknown(Worker& worker, const ActiveRun& run);
@@ -398,6 +407,9 @@
 
   // Runs of tasks whose job this owner has not read.
   bool IsClosed(std::string_view job) const;
+  bool IsOver(const TaskAddress& task);
+  Task* FindReportedTask(const TaskAddress& address);
+  Task* FindTask(std::string_view job, std::uint32_t number);
   void HoldUnknownEnd(Worker& worker, const EndedRun& end);
   void HandleUnknownRun(Worker& worker, const ActiveRun& run);
   static void ForgetUnlistedRuns(Worker& worker, const WorkerReport& report);
@@ -413,7 +425,8 @@
   bool MayRunUnseenOn(const LastWorker& last);
   void SettleTasks();
   void InitLastWorkers(Job& job);
-  void InitFromHandOver(Job& job);
+  void InitLastWorkers(Task& task);
+  void InitFromHandOver(Task& task);
   void InitFromPlaces(Job& job, const Places& places);
   void AddLastWorker(Task& task, std::string_view id, bool usual_lease);
   void HandleHandOver(const Row& row, std::int64_t clock_ms);
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -11,6 +11,9 @@
 // Not part of a job id; sorts after the marks of rows that belong to a job.
 constexpr char kPartMark = '.';
 
+// The stored text, and the payload within it.
+constexpr std::size_t kRowCopies = 2;
+
 }  // namespace
 
 std::string PartId(std::string_view id, std::uint32_t task) {
@@ -29,14 +32,32 @@
           .index = task.number - group.first};
 }
 
+std::uint32_t Job::tasks_per_occurrence() const {
+  return std::accumulate(
+      spec.steps.begin(), spec.steps.end(), 0U,
+      [](std::uint32_t sum, const StepSpec& step) { return sum + step.count; });
+}
+
+std::uint32_t Job::OccurrenceOf(std::uint32_t task) const {
+  return task / tasks_per_occurrence();
+}
+
+std::uint32_t Job::first_occurrence() const {
+  return static_cast<std::uint32_t>(groups.first_number() / spec.steps.size());
+}
+
+std::uint32_t Job::end_occurrence() const {
+  return static_cast<std::uint32_t>(groups.end_number() / spec.steps.size());
+}
+
 Task* Job::Find(const TaskAddress& address) {
-  const auto group = std::ranges::find_if(groups, [&](const Group& g) {
-    return g.occurrence == address.occurrence && g.step == address.step;
-  });
-  if (group == groups.end() || address.index >= group->count) {
+  const std::size_t number =
+      std::size_t{address.occurrence} * spec.steps.size() + address.step;
+  if (address.step >= spec.steps.size() || !groups.Contains(number) ||
+      address.index >= groups[number].count) {
     return nullptr;
   }
-  return &tasks[group->first + address.index];
+  return &tasks[groups[number].first + address.index];
 }
 
 std::int64_t Job::DueUnixMs(std::uint32_t occurrence) const {
@@ -51,6 +72,7 @@
   if (IsFinal(phase)) {
     return progress;
   }
+  progress.done.resize(tasks.first_number(), true);
   for (const Task& task : tasks) {
     if (std::ranges::find(closed, task.state) != closed.end()) {
       progress.done.resize(task.number + 1);
@@ -61,6 +83,10 @@
       progress.failures[task.number] = task.failures;
     }
   }
+  if (is_part && tasks.end_number() < task_count()) {
+    progress.done.resize(tasks.end_number());
+    progress.done.resize(task_count(), true);
+  }
   return progress;
 }
 
@@ -113,33 +139,69 @@
       });
 }
 
-Job& JobTable::Add(JobSpec spec) {
+std::size_t FixedBytesOf(const JobSpec& spec, std::size_t row_bytes) {
+  return std::accumulate(spec.steps.begin(), spec.steps.end(),
+                         sizeof(Job) + kRowCopies * row_bytes,
+                         [](std::size_t sum, const StepSpec& step) {
+                           return sum + sizeof(StepSpec) +
+                                  step.after.size() * sizeof(step.after[0]);
+                         });
+}
+
+std::size_t OccurrenceBytesOf(const JobSpec& spec) {
+  return std::accumulate(spec.steps.begin(), spec.steps.end(), std::size_t{0},
+                         [](std::size_t sum, const StepSpec& step) {
+                           return sum + sizeof(Group) +
+                                  step.count * sizeof(Task);
+                         });
+}
+
+Job& JobTable::Add(JobSpec spec, std::string stored_text) {
   auto job = std::make_unique<Job>();
+  job->fixed_bytes = FixedBytesOf(spec, stored_text.size());
+  bytes_ += job->fixed_bytes;
   job->spec = std::move(spec);
-  const std::uint32_t occurrences = std::max(job->spec.repeat_count, 1U);
-  for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
-    for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
-      Group group{.occurrence = occurrence,
-                  .step = step,
-                  .first = static_cast<std::uint32_t>(job->tasks.size()),
-                  .count = job->spec.steps[step].count};
-      group.open = group.count;
-      for (std::uint32_t i = 0; i < group.count; ++i) {
-        Task task;
-        task.job = job.get();
-        task.number = group.first + i;
-        task.group = static_cast<std::uint32_t>(job->groups.size());
-        task.state = initial_;
-        job->tasks.push_back(std::move(task));
-      }
-      job->groups.push_back(group);
-    }
-  }
+  job->stored_text = std::move(stored_text);
   Job& added = *job;
   jobs_[added.spec.id] = std::move(job);
   return added;
 }
 
+void JobTable::AddOccurrence(Job& job) {
+  const std::uint32_t occurrence = job.end_occurrence();
+  for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+    Group group{.occurrence = occurrence,
+                .step = step,
+                .first = static_cast<std::uint32_t>(job.tasks.end_number()),
+                .count = job.spec.steps[step].count};
+    group.open = group.count;
+    for (std::uint32_t i = 0; i < group.count; ++i) {
+      Task task;
+      task.job = &job;
+      task.number = group.first + i;
+      task.group = static_cast<std::uint32_t>(job.groups.end_number());
+      task.state = initial_;
+      job.tasks.Append(std::move(task));
+    }
+    job.groups.Append(group);
+  }
+  bytes_ += OccurrenceBytesOf(job.spec);
+}
+
+void JobTable::RemoveClosed(Job& job, chart::StateId closed) {
+  const std::size_t count = job.tasks_per_occurrence();
+  while (job.tasks.size() > 0 &&
+         std::ranges::all_of(job.tasks.View(job.tasks.first_number(), count),
+                             [&](const Task& task) {
+                               return task.state == closed &&
+                                      !task.worker.valid();
+                             })) {
+    job.tasks.RemoveFirst(count);
+    job.groups.RemoveFirst(job.spec.steps.size());
+    bytes_ -= OccurrenceBytesOf(job.spec);
+  }
+}
+
 Job* JobTable::Find(std::string_view id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
@@ -169,9 +231,14 @@
 }
 
 void JobTable::Remove(std::string_view id) {
-  if (const auto found = jobs_.find(id); found != jobs_.end()) {
-    jobs_.erase(found);
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
   }
+  const Job& job = *found->second;
+  bytes_ -= job.fixed_bytes + (job.end_occurrence() - job.first_occurrence()) *
+                                  OccurrenceBytesOf(job.spec);
+  jobs_.erase(found);
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -63,42 +63,46 @@
 }
 
 void SliceScheduler::InitLastWorkers(Job& job) {
-  if (handed_over_workers_) {
-    InitFromHandOver(job);
-    return;
-  }
-  // An earlier owner may have started the tasks on any worker of the roster.
+  const auto places = stored_places_.find(job.spec.id);
+  job.has_places = !handed_over_workers_ && places != stored_places_.end();
   for (Task& task : job.tasks) {
-    task.unlocated = job.restored && !IsState(task, states_.elsewhere);
+    InitLastWorkers(task);
   }
-  const auto places = stored_places_.find(job.spec.id);
-  if (places != stored_places_.end()) {
+  if (job.has_places) {
     InitFromPlaces(job, places->second);
-  } else if (!job.restored &&
+  } else if (!handed_over_workers_ && !job.restored &&
              std::ranges::any_of(job.spec.steps, KeepsPlaces)) {
     // Tells a successor that no task has been started.
     MarkDirty(job, /*urgent=*/false);
   }
 }
 
-void SliceScheduler::InitFromHandOver(Job& job) {
-  for (Task& task : job.tasks) {
-    const auto found = handed_over_workers_->find(ToText(job.AddressOf(task)));
-    if (found != handed_over_workers_->end() &&
-        !IsState(task, states_.elsewhere)) {
-      for (const std::string& id : found->second) {
-        AddLastWorker(task, id, /*usual_lease=*/false);
-      }
+// Notes where an earlier owner may have started the task. Without places, that
+// may be any worker of the roster.
+void SliceScheduler::InitLastWorkers(Task& task) {
+  const Job& job = *task.job;
+  if (handed_over_workers_) {
+    InitFromHandOver(task);
+    return;
+  }
+  task.unlocated = job.restored && !IsState(task, states_.elsewhere) &&
+                   !(job.has_places && KeepsPlaces(job.StepOf(task)));
+}
+
+void SliceScheduler::InitFromHandOver(Task& task) {
+  const auto found =
+      handed_over_workers_->find(ToText(task.job->AddressOf(task)));
+  if (found != handed_over_workers_->end() &&
+      !IsState(task, states_.elsewhere)) {
+    for (const std::string& id : found->second) {
+      AddLastWorker(task, id, /*usual_lease=*/false);
     }
   }
 }
 
 void SliceScheduler::InitFromPlaces(Job& job, const Places& places) {
-  for (Task& task : job.tasks) {
-    task.unlocated = task.unlocated && !KeepsPlaces(job.StepOf(task));
-  }
   for (const TaskPlace& place : places.tasks) {
-    if (place.task >= job.tasks.size()) {
+    if (!job.tasks.Contains(place.task)) {
       continue;
     }
     Task& task = job.tasks[place.task];
--- a/packages/jobs/src/slice_log.cc
+++ b/packages/jobs/src/slice_log.cc
@@ -30,10 +30,10 @@
                                      core::LogLevel level,
                                      const Worker& worker,
                                      const Worker::LateStart& start) {
-  const Job* job = jobs_.Find(start.job);
+  const Task* task = FindTask(start.job, start.task);
   core::LogLine line(event, level);
-  if (job != nullptr) {
-    line.Add("task", ToText(job->AddressOf(job->tasks[start.task])));
+  if (task != nullptr) {
+    line.Add("task", ToText(task->job->AddressOf(*task)));
   } else {
     line.Add("job", start.job).Add("task", start.task);
   }
--- a/packages/jobs/src/slice_room.cc
+++ b/packages/jobs/src/slice_room.cc
@@ -137,10 +137,10 @@
     return true;
   }
   const Group& group = job.groups[task.group];
-  const auto tasks = std::span(job.tasks).subspan(group.first, group.count);
-  const auto away = std::ranges::count_if(tasks, [this](const Task& other) {
-    return !IsState(other, states_.running) || other.percent < 100;
-  });
+  const auto away =
+      std::ranges::count_if(job.TasksOf(group), [this](const Task& other) {
+        return !IsState(other, states_.running) || other.percent < 100;
+      });
   return away < std::int64_t{step.max_unavailable};
 }
 
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -19,6 +19,11 @@
 constexpr core::Duration kPlacementInterval = milliseconds(500);
 constexpr core::Duration kReadRetryDelay = milliseconds(200);
 
+// Returns whether each task of the job ends.
+bool IsShortLived(const Job& job) {
+  return std::ranges::none_of(job.spec.steps, &StepSpec::long_running);
+}
+
 }  // namespace
 
 SliceScheduler::SliceScheduler(Options options,
@@ -241,15 +246,13 @@
 void SliceScheduler::AddJob(const Row& row,
                             JobSpec spec,
                             const StoredJob& stored) {
-  Job& job = jobs_.Add(std::move(spec));
+  Job& job = jobs_.Add(std::move(spec), row.value);
   // Until the queue's configuration is known, a task may fail any number of
   // times.
   job.queue = {.name = stored.queue,
                .max_attempts = std::numeric_limits<std::uint32_t>::max()};
   job.known_since = now_;
-  for (Group& group : job.groups) {
-    group.image = images_.Intern(job.StepOf(group).image);
-  }
+  job.is_part = !stored.tasks.empty();
   job.restored = row.version < options_.fence_version ||
                  MayBeStarted(rows_complete_before_);
   job.accepted_unix_ms = stored.accepted_unix_ms;
@@ -257,7 +260,6 @@
       !stored.tasks.empty()) {
     incoming_until_ = now_;
   }
-  job.stored_text = row.value;
   job.stored_version = row.version;
   job.runs_above = stored.runs_above;
   // Both rows were written by one transaction.
@@ -273,14 +275,15 @@
   job.objective = accepted + objective;
   // A job still earns value until three times its objective.
   job.useless_after = accepted + 3 * objective;
-  DropTasks(job, stored);
+  Progress progress = stored.progress.value_or(Progress());
   if (const auto found = stored_progress_.find(job.spec.id);
       found != stored_progress_.end()) {
-    ApplyProgress(job, found->second.progress);
+    progress = found->second.progress;
     job.progress_version = found->second.version;
-  } else if (stored.progress) {
-    ApplyProgress(job, *stored.progress);
   }
+  RestoreOccurrences(job, stored, progress);
+  DropTasks(job, stored);
+  ApplyProgress(job, progress);
   InitLastWorkers(job);
   RestoreLateStarts(job);
   if (cancelled_jobs_.contains(job.caller_id()) && !job.halted) {
@@ -292,12 +295,88 @@
                    .Add("job", job.spec.id)
                    .Add("queue", job.queue.name)
                    .Add("slice", options_.slice.name)
-                   .Add("tasks", job.tasks.size())
+                   .Add("tasks", job.task_count())
                    .Add("restored", job.restored)
                    .Add("objective_ms", core::ToMillis(objective)));
   placement_due_ = true;
 }
 
+// Adds the next occurrence of a job that is being read.
+void SliceScheduler::AddOccurrence(Job& job) {
+  const std::size_t first = job.groups.end_number();
+  jobs_.AddOccurrence(job);
+  for (std::size_t i = first; i < job.groups.end_number(); ++i) {
+    job.groups[i].image = images_.Intern(job.StepOf(job.groups[i]).image);
+  }
+}
+
+// Adds the next occurrence of a job that has been read.
+void SliceScheduler::AddLaterOccurrence(Job& job) {
+  const std::size_t first = job.tasks.end_number();
+  AddOccurrence(job);
+  for (std::size_t i = first; i < job.tasks.end_number(); ++i) {
+    InitLastWorkers(job.tasks[i]);
+  }
+}
+
+void SliceScheduler::AddDueOccurrences(Job& job) {
+  while (!job.halted && !job.is_part &&
+         job.end_occurrence() < job.occurrence_count() &&
+         job.DueUnixMs(job.end_occurrence()) <= unix_ms_) {
+    AddLaterOccurrence(job);
+  }
+}
+
+// Adds the occurrences of which the job has tasks here, without the first ones
+// that are done: those that are due, and those that an earlier owner may have
+// begun, whose clock may be ahead.
+void SliceScheduler::RestoreOccurrences(Job& job,
+                                        const StoredJob& stored,
+                                        const Progress& progress) {
+  std::uint32_t first = 0;
+  std::uint32_t end = 0;
+  const auto include_tasks_before = [&](std::size_t task) {
+    const auto count = std::min<std::size_t>(task, job.task_count());
+    if (count > 0) {
+      end = std::max(
+          end, job.OccurrenceOf(static_cast<std::uint32_t>(count - 1)) + 1);
+    }
+  };
+  if (job.is_part) {
+    first = job.OccurrenceOf(std::ranges::min(stored.tasks));
+    include_tasks_before(std::size_t{std::ranges::max(stored.tasks)} + 1);
+  } else {
+    if (IsShortLived(job)) {
+      const auto open = std::ranges::find(progress.done, false);
+      first = job.OccurrenceOf(
+          static_cast<std::uint32_t>(open - progress.done.begin()));
+    }
+    include_tasks_before(progress.done.size());
+    include_tasks_before(progress.failures.size());
+    if (const auto places = stored_places_.find(job.spec.id);
+        places != stored_places_.end()) {
+      for (const TaskPlace& place : places->second.tasks) {
+        include_tasks_before(std::size_t{place.task} + 1);
+      }
+    }
+    for (const auto& worker : workers_.all()) {
+      for (const Worker::LateStart& start : worker->late_starts) {
+        if (start.job == job.spec.id) {
+          include_tasks_before(std::size_t{start.task} + 1);
+        }
+      }
+    }
+    while (end < job.occurrence_count() && job.DueUnixMs(end) <= unix_ms_) {
+      ++end;
+    }
+  }
+  job.groups.StartAt(std::size_t{first} * job.spec.steps.size());
+  job.tasks.StartAt(std::size_t{first} * job.tasks_per_occurrence());
+  while (job.end_occurrence() < end) {
+    AddOccurrence(job);
+  }
+}
+
 // Leaves a part of a job only its own tasks.
 void SliceScheduler::DropTasks(Job& job, const StoredJob& stored) {
   if (stored.tasks.empty()) {
@@ -380,6 +459,7 @@
     return;
   }
   const bool open =
+      job.is_part || job.end_occurrence() < job.occurrence_count() ||
       std::ranges::any_of(job.tasks,
                           [this](const Task& task) {
                             return IsState(task, states_.elsewhere);
@@ -424,6 +504,10 @@
   }
   jobs_.ForEach([this](Job& job) {
     if (job.spec.repeat_count > 0) {
+      if (IsShortLived(job)) {
+        jobs_.RemoveClosed(job, states_.done);
+      }
+      AddDueOccurrences(job);
       Unblock(job);
     }
   });
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -305,13 +305,12 @@
     if (starts.size() >= limit) {
       break;
     }
-    const Job* job = jobs_.Find(start.job);
-    const bool last = job != nullptr && start.task < job->tasks.size() &&
-                      job->tasks[start.task].run == start.run;
+    const Task* task = FindTask(start.job, start.task);
+    const bool last = task != nullptr && task->run == start.run;
     starts.push_back({.job = start.job,
                       .task = start.task,
                       .run = start.run,
-                      .copies = last ? job->tasks[start.task].start_copies : 0,
+                      .copies = last ? task->start_copies : 0,
                       .until_ms = store_clock_.known()
                                       ? store_clock_.LatestAt(start.until)
                                       : 0});
@@ -341,7 +340,7 @@
 void SliceScheduler::RestoreLateStarts(Job& job) const {
   for (const auto& worker : workers_.all()) {
     for (const Worker::LateStart& start : worker->late_starts) {
-      if (start.job != job.spec.id || start.task >= job.tasks.size()) {
+      if (start.job != job.spec.id || !job.tasks.Contains(start.task)) {
         continue;
       }
       Task& task = job.tasks[start.task];
@@ -359,11 +358,11 @@
 
 void SliceScheduler::NoteStartAnswer(const TaskCall& call,
                                      const OrderAnswered& answer,
-                                     Job* job) {
+                                     const Task* task) {
   Worker& worker = workers_.Get(call.worker);
   if (answer.outcome != OrderOutcome::kUnanswered) {
-    if (job != nullptr) {
-      ForgetLateStart(worker, job->tasks[call.number], call.run);
+    if (task != nullptr) {
+      ForgetLateStart(worker, *task, call.run);
     }
     return;
   }
@@ -376,7 +375,6 @@
                   .Add("call", answer.call.value())
                   .Add("ordered", call.generation),
               worker));
-  const Task* task = job == nullptr ? nullptr : &job->tasks[call.number];
   if (task != nullptr && task->run_seen && IsOnlyCopy(*task, call.run)) {
     ForgetLateStart(worker, *task, call.run);
   } else {
@@ -415,11 +413,11 @@
     return;
   }
   Worker& worker = workers_.Get(call.worker);
-  Job* job = jobs_.Find(call.job);
+  Task* found = FindTask(call.job, call.number);
   if (call.starts) {
-    NoteStartAnswer(call, answer, job);
+    NoteStartAnswer(call, answer, found);
   }
-  if (job == nullptr || !IsCurrent(call, job->tasks[call.number])) {
+  if (found == nullptr || !IsCurrent(call, *found)) {
     if (answer.outcome == OrderOutcome::kUnanswered &&
         call.generation == worker.generation) {
       // The end of an earlier run may have closed the task meanwhile.
@@ -427,7 +425,8 @@
     }
     return;
   }
-  Task& task = job->tasks[call.number];
+  Task& task = *found;
+  const Job& job = *task.job;
   if (answer.clock_ms != 0 && call.generation >= worker.life) {
     // The clock of a worker that was idle is as old as its last report, and the
     // renewal that follows a start would grant a short lease.
@@ -446,7 +445,7 @@
   switch (answer.outcome) {
     case OrderOutcome::kCarriedOut:
       Dispatch(task, "accepted");
-      if (job->StepOf(task).best_effort) {
+      if (job.StepOf(task).best_effort) {
         // The task has started at full pace.
         PaceBestEffort(worker);
       }
@@ -465,7 +464,7 @@
       [[fallthrough]];
     default:
       options_.log(AddLife(core::LogLine("start_refused")
-                               .Add("task", ToText(job->AddressOf(task)))
+                               .Add("task", ToText(job.AddressOf(task)))
                                .Add("run", task.run)
                                .Add("worker", worker.entry.id)
                                .Add("reason", ToString(answer.outcome))
@@ -483,13 +482,10 @@
 // the worker's next report.
 void SliceScheduler::HandlePaceAnswer(const TaskCall& run,
                                       const OrderAnswered& answer) {
-  Job* job = jobs_.Find(run.job);
-  if (answer.outcome == OrderOutcome::kCarriedOut || job == nullptr) {
-    return;
-  }
-  Task& task = job->tasks[run.number];
-  if (task.run == run.run) {
-    task.pace_unconfirmed = true;
+  Task* task = FindTask(run.job, run.number);
+  if (answer.outcome != OrderOutcome::kCarriedOut && task != nullptr &&
+      task->run == run.run) {
+    task->pace_unconfirmed = true;
   }
 }
 
--- a/packages/jobs/src/slice_transfer.cc
+++ b/packages/jobs/src/slice_transfer.cc
@@ -185,10 +185,11 @@
 
 bool SliceScheduler::IsWholeJob(const Job& job,
                                 std::span<const std::uint32_t> tasks) const {
-  return std::ranges::all_of(job.tasks, [&](const Task& task) {
-    return IsState(task, states_.elsewhere) ||
-           std::ranges::find(tasks, task.number) != tasks.end();
-  });
+  return (job.is_part || job.has_all_tasks()) &&
+         std::ranges::all_of(job.tasks, [&](const Task& task) {
+           return IsState(task, states_.elsewhere) ||
+                  std::ranges::find(tasks, task.number) != tasks.end();
+         });
 }
 
 // @returns the slice where most of the tasks fit; of several, the one with the
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -17,7 +17,7 @@
   }
   if (!tasks.empty()) {
     stored.tasks.clear();
-    if (tasks.size() < job.tasks.size()) {
+    if (tasks.size() < job.task_count()) {
       stored.tasks.assign(tasks.begin(), tasks.end());
     }
   }
--- a/packages/jobs/src/slice_unknown_runs.cc
+++ b/packages/jobs/src/slice_unknown_runs.cc
@@ -17,12 +17,41 @@
       final_jobs_, [job](const auto& entry) { return entry.second == job; });
 }
 
+// Returns whether the task is known to need no run here any more.
+bool SliceScheduler::IsOver(const TaskAddress& task) {
+  const Job* job = jobs_.Find(task.job);
+  return IsClosed(task.job) ||
+         (job != nullptr && task.occurrence < job->first_occurrence());
+}
+
+// Returns the task that a worker reports. Its occurrence may not be due by this
+// owner's clock yet: it was by that of the owner that started it.
+Task* SliceScheduler::FindReportedTask(const TaskAddress& address) {
+  Job* job = jobs_.Find(address.job);
+  if (job != nullptr && !job->halted && !job->is_part &&
+      address.occurrence < job->occurrence_count()) {
+    while (job->end_occurrence() <= address.occurrence) {
+      AddOccurrence(*job);
+    }
+  }
+  return jobs_.FindTask(address);
+}
+
+// Returns the task with this number in a job or a part; nullptr if the job has
+// left the table, or the task is done and removed.
+Task* SliceScheduler::FindTask(std::string_view job, std::uint32_t number) {
+  Job* found = jobs_.Find(job);
+  return found != nullptr && found->tasks.Contains(number)
+             ? &found->tasks[number]
+             : nullptr;
+}
+
 void SliceScheduler::HoldUnknownEnd(Worker& worker, const EndedRun& end) {
   if (const auto until = worker.LateStartOf(end.task.job);
       until && end.kind == EndKind::kDone) {
     worker.unsafe_ends.push_back({.number = end.number, .until = *until});
   }
-  if (!IsClosed(end.task.job)) {
+  if (!IsOver(end.task)) {
     worker.unknown_ends.push_back({.end = end, .unread_since = now_});
     job_rows_.Refresh(now_);
   }
@@ -33,7 +62,7 @@
       std::ranges::find_if(worker.unknown_runs, [&](const auto& unknown) {
         return unknown.run.run == run.run && unknown.run.task == run.task;
       });
-  if (found == worker.unknown_runs.end() && !IsClosed(run.task.job)) {
+  if (found == worker.unknown_runs.end() && !IsOver(run.task)) {
     worker.unknown_runs.push_back({.run = run, .unread_since = now_});
     job_rows_.Refresh(now_);
   } else if (found == worker.unknown_runs.end() || !found->unread_since) {
@@ -54,7 +83,7 @@
 void SliceScheduler::HandleRunsOfNewJob() {
   for (const auto& worker : workers_.all()) {
     std::erase_if(worker->unknown_ends, [&](const auto& unknown) {
-      Task* task = jobs_.FindTask(unknown.end.task);
+      Task* task = FindReportedTask(unknown.end.task);
       if (task != nullptr) {
         ApplyEnd(*worker, *task, unknown.end);
       }
@@ -62,7 +91,7 @@
     });
     const auto known = std::ranges::stable_partition(
         worker->unknown_runs, [this](const auto& unknown) {
-          return jobs_.FindTask(unknown.run.task) == nullptr;
+          return FindReportedTask(unknown.run.task) == nullptr;
         });
     std::vector<ActiveRun> runs;
     std::ranges::transform(known, std::back_inserter(runs),
--- a/packages/jobs/src/slice_waiting_transfer.cc
+++ b/packages/jobs/src/slice_waiting_transfer.cc
@@ -53,10 +53,11 @@
 // Returns whether no run of the job can be on a worker, or begin there by a
 // late order.
 bool SliceScheduler::RunsNowhere(const Job& job) const {
-  const bool may_run = std::ranges::any_of(job.tasks, [this](const Task& task) {
-    return task.worker.valid() || MayRunUnseen(task) || task.transferring ||
-           IsState(task, states_.elsewhere);
-  });
+  const bool may_run =
+      job.is_part || std::ranges::any_of(job.tasks, [this](const Task& task) {
+        return task.worker.valid() || MayRunUnseen(task) || task.transferring ||
+               IsState(task, states_.elsewhere);
+      });
   return !may_run &&
          std::ranges::none_of(workers_.all(), [&job](const auto& worker) {
            return std::ranges::any_of(
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -264,7 +264,7 @@
   worker.last_end = end.number;
   // Stored with the next commit, even if nothing else changes.
   commit_due_ = std::min(commit_due_, now_ + kTick);
-  Task* task = jobs_.FindTask(end.task);
+  Task* task = FindReportedTask(end.task);
   const bool lapsed = end.kind == EndKind::kLapsed;
   options_.log(
       AddLife(core::LogLine("run_ended", lapsed ? core::LogLevel::kWarning
@@ -371,7 +371,7 @@
                                   const ActiveRun& run,
                                   const RenewalCall& call,
                                   const WorkerReport& report) {
-  Task* task = jobs_.FindTask(run.task);
+  Task* task = FindReportedTask(run.task);
   if (task == nullptr) {
     HandleUnknownRun(worker, run);
     return;
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <iterator>
 #include <map>
+#include <sstream>
 
 #include "chart_yaml/load.h"
 #include "jobs/slice_board.h"
@@ -117,7 +118,12 @@
 
 std::optional<JobSpec> ReadSteps(const StoredJob& stored) {
   JobSpec spec{.payload = "payload"};
-  for (const char kind : stored.document) {
+  std::istringstream document(stored.document);
+  std::string steps;
+  std::getline(document, steps, '/');
+  char mark = 0;
+  document >> spec.repeat_count >> mark >> spec.interval_ms;
+  for (const char kind : steps) {
     StepSpec step = Steps().at(kind);
     step.estimate = milliseconds(1000);
     step.saves_progress = true;
@@ -276,7 +282,7 @@
     store.SetTime(now_);
     owner->SetStoreClock(
         {.shown_ms = core::ToMillis(now_.time_since_epoch()), .sent = now_});
-    owner->Run(now_, 0);
+    owner->Run(now_, unix_ms);
     ExecuteCommands();
   }
 }
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -71,6 +71,8 @@
   /// - `l`, `m` and `f`: best-effort tasks of 1, 4 and 20 cores;
   /// - `g` and `q`: a best-effort task of 1 core and 100 or 20 GB;
   /// - `y`: a gang of three best-effort tasks of 20 cores.
+  /// With `/COUNT/INTERVAL` behind, it is run COUNT times, the first time at
+  /// once, and then each INTERVAL milliseconds.
   void Submit(const std::string& id, const std::string& steps);
   void Cancel(const std::string& id);
 
@@ -130,6 +132,9 @@
   /// Failure domains that the next owners know to be evacuated.
   FailureDomains evacuated;
 
+  /// Time of day, which the clock does not advance.
+  std::int64_t unix_ms = 0;
+
   /// Log lines of all owners.
   std::vector<std::string> log;
   /// Those of them that are warnings or errors.
