Bound the memory of a slice's jobs

An owner that exceeds its memory is killed, and so is whoever claims the slice next.

Cause: nothing related what is accepted to what an owner can hold. The memory limit of the settings bounded clients and responses only.

Change: a quarter of a process's memory is for jobs, in equal parts for all slices, since one process may come to own each of them. The owner publishes with its load what is left of a slice's part. Intake refuses a job that no candidate has room for before it stores it, with 429, Retry-After of 5 s and "has not run"; without a recent load it goes by the last one, less what it has accepted since. What is accepted beyond the room all the same, by processes that accept at the same time, or by an owner with more memory before, stays in the store: its rows are read again when there is memory. Runs of such jobs go on and their ends are kept meanwhile, a cancelled one is read at once, and an owner that has left any in the store hands nothing over. Occurrences of a job wait for open ones of it while the memory is used up.

The tests of the refusal need the change to compile.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -38,10 +38,13 @@
   /// The part that is reserved until the job is cancelled.
   std::int64_t long_running_millis = 0;
   std::vector<TaskNeeds> needs;  ///< Of its tasks; each need once.
+  /// Memory that the owner of its slice needs for it, with one occurrence.
+  std::int64_t bytes = 0;
 };
 
-/// @returns the demand of the job: the maximum over its steps, by field.
-JobDemand DemandOf(const JobSpec& spec);
+/// @returns the demand of the job: of `bytes` the sum, of each other field the
+/// maximum over its steps. @param document_bytes size of its document.
+JobDemand DemandOf(const JobSpec& spec, std::size_t document_bytes);
 
 /// A caller's request. The path consists of a queue's prefix and a job id; a
 /// query without a job id requests the number of waiting jobs in the queue.
@@ -59,7 +62,7 @@
 enum class Refusal {
   kNotConfigured,  ///< No configuration has been read yet.
   kStoreDown,      ///< The job was not stored.
-  kNoCapacity,     ///< No room for the job's long-running tasks.
+  kNoCapacity,     ///< No room for its long-running tasks, or in memory.
   kUnknownQueue,
   kBadDocument,
   kNoSuchJob,
@@ -113,7 +116,8 @@
   Intake(Options options, CallIds& ids)
       : options_(std::move(options)),
         ids_(ids),
-        added_(options_.slices.size()) {}
+        added_(options_.slices.size()),
+        added_bytes_(options_.slices.size()) {}
 
   void SetConfig(QueueConfigPtr config) { config_ = std::move(config); }
 
@@ -191,6 +195,10 @@
   std::optional<std::string> FindCapacityShortage(
       std::span<const std::size_t> candidates,
       const JobDemand& demand) const;
+  std::optional<std::int64_t> JobRoomBytes(std::size_t slice) const;
+  std::optional<std::string> FindMemoryShortage(
+      std::span<const std::size_t> candidates,
+      const JobDemand& demand) const;
   bool StoreIsDown(core::TimePoint now) const;
   std::string StoreState() const;
 
@@ -215,6 +223,8 @@
   /// By slice, as published.
   std::vector<std::optional<SliceLoad>> loads_;
   std::vector<JobDemand> added_;  ///< By slice, since SetLoads.
+  /// JobDemand::bytes by slice, since its owner published a load.
+  std::vector<std::int64_t> added_bytes_;
   /// Cache of the slices of jobs that this process has stored or read.
   std::unordered_map<std::string, std::size_t> known_slices_;
   std::deque<std::string> known_order_;
--- a/packages/jobs/include/jobs/slice_load.h
+++ b/packages/jobs/include/jobs/slice_load.h
@@ -42,6 +42,9 @@
   /// Number of jobs by queue for which no task has started.
   std::map<std::string, std::uint32_t, std::less<>> pending;
   std::map<std::string, ServiceRoom, std::less<>> services;
+  /// Memory that the owner has left for further jobs; nothing if the owner, one
+  /// of an earlier version, does not say.
+  std::optional<std::int64_t> job_room_bytes;
 };
 
 /// Maximum number of workers whose room for long-running tasks is published.
--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -1,9 +1,11 @@
 #ifndef JOBS_SLICE_SCHEDULER_H_
 #define JOBS_SLICE_SCHEDULER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -74,6 +76,8 @@
     std::string predecessor;               ///< As in SliceGained.
     std::string predecessor_incarnation;   ///< As in SliceGained.
     FleetLimits limits;
+    /// Memory for the slice's jobs, of what the process may use.
+    std::size_t job_bytes = std::numeric_limits<std::int32_t>::max();
     /// Reads a job's document; nothing if it cannot be read.
     std::function<std::optional<JobSpec>(const StoredJob&)> read_document;
     std::function<void(const core::LogLine&)> log;
@@ -167,6 +171,11 @@
                           const StoredJob& stored,
                           const Progress& progress);
   void DropTasks(Job& job, const StoredJob& stored);
+  bool HasMemoryFor(std::size_t bytes) const;
+  bool IsParked(std::string_view job) const;
+  void ParkJob(const Row& row, const StoredJob& stored, std::size_t bytes);
+  void ReadParkedJob();
+  void FinishParkedRead(const StoreEvent& event);
   void HandleCancellation(std::string_view id);
   std::string JobText(const Job& job, std::span<const std::uint32_t> tasks);
   void ApplyProgress(Job& job, const Progress& progress);
@@ -500,6 +509,9 @@
   core::TimePoint progress_retry_;
   std::map<std::string, StoredProgress, std::less<>> stored_progress_;
   std::map<std::string, Places, std::less<>> stored_places_;
+  std::map<std::string, ParkedJob, std::less<>> parked_jobs_;
+  std::optional<ParkedRead> parked_read_;
+  core::TimePoint parked_retry_;
   RowVersion roster_version_ = 0;
   bool roster_due_ = false;
   bool restored_ = false;  ///< All jobs and their progress are known.
--- a/packages/jobs/include/jobs/slice_scheduler_types.h
+++ b/packages/jobs/include/jobs/slice_scheduler_types.h
@@ -109,6 +109,20 @@
     RowVersion version = 0;
   };
 
+  /// A job that is left in the store until there is memory for it.
+  struct ParkedJob {
+    std::string queue;
+    RowVersion version = 0;  ///< Of its row.
+    std::size_t bytes = 0;   ///< That it needs, with one occurrence.
+    /// Up to when the job table was known before the row was read.
+    core::TimePoint complete_before;
+  };
+
+  struct ParkedRead {
+    CallId call;
+    std::string job;
+  };
+
   /// Utilisation of a job's tasks without best-effort work beside them.
   struct Baseline {
     double value = 0;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -39,7 +39,7 @@
 constexpr double kLongRunningShare = 0.9;
 
 // Room becomes free when long-running jobs are cancelled, which happens several
-// times a minute.
+// times a minute. Memory becomes free when jobs are closed.
 constexpr core::Duration kCapacityRetryAfter = milliseconds(5000);
 
 // The job id is part of row keys, which have at most 200 bytes.
@@ -193,6 +193,11 @@
     Refuse(call, Refusal::kNoCapacity, *std::move(reason));
     return;
   }
+  if (auto reason = FindMemoryShortage(candidates, call.demand);
+      reason && !may_be_stored) {
+    Refuse(call, Refusal::kNoCapacity, *std::move(reason));
+    return;
+  }
   const std::size_t slice = ChooseSlice(candidates, queue, call.demand);
   const std::string& name = options_.slices[slice].name;
   CommitRows commit{.puts = {{.key = ProgressRow(name, job),
@@ -216,12 +221,20 @@
 }
 
 void Intake::SetLoads(std::vector<std::optional<SliceLoad>> loads) {
+  for (std::size_t i = 0; i < added_bytes_.size() && i < loads.size(); ++i) {
+    const bool published =
+        loads[i] && (i >= loads_.size() || !loads_[i] ||
+                     loads_[i]->unix_ms != loads[i]->unix_ms);
+    added_bytes_[i] = published ? 0 : added_bytes_[i];
+  }
   loads_ = std::move(loads);
   added_.assign(options_.slices.size(), JobDemand());
 }
 
-JobDemand DemandOf(const JobSpec& spec) {
-  JobDemand widest;
+JobDemand DemandOf(const JobSpec& spec, std::size_t document_bytes) {
+  JobDemand widest{
+      .bytes = static_cast<std::int64_t>(FixedBytesOf(spec, document_bytes) +
+                                         OccurrenceBytesOf(spec))};
   for (const StepSpec& step : spec.steps) {
     const std::int64_t count = step.count;
     AddNeeds(widest.needs, step);
@@ -263,8 +276,11 @@
 std::size_t Intake::ChooseSlice(std::span<const std::size_t> candidates,
                                 const Queue& queue,
                                 const JobDemand& demand) {
-  enum class Rank { kRoom, kUnknown, kFull, kUnfit, kEvacuated };
+  enum class Rank { kRoom, kUnknown, kFull, kUnfit, kEvacuated, kNoMemory };
   const auto rank = [&](std::size_t slice, const SliceLoad* load) {
+    if (const auto room = JobRoomBytes(slice); room && *room < demand.bytes) {
+      return Rank::kNoMemory;
+    }
     if (IsEvacuated(slice)) {
       return Rank::kEvacuated;
     }
@@ -298,9 +314,42 @@
   added_[chosen].millis += demand.millis;
   added_[chosen].reserved_millis += demand.reserved_millis;
   added_[chosen].long_running_millis += demand.long_running_millis;
+  added_bytes_[chosen] += demand.bytes;
   return chosen;
 }
 
+// @returns the memory that the last owner of the slice had left for jobs,
+// without those that were accepted since, as far as this process knows; nothing
+// if no owner has said. A slice without an owner gets one that holds the same.
+std::optional<std::int64_t> Intake::JobRoomBytes(std::size_t slice) const {
+  if (slice >= loads_.size() || !loads_[slice] ||
+      !loads_[slice]->job_room_bytes) {
+    return std::nullopt;
+  }
+  return *loads_[slice]->job_room_bytes -
+         kUnpublishedFactor * added_bytes_[slice];
+}
+
+// A job that no owner can hold in its memory is refused before it is stored.
+// @returns the room of each candidate, as text; nullopt if one of them has room
+// or does not say.
+std::optional<std::string> Intake::FindMemoryShortage(
+    std::span<const std::size_t> candidates,
+    const JobDemand& demand) const {
+  std::string reason =
+      "needs " + std::to_string(demand.bytes) + " bytes of an owner's memory";
+  for (const std::size_t slice : candidates) {
+    const auto room = JobRoomBytes(slice);
+    if (!room || demand.bytes <= *room) {
+      return std::nullopt;
+    }
+    reason += "; " + options_.slices[slice].name + " has " +
+              std::to_string(std::max<std::int64_t>(*room, 0)) + " left, " +
+              std::to_string(unix_ms_ - loads_[slice]->unix_ms) + " ms ago";
+  }
+  return reason;
+}
+
 // A long-running job without room would delay other jobs until it is cancelled,
 // so it is refused before it is stored.
 // @returns the load of each candidate, as text; nullopt if one of them has room
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -206,7 +206,7 @@
          commit.stray_cancellations.size() < kRemovalsPerCommit) {
     std::string id = std::move(
         stray_cancellations_.extract(stray_cancellations_.begin()).value());
-    if (jobs_.FindWithParts(id).empty()) {
+    if (jobs_.FindWithParts(id).empty() && !IsParked(id)) {
       commit.rows.removals.push_back(CancelRow(options_.slice.name, id));
       commit.stray_cancellations.push_back(std::move(id));
     }
@@ -405,6 +405,18 @@
   const core::Duration age = now_ - job_rows_.last_answer();
   SliceLoad load{.unix_ms = unix_ms_ - core::ToMillis(age)};
   load.incoming = incoming_version_;
+  std::size_t job_bytes = jobs_.bytes();
+  for (const auto& [id, parked] : parked_jobs_) {
+    job_bytes += parked.bytes;
+    const auto stored = stored_progress_.find(id);
+    const bool begun = stored != stored_progress_.end() &&
+                       stored->second.progress.phase != JobPhase::kQueued;
+    if (!begun) {
+      ++load.pending[parked.queue];
+    }
+  }
+  load.job_room_bytes = static_cast<std::int64_t>(
+      options_.job_bytes - std::min(options_.job_bytes, job_bytes));
   // Long-running tasks on a worker that may have failed, or that is draining,
   // will soon need room on other workers.
   const bool needs_room =
--- a/packages/jobs/src/slice_hand_over.cc
+++ b/packages/jobs/src/slice_hand_over.cc
@@ -245,7 +245,7 @@
 // Returns whether no owner before may have started a job that this one has not
 // read.
 bool SliceScheduler::KnowsAllRuns() const {
-  return !HasUnreadRuns() &&
+  return !HasUnreadRuns() && parked_jobs_.empty() &&
          (handed_over_workers_ || options_.predecessor_ended ||
           !MayBeStarted(job_rows_.complete_until()));
 }
--- a/packages/jobs/src/slice_load.cc
+++ b/packages/jobs/src/slice_load.cc
@@ -20,7 +20,12 @@
 constexpr std::string_view kAccelerators = "acc";
 constexpr std::string_view kLabel = "label";
 
-constexpr std::int64_t kBytesPerMegabyte = 1024LL * 1024;
+// In place of a service and what it has. Earlier versions take it for a service
+// without workers.
+constexpr std::string_view kJobRoom = "room_kb:!jobs";
+
+constexpr std::int64_t kBytesPerKilobyte = 1024;
+constexpr std::int64_t kBytesPerMegabyte = 1024 * kBytesPerKilobyte;
 
 bool IsWord(std::string_view text) {
   return !text.empty() &&
@@ -99,6 +104,11 @@
       AppendService(text, service, room);
     }
   }
+  if (load.job_room_bytes) {
+    text += kServiceMark;
+    text.append(kJobRoom) +=
+        ' ' + std::to_string(*load.job_room_bytes / kBytesPerKilobyte) + '\n';
+  }
   return text;
 }
 
@@ -125,6 +135,8 @@
     }
     if (queue.front() != kServiceMark) {
       load.pending[queue] = count;
+    } else if (std::string_view(queue).substr(1) == kJobRoom) {
+      load.job_room_bytes = count * kBytesPerKilobyte;
     } else if (!ReadService(load, std::string_view(queue).substr(1), count)) {
       return std::nullopt;
     }
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -114,6 +114,10 @@
     FinishCommit(event);
     return;
   }
+  if (parked_read_ && parked_read_->call == call) {
+    FinishParkedRead(event);
+    return;
+  }
   rows_complete_before_ = job_rows_.complete_until();
   if (const auto update = job_rows_.Handle(event, now)) {
     const auto& rows = std::visit(
@@ -131,8 +135,11 @@
     return;
   }
   restored_ = true;
-  stored_progress_.clear();
-  stored_places_.clear();
+  const auto is_read = [this](const auto& entry) {
+    return !parked_jobs_.contains(entry.first);
+  };
+  std::erase_if(stored_progress_, is_read);
+  std::erase_if(stored_places_, is_read);
   LogRestored();
 }
 
@@ -228,6 +235,7 @@
 void SliceScheduler::HandleJobRow(const Row& row) {
   const auto removed = removed_jobs_.find(row.key.key);
   if (jobs_.Find(row.key.key) != nullptr ||
+      parked_jobs_.contains(row.key.key) ||
       (removed != removed_jobs_.end() && row.version <= removed->second)) {
     return;
   }
@@ -240,6 +248,12 @@
     return;
   }
   spec->id = row.key.key;
+  const std::size_t bytes =
+      FixedBytesOf(*spec, row.value.size()) + OccurrenceBytesOf(*spec);
+  if (!HasMemoryFor(bytes) && !cancelled_jobs_.contains(CallerId(spec->id))) {
+    ParkJob(row, *stored, bytes);
+    return;
+  }
   AddJob(row, *std::move(spec), *stored);
 }
 
@@ -286,6 +300,7 @@
   ApplyProgress(job, progress);
   InitLastWorkers(job);
   RestoreLateStarts(job);
+  AddDueOccurrences(job);
   if (cancelled_jobs_.contains(job.caller_id()) && !job.halted) {
     Halt(job, JobPhase::kCancelled);
   }
@@ -319,17 +334,22 @@
   }
 }
 
+// While the memory for jobs is used up, or other jobs wait for some, an
+// occurrence waits for those of its job that are open.
 void SliceScheduler::AddDueOccurrences(Job& job) {
-  while (!job.halted && !job.is_part &&
-         job.end_occurrence() < job.occurrence_count() &&
-         job.DueUnixMs(job.end_occurrence()) <= unix_ms_) {
+  const std::size_t bytes = OccurrenceBytesOf(job.spec);
+  while (
+      !job.halted && !job.is_part &&
+      job.end_occurrence() < job.occurrence_count() &&
+      job.DueUnixMs(job.end_occurrence()) <= unix_ms_ &&
+      (job.tasks.size() == 0 ||
+       (parked_jobs_.empty() && jobs_.bytes() + bytes <= options_.job_bytes))) {
     AddLaterOccurrence(job);
   }
 }
 
-// Adds the occurrences of which the job has tasks here, without the first ones
-// that are done: those that are due, and those that an earlier owner may have
-// begun, whose clock may be ahead.
+// Adds the occurrences of which the job has tasks here that an earlier owner
+// may have begun, without the first ones that are done.
 void SliceScheduler::RestoreOccurrences(Job& job,
                                         const StoredJob& stored,
                                         const Progress& progress) {
@@ -366,9 +386,6 @@
         }
       }
     }
-    while (end < job.occurrence_count() && job.DueUnixMs(end) <= unix_ms_) {
-      ++end;
-    }
   }
   job.groups.StartAt(std::size_t{first} * job.spec.steps.size());
   job.tasks.StartAt(std::size_t{first} * job.tasks_per_occurrence());
@@ -511,6 +528,7 @@
       Unblock(job);
     }
   });
+  ReadParkedJob();
   RenewLeases();
   LogUnheard();
   if (now >= next_placement_) {
--- a/packages/jobs/src/slice_unknown_runs.cc
+++ b/packages/jobs/src/slice_unknown_runs.cc
@@ -28,7 +28,7 @@
 // owner's clock yet: it was by that of the owner that started it.
 Task* SliceScheduler::FindReportedTask(const TaskAddress& address) {
   Job* job = jobs_.Find(address.job);
-  if (job != nullptr && !job->halted && !job->is_part &&
+  if (job != nullptr && !job->is_part &&
       address.occurrence < job->occurrence_count()) {
     while (job->end_occurrence() <= address.occurrence) {
       AddOccurrence(*job);
@@ -109,13 +109,14 @@
 void SliceScheduler::SettleUnknownRuns() {
   const core::TimePoint read = job_rows_.complete_until();
   for (const auto& worker : workers_.all()) {
-    if (std::erase_if(worker->unknown_ends, [read](const auto& unknown) {
-          return unknown.unread_since < read;
+    if (std::erase_if(worker->unknown_ends, [&](const auto& unknown) {
+          return unknown.unread_since < read && !IsParked(unknown.end.task.job);
         }) > 0) {
       commit_due_ = std::min(commit_due_, now_);
     }
     for (Worker::UnknownRun& unknown : worker->unknown_runs) {
-      if (unknown.unread_since && *unknown.unread_since < read) {
+      if (unknown.unread_since && *unknown.unread_since < read &&
+          !IsParked(unknown.run.task.job)) {
         unknown.unread_since.reset();
         StopUnknown(*worker, unknown.run);
       }
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -36,7 +36,8 @@
                   .document = "document",
                   .demand = {.millis = 1'000,
                              .reserved_millis = 1'000,
-                             .long_running_millis = long_running_millis},
+                             .long_running_millis = long_running_millis,
+                             .bytes = bytes},
                   .give_up = now_ + 2s},
                  now_, 77);
     Advance(100ms);
@@ -83,6 +84,7 @@
   FakeStore store;
   std::optional<ClientResult> last;
   std::int64_t long_running_millis = 0;  ///< Of submitted jobs.
+  std::int64_t bytes = 0;                ///< The same.
   std::vector<std::string> log;
 
  private:
@@ -205,6 +207,50 @@
   CHECK(std::holds_alternative<CallDone>(world.Take()));
 }
 
+// Guards against an owner that is killed for its memory by jobs that were
+// accepted although it could not hold them.
+TEST_CASE("a job that no owner can hold is refused at once", "[intake]") {
+  IntakeWorld world;
+  const SliceLoad full = {.job_room_bytes = 9'999};
+  world.intake().SetLoads({full, full});
+  world.bytes = 10'000;
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  const ClientResult refused = world.Take();
+  REQUIRE(std::holds_alternative<CallRefused>(refused));
+  CHECK(std::get<CallRefused>(refused).refusal == Refusal::kNoCapacity);
+  CHECK(std::get<CallRefused>(refused).retry_after.has_value());
+  CHECK_THAT(std::get<CallRefused>(refused).detail,
+             Catch::Matchers::Contains("needs 10000 bytes") &&
+                 Catch::Matchers::Contains("a-0 has 9999 left"));
+  CHECK(world.SliceOf("job1").empty());
+  const SliceLoad room = {.job_room_bytes = 10'000};
+  const bool room_first = GENERATE(true, false);
+  world.intake().SetLoads({room_first ? room : full, room_first ? full : room});
+  world.Call(ClientVerb::kSubmit, "/d/job2");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  CHECK(world.SliceOf("job2") == (room_first ? "a-0" : "b-0"));
+}
+
+// Guards against jobs that are accepted without a bound while a slice has no
+// owner: the room that the last one published does not change.
+TEST_CASE("accepted jobs take room until the owner publishes its load again",
+          "[intake]") {
+  IntakeWorld world;
+  SliceLoad load = {.unix_ms = 77, .job_room_bytes = 35'000};
+  const SliceLoad full = {.unix_ms = 77, .job_room_bytes = 0};
+  world.bytes = 10'000;
+  world.intake().SetLoads({load, full});
+  world.Call(ClientVerb::kSubmit, "/d/job1");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+  world.intake().SetLoads({load, full});
+  world.Call(ClientVerb::kSubmit, "/d/job2");
+  CHECK(world.TakeRefusal() == Refusal::kNoCapacity);
+  load.unix_ms = 78;
+  world.intake().SetLoads({load, full});
+  world.Call(ClientVerb::kSubmit, "/d/job3");
+  CHECK(std::holds_alternative<CallDone>(world.Take()));
+}
+
 TEST_CASE("a lost answer is resolved by the next attempt", "[intake]") {
   IntakeWorld world;
   world.store.SetFault(FakeStore::Fault::kLoseAnswer);
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -51,6 +51,19 @@
   CHECK(DecodeRoster("w a:1@0!j!j,1,2,3!j,1,2,3,x!j,1,2,3,4,5\n") == damaged);
 }
 
+TEST_CASE("the room for jobs is unchanged by encoding and decoding a load",
+          "[records]") {
+  const SliceLoad load = {.pending = {{"q", 3}}, .job_room_bytes = 5 * 1024};
+  const auto decoded = DecodeSliceLoad(EncodeSliceLoad(load));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->job_room_bytes == load.job_room_bytes);
+  CHECK(decoded->pending == load.pending);
+  CHECK(decoded->services.empty());
+  const auto earlier = DecodeSliceLoad(EncodeSliceLoad({}));
+  REQUIRE(earlier.has_value());
+  CHECK_FALSE(earlier->job_room_bytes.has_value());
+}
+
 TEST_CASE("damaged records are refused", "[records]") {
   for (const char* text :
        {"", "active", "active/", "unknown//", "active/x/", "active//1",
--- a/packages/jobs/tests/slice_occurrences_test.cc
+++ b/packages/jobs/tests/slice_occurrences_test.cc
@@ -88,6 +88,34 @@
   RunOccurrence(world, 2);
 }
 
+// Guards against a job that takes more memory than when it was accepted: all of
+// its occurrences may become due at once.
+TEST_CASE("occurrences wait for open ones of their job while memory is used up",
+          "[occurrences]") {
+  SliceWorld world;
+  world.job_bytes = kSmallJobBytes;
+  world.TakeOver();
+  world.AddWorker("w1");
+  world.Submit("j", "c/20000/0");
+  world.Advance(1s);
+  CHECK(world.owner->job_bytes() <= kSmallJobBytes);
+  CHECK(world.owner->load()->job_room_bytes < std::int64_t{kSmallJobBytes});
+  std::uint32_t ended = 0;
+  const auto end_occurrences = [&](std::uint32_t count) {
+    for (const std::uint32_t until = ended + count; ended < until; ++ended) {
+      REQUIRE(world.workers.WorkerOf(Occurrence(ended)) == "w1");
+      world.workers.End(Occurrence(ended), EndKind::kDone);
+      world.Advance(1s);
+      CHECK(world.owner->job_bytes() <= kSmallJobBytes);
+    }
+  };
+  end_occurrences(100);
+  world.Submit("k", "c");
+  world.Advance(1s);
+  end_occurrences(10);
+  CHECK(world.workers.starts(SliceWorld::Task("k")) == 1);
+}
+
 // Guards against an answer about a run whose task is gone.
 TEST_CASE("an order is answered after its occurrence is done",
           "[occurrences]") {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -195,6 +195,7 @@
        .places_since = places_since,
        .limits = {.longest_lease = longest_lease,
                   .keep_final_jobs = milliseconds(120'000)},
+       .job_bytes = job_bytes,
        .read_document = ReadSteps,
        .log =
            [this](const core::LogLine& line) {
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -129,6 +129,8 @@
   /// Since this epoch, owners have stored the places of long-running tasks.
   Epoch places_since = 1;
   std::size_t commits = 0;
+  /// Memory for the jobs of the next owners.
+  std::size_t job_bytes = 64UL * 1024 * 1024;
   /// Failure domains that the next owners know to be evacuated.
   FailureDomains evacuated;
 
--- a/packages/jobs_process/src/process.cc
+++ b/packages/jobs_process/src/process.cc
@@ -61,6 +61,12 @@
 
 constexpr std::size_t kUnknownResponseBudget = 32 * kMegabyte;
 
+// Of the memory of the VM, for open jobs: what callers (a quarter) and two
+// upstreams (an eighth each) may hold leaves a half, of which an idle process
+// uses 23 MB.
+constexpr std::size_t kJobMemoryDivisor = 4;
+constexpr std::size_t kUnknownJobBudget = 64 * kMegabyte;
+
 std::size_t MemoryOf(const ProcessOptions& options) {
   return static_cast<std::size_t>(options.memory_mb) * kMegabyte;
 }
@@ -70,6 +76,12 @@
                                : kUnknownResponseBudget;
 }
 
+// A process may come to own all slices, each full of jobs.
+std::size_t JobBytes(const ProcessOptions& options) {
+  return options.memory_mb > 0 ? MemoryOf(options) / kJobMemoryDivisor
+                               : kUnknownJobBudget;
+}
+
 http::FrontOptions CallersOptions(const ProcessOptions& options) {
   http::FrontOptions front;
   const std::size_t memory = MemoryOf(options);
@@ -185,6 +197,8 @@
        .cpu_millis = options.cpu_millis,
        .slices = slices,
        .limits = options.limits,
+       .slice_job_bytes =
+           JobBytes(options) / std::max<std::size_t>(slices.size(), 1),
        .publish_loads =
            [this](auto loads) {
              intake->inputs().TryPush(IntakeInput(LoadsRead{std::move(loads)}));
--- a/packages/jobs_process/src/scheduler_duty_p.h
+++ b/packages/jobs_process/src/scheduler_duty_p.h
@@ -46,6 +46,7 @@
     std::int64_t cpu_millis = 0;  ///< Of this VM; 0 if unknown.
     std::vector<jobs::SliceInfo> slices;
     jobs::FleetLimits limits;
+    std::size_t slice_job_bytes = 0;  ///< Memory for the jobs of each slice.
     std::function<void(std::vector<std::optional<jobs::SliceLoad>>)>
         publish_loads;
     std::function<void(const core::LogLine&)> log;
