Count a run for its step's limit until it is over

Callers saw, in the users' record of ROUTE: two tasks of a step with anti_affinity on one executor, the order of the second not late, seven cases on two deployments.

Cause, shown by runs of `spread.py` on: a worker is out of reach, its run of a task is lost with the lease, and the task is placed on another worker. The first one answers again and lists its run as done. With that end the task left the other worker in the owner's books, although its run there went on until the next report had it stopped as unknown, 0.15 to 0.6 s later; the same pass placed a sibling beside it. It acts on capacity as well: the room of such a run was given away while it was in use. That this is the cause of each case of the users' record is likely, not shown: the record does not name the runs that end.

Ruled out by reading: a worker gets no task before its report, and the runs that it lists of a task that is not done are adopted before the first placement.

Change: a run that its task needs no more, because another run of it is done or is the current one, is stopped at once, keeps its room and counts for its step's limit until a report does not list it. `task_placed` says with a limit how many of the step are on the worker (`of_step`).

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -212,6 +212,18 @@
   void HandleReport(const RenewalCall& call, const WorkerReport& report);
   void HandleEnd(Worker& worker, const EndedRun& end);
   void ApplyEnd(Worker& worker, Task& task, const EndedRun& end);
+  void EndAsDone(Worker& worker, Task& task, const EndedRun& end);
+  void KeepLeftRun(Worker& worker, const Worker::LeftRun& left);
+  void SettleLeftRun(Worker& worker,
+                     const TaskAddress& task,
+                     RunNumber run) const;
+  void DropLeftRuns(Worker& worker,
+                    const RenewalCall& call,
+                    const WorkerReport& report);
+  void ReleaseLeftRuns(Worker& worker, std::span<const Worker::LeftRun> over);
+  static std::uint32_t CountOfStep(const Worker& worker,
+                                   const Job& job,
+                                   const Group& group);
   void HandleActive(Worker& worker,
                     const ActiveRun& run,
                     const RenewalCall& call,
--- a/packages/jobs/include/jobs/worker_pool.h
+++ b/packages/jobs/include/jobs/worker_pool.h
@@ -102,6 +102,17 @@
   };
   std::vector<UnsafeEnd> unsafe_ends;
 
+  /// A run that its task needs no more, and that may go on. Its room is
+  /// reserved.
+  struct LeftRun {
+    TaskAddress task;
+    RunNumber run = 0;
+    StepSpec step;
+    core::TimePoint settled;  ///< As in Task.
+    Generation ordered = 0;   ///< As in Task.
+  };
+  std::vector<LeftRun> left_runs;
+
   std::optional<CallId> renewal;  ///< The last one, until it is answered.
   core::TimePoint answered;  ///< When the last one with an answer was sent.
   core::TimePoint next_renewal;
--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -258,15 +258,9 @@
   if (step.max_per_worker == 0) {
     return Obstacle::kNone;
   }
-  const auto same_step =
-      std::ranges::count_if(worker.tasks, [&](const Task* other) {
-        const Group& others = other->job->groups[other->group];
-        return other->job->caller_id() == job.caller_id() &&
-               others.step == group.step &&
-               others.occurrence == group.occurrence;
-      });
-  return same_step < std::int64_t{step.max_per_worker} ? Obstacle::kNone
-                                                       : Obstacle::kSpread;
+  return CountOfStep(worker, job, group) < step.max_per_worker
+             ? Obstacle::kNone
+             : Obstacle::kSpread;
 }
 
 bool SliceScheduler::IsFeasible(const Worker& worker,
--- a/packages/jobs/src/slice_tasks.cc
+++ b/packages/jobs/src/slice_tasks.cc
@@ -215,16 +215,18 @@
                                       .checkpoint = task.checkpoint,
                                       .lease_until_ms = until});
   task.start_sent = now_;
-  options_.log(
-      AddLife(core::LogLine("task_placed")
-                  .Add("task", ToText(job.AddressOf(task)))
-                  .Add("run", task.run)
-                  .Add("worker", worker.entry.id)
-                  .Add("call", call.value())
-                  .Add("copy", task.start_copies)
-                  .Add("free_millis", worker.free().cpu_millis)
-                  .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at)),
-              worker));
+  core::LogLine line("task_placed");
+  line.Add("task", ToText(job.AddressOf(task)))
+      .Add("run", task.run)
+      .Add("worker", worker.entry.id)
+      .Add("call", call.value())
+      .Add("copy", task.start_copies)
+      .Add("free_millis", worker.free().cpu_millis)
+      .Add("report_age_ms", core::ToMillis(now_ - worker.clock_at));
+  if (job.StepOf(task).max_per_worker > 0) {
+    line.Add("of_step", CountOfStep(worker, job, job.groups[task.group]));
+  }
+  options_.log(AddLife(line, worker));
 }
 
 void SliceScheduler::SendStop(Task& task) {
@@ -418,6 +420,9 @@
     NoteStartAnswer(call, answer, found);
   }
   if (found == nullptr || !IsCurrent(call, *found)) {
+    if (found != nullptr && answer.outcome != OrderOutcome::kUnanswered) {
+      SettleLeftRun(worker, found->job->AddressOf(*found), call.run);
+    }
     if (answer.outcome == OrderOutcome::kUnanswered &&
         call.generation == worker.generation) {
       // The end of an earlier run may have closed the task meanwhile.
--- a/packages/jobs/src/slice_transfer_writes.cc
+++ b/packages/jobs/src/slice_transfer_writes.cc
@@ -191,8 +191,15 @@
       MoveAway(task);
       if (task.worker.valid()) {
         // Reported since the transfer was sent: a start that was carried out
-        // later than any is waited for. It is stopped as an unknown run.
+        // later than any is waited for.
+        const core::WorkerId on = task.worker;
+        const Worker::LeftRun left = {.task = job.AddressOf(task),
+                                      .run = task.run,
+                                      .step = job.StepOf(task),
+                                      .settled = task.settled,
+                                      .ordered = task.ordered};
         DetachFromWorker(task);
+        KeepLeftRun(workers_.Get(on), left);
       }
     }
     dirty_.erase(id);
--- a/packages/jobs/src/slice_workers.cc
+++ b/packages/jobs/src/slice_workers.cc
@@ -53,6 +53,7 @@
         c.worker.acknowledged = 0;
         c.worker.forgotten = 0;
         c.worker.unknown_runs.clear();
+        c.scheduler.ReleaseLeftRuns(c.worker, c.worker.left_runs);
         c.worker.unknown_ends.clear();
         c.worker.unsafe_ends.clear();
       });
@@ -241,6 +242,7 @@
     HandleActive(worker, run, call, report);
   });
   DropMissing(worker, call, report);
+  DropLeftRuns(worker, call, report);
   worker.runs_nothing = report.running.empty() && worker.tasks.empty();
   DispatchContact(worker, MayBePartial(report) ? "partial_report" : "report");
   AdjustPace(worker);
@@ -320,10 +322,10 @@
       if (job->StepOf(task).gang) {
         // The successful end of one member counts for the whole gang.
         for (Task& member : job->TasksOf(job->groups[task.group])) {
-          Dispatch(member, "ended_done", &end);
+          EndAsDone(worker, member, end);
         }
       } else {
-        Dispatch(task, "ended_done", &end);
+        EndAsDone(worker, task, end);
       }
       Unblock(*job);
       UpdatePhase(*job);
@@ -399,7 +401,10 @@
     }
   }
   if (task.worker != worker.id || task.run != run.run) {
-    StopUnknown(worker, run);
+    KeepLeftRun(worker, {.task = run.task,
+                         .run = run.run,
+                         .step = task.job->StepOf(task),
+                         .settled = now_});
     return;
   }
   if (IsState(task, states_.starting)) {
--- a/packages/jobs/tests/slice_world.cc
+++ b/packages/jobs/tests/slice_world.cc
@@ -72,6 +72,7 @@
         .need = {.cpu_millis = 20'000},
         .gang = true,
         .best_effort = true}},
+      {'d', {.count = 3, .need = {.cpu_millis = 1'000}, .max_per_worker = 1}},
       {'g',
        {.need = {.cpu_millis = 1'000, .memory_bytes = 100 * kGigabyte},
         .best_effort = true}},
