Spread the members of a gang that is being placed

Callers would see: two members of a gang on one executor beyond the limit of their step.

Cause: the members are chosen one after the other and placed together. Those chosen before were on no worker yet, so that the limit did not count them.

Change: the count includes the members of the gang that are chosen.

Result: "members of a gang are spread over workers" fails before (both members start on w1, with one worker already), and passes.

--- a/packages/jobs/src/slice_left_runs.cc
+++ b/packages/jobs/src/slice_left_runs.cc
@@ -94,12 +94,23 @@
       std::ranges::count_if(worker.tasks, [&](const Task* other) {
         return is_of_step(other->job->AddressOf(*other));
       });
+  // Members of a gang that is being placed are on no worker yet.
+  const auto members =
+      job.StepOf(group).gang
+          ? std::ranges::count_if(job.TasksOf(group),
+                                  [&](const Task& member) {
+                                    return member.worker == worker.id &&
+                                           std::ranges::find(worker.tasks,
+                                                             &member) ==
+                                               worker.tasks.end();
+                                  })
+          : 0;
   const auto left = std::ranges::count_if(worker.left_runs, is_of_step,
                                           &Worker::LeftRun::task);
   const auto unknown = std::ranges::count_if(
       worker.unknown_runs,
       [&](const auto& other) { return is_of_step(other.run.task); });
-  return static_cast<std::uint32_t>(tasks + left + unknown);
+  return static_cast<std::uint32_t>(tasks + members + left + unknown);
 }
 
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_spread_test.cc
+++ b/packages/jobs/tests/slice_spread_test.cc
@@ -78,5 +78,20 @@
   CHECK(world.workers.WorkerOf(TaskOf(2)) == "w2");
 }
 
+// Guards against members of a gang that start on one worker beyond the limit of
+// their step: those that were chosen in the same pass did not count.
+TEST_CASE("members of a gang are spread over workers", "[spread]") {
+  SliceWorld world;
+  world.AddWorker("w1");
+  world.Submit("j", "n");
+  world.Advance(1s);
+  CHECK(world.workers.starts(TaskOf(0)) == 0);
+  world.AddWorker("w2");
+  world.Advance(1s);
+  CHECK(world.workers.starts(TaskOf(0)) == 1);
+  CHECK(world.workers.starts(TaskOf(1)) == 1);
+  CHECK(world.workers.WorkerOf(TaskOf(0)) != world.workers.WorkerOf(TaskOf(1)));
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
--- a/packages/jobs/tests/slice_world.h
+++ b/packages/jobs/tests/slice_world.h
@@ -71,6 +71,7 @@
   /// - `l`, `m` and `f`: best-effort tasks of 1, 4 and 20 cores;
   /// - `g` and `q`: a best-effort task of 1 core and 100 or 20 GB;
   /// - `d`: three short-lived tasks of 1 core, at most one per worker;
+  /// - `n`: a gang of two tasks of 1 core, at most one per worker;
   /// - `y`: a gang of three best-effort tasks of 20 cores.
   /// With `/COUNT/INTERVAL` behind, it is run COUNT times, the first time at
   /// once, and then each INTERVAL milliseconds.
