Soak: steps with a limit of tasks on an executor, and ROUTE checked

Cause: the users' record shows ROUTE, which no play of the soak could: no job had anti_affinity, and the rule was not checked.

The draws of plays without it stay as they are.

The check finds a start beyond the limit in its own test.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,8 @@
         self.answers = {}  # Statuses by job.
         self.lasting = {}  # Number of the step and its tasks, by job.
         self.failing = set()  # Jobs that may fail.
+        self.spread = options.spread
+        self.limits = {}  # Of tasks of a step on one executor, by job and step.
         self.cancels = {}  # By job; when it was acknowledged, or None.
         self.stopped = False
 
@@ -42,6 +44,17 @@
     def vary(self, job, rng, spec, step):
         """For callers whose steps differ in more than their number of tasks."""
 
+    def limit(self, job, number, step):
+        """Limits a share of the steps to so many tasks on an executor, and gives them enough
+        tasks for the limit to bind."""
+        # Other draws stay as they are without a limit.
+        rng = random.Random(f"{self.seed} {job} {number} spread")
+        if rng.random() >= self.spread or step.get("gang"):
+            return
+        step["anti_affinity"] = self.limits[job, number] = rng.choice((1, 1, 2))
+        if not step.get("long_running"):
+            step["count"] = rng.randint(4, 12)
+
     async def submit(self, job, rng):
         spec, steps = {"steps": {}}, []
         for step in range(rng.choice([1, 1, 2])):
@@ -52,6 +65,7 @@
                           "estimate_ms": 1000, **({"after": [step - 1]} if step else {}),
                           **({"long_running": True} if lasts else {})})
             self.vary(job, rng, spec["steps"][str(step)], steps[-1])
+            self.limit(job, step, steps[-1])
             if lasts:
                 self.lasting[job] = (step, [s["count"] for s in steps])
                 break
--- a/tests/soak/plays.sh
+++ b/tests/soak/plays.sh
@@ -18,6 +18,7 @@
   "102 drain_cut,kill,store_lost"
   "103 cut,freeze,restart,lost_answers"
   "104 term_out,restart_idle"
+  "107 reset_refuse,cut_long --spread 0.7 --work 500,6000"
 )
 held=(
   "105 held_some"
@@ -41,18 +42,19 @@
 rm -rf "$records"
 mkdir -p "$records"
 for play in "${plays[@]}"; do
-  read -r seed faults <<< "$play"
+  read -r -a words <<< "$play"
+  seed=${words[0]} faults=${words[1]}
   folder=$records/$seed
   mkdir "$folder"
   # The stand-ins keep the logs of the processes under TMPDIR.
-  TMPDIR=$folder python3 "$soak" "$seed" 15 "$faults" --folder "$folder" \
+  TMPDIR=$folder python3 "$soak" "$seed" 15 "$faults" "${words[@]:2}" --folder "$folder" \
     --program "$build/packages/entry/hickoryusher" > "$folder/output.txt" 2>&1 &
   pids+=($!)
 done
 
 failures=0
 for i in "${!plays[@]}"; do
-  read -r seed faults <<< "${plays[i]}"
+  read -r seed faults _ <<< "${plays[i]}"
   status=0
   wait "${pids[i]}" || status=$?
   cat "$records/$seed/output.txt"
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -97,6 +97,24 @@
                     if len(failed) >= attempts and run.begun > failed[attempts - 1])
 
 
+def starts_beyond_limit(executors, limits):
+    """Starts on an executor that runs as many tasks of the step and occurrence as it may, with
+    what it runs. `limits` by job and step."""
+    for executor in executors:
+        steps = defaultdict(list)
+        for run in executor.runs:
+            job, occurrence, step, _ = run.task.split(".")
+            if (job, int(step)) in limits:
+                steps[job, occurrence, int(step)].append(run)
+        for (job, _, step), members in steps.items():
+            for run in members:
+                beside = [other for other in members
+                          if other is not run and other.begun <= run.begun
+                          and (other.ended is None or other.ended > run.begun)]
+                if len(beside) >= limits[job, step]:
+                    yield run, beside
+
+
 def cancelled_runs(runs, cancels, calm_from, now):
     """Runs of cancelled jobs that started, or went on, long after the acknowledgement and
     after the last fault."""
@@ -129,6 +147,9 @@
     broken += [f"BUDGET: {run.task} {told(run)} started after {world.max_attempts} failures"
                for run in starts_beyond_attempts(runs, world.max_attempts)
                if run.task.split(".")[0] not in lasting]
+    broken += [f"ROUTE: {run.task} {told(run)} started beside " +
+               ", ".join(f"{other.task} {told(other)}" for other in beside)
+               for run, beside in starts_beyond_limit(world.executors, callers.limits)]
     broken += cancelled_runs([run for run, _ in runs], cancels, calm_from, ms())
     broken += evacuated_starts([(run, executor.zone) for run, executor in runs],
                                world.evacuations)
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -128,6 +128,19 @@
         self.assertEqual(beyond(300, attempts=3), 0)
         self.assertEqual(beyond(300, noted=(1,)), 0)
 
+    def test_start_beyond_the_limit_of_a_step(self):
+        def beyond(*rows, limit=1):
+            runs = [run for run, _ in self.runs(*rows, noted=[])]
+            executors = [types.SimpleNamespace(runs=runs), types.SimpleNamespace(runs=runs[:1])]
+            return [run.task for run, _ in rules.starts_beyond_limit(
+                executors, {("a", 0): limit})]
+        first = ("a.0.0.0", 1, 0, 100, "stopped")
+        self.assertEqual(beyond(first, ("a.0.0.1", 1, 50, None, None)), ["a.0.0.1"])
+        self.assertEqual(beyond(first, ("a.0.0.1", 1, 100, None, None)), [])
+        self.assertEqual(beyond(first, ("a.0.0.1", 1, 50, None, None), limit=2), [])
+        self.assertEqual(beyond(first, ("a.1.0.1", 1, 50, None, None)), [])
+        self.assertEqual(beyond(first, ("a.0.1.1", 1, 50, None, None)), [])
+
     def test_run_of_a_cancelled_job(self):
         def broken(begun, ended, late_ms=0, acknowledged=10000, calm_from=0):
             (run, _), = self.runs(("a.0.0.0", 1, begun, ended, "stopped"), noted=[])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -88,6 +88,8 @@
     parser.add_argument("--work", type=lambda text: tuple(map(int, text.split(","))),
                         default=(100, 2500), help="shortest and longest task in ms")
     parser.add_argument("--lasting", type=float, default=0.03, help="share of lasting steps")
+    parser.add_argument("--spread", type=float, default=0,
+                        help="share of steps with a limit of tasks on an executor")
     parser.add_argument("--cpu", type=int, default=32000, help="CPU of an executor, in 1/1000")
     parser.add_argument("--hold", type=int, default=6000, help="longest lease in ms")
     parser.add_argument("--mixed", action="store_true", help="jobs of all kinds, and cancels")
