Read the jobs of a claimed slice after their progress, page by page

A new owner holds the text of all rows of its slice's jobs before it decides which of them it has memory for.

Cause: the follower of a table reports a read when its last page has come, and rows that came before the progress were held beside it.

Change: the follower reports each page by itself where the reader does not need to know which rows are absent, and the owner asks for the jobs once it has the progress, so that no row is held for later. A claim takes one answer of the store longer.

Result: "a table is reported page by page if its reader wants it so" fails without the report of the first page.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -530,8 +530,7 @@
   bool closing_ = false;   ///< HandOver was called.
   bool hand_over_stored_ = false;
   bool hand_over_rejected_ =
-      false;                     ///< A row of the predecessor is unreadable.
-  std::vector<Row> early_rows_;  ///< Read before the progress.
+      false;  ///< A row of the predecessor is unreadable.
 
   /// Where the predecessor's tasks may run, by the text of their addresses;
   /// nothing unless it has handed the slice over.
--- a/packages/jobs/include/jobs/table_follower.h
+++ b/packages/jobs/include/jobs/table_follower.h
@@ -41,6 +41,9 @@
     std::string table;
     std::string part;
     core::Duration wait{};  ///< How long one call waits for a change.
+    /// Reports each page but the last one as changes, and holds none, for
+    /// readers that do not need to know which rows are absent.
+    bool by_page = false;
   };
 
   TableFollower(Options options, CallIds& ids)
@@ -50,7 +53,8 @@
   std::optional<StoreCommand> Next(core::TimePoint now);
 
   /// @returns the rows or changes that @p event reports; nullopt if it answers
-  /// another caller, reports no change or is not the last page of a read.
+  /// another caller, reports no change or, unless by page, is not the last page
+  /// of a read.
   std::optional<TableUpdate> Handle(const StoreEvent& event,
                                     core::TimePoint now);
 
--- a/packages/jobs/src/slice_scheduler.cc
+++ b/packages/jobs/src/slice_scheduler.cc
@@ -43,7 +43,8 @@
       jobs_(charts.task_run.initial(), states_.elsewhere),
       job_rows_({.table = JobTableName(options_.slice.name),
                  .part = options_.slice.name,
-                 .wait = kJobFollowWait},
+                 .wait = kJobFollowWait,
+                 .by_page = true},
                 ids) {}
 
 SliceScheduler::~SliceScheduler() = default;
@@ -128,10 +129,8 @@
   SettleUnknownRuns();
 }
 
-// The jobs and their progress are read concurrently and may finish in either
-// order.
 void SliceScheduler::FinishRestore() {
-  if (restored_ || !progress_loaded_ || !job_rows_.synced()) {
+  if (restored_ || !job_rows_.synced()) {
     return;
   }
   restored_ = true;
@@ -189,20 +188,12 @@
     return;
   }
   progress_loaded_ = true;
-  for (const Row& row : std::exchange(early_rows_, {})) {
-    HandleRow(row);
-  }
-  FinishRestore();
 }
 
 void SliceScheduler::HandleRow(const Row& row) {
   if (row.removed || row.key.part != options_.slice.name) {
     return;
   }
-  if (!progress_loaded_) {
-    early_rows_.push_back(row);
-    return;
-  }
   if (row.key == IncomingRow(options_.slice.name)) {
     incoming_version_ = std::max(incoming_version_, row.version);
     incoming_until_ = now_ + kIncomingTimeout;
@@ -512,8 +503,11 @@
     // were stored since.
     job_rows_.Refresh(started_until);
   }
-  if (auto command = job_rows_.Next(now)) {
-    store_commands_.push_back(*std::move(command));
+  // The rows of jobs are not held until their progress is known.
+  if (progress_loaded_) {
+    if (auto command = job_rows_.Next(now)) {
+      store_commands_.push_back(*std::move(command));
+    }
   }
   if (closing_) {
     next_timer_ = now + kTick;
@@ -548,7 +542,9 @@
   TransferWaitingJobs();
   LogLoad();
   StartCommit();
-  next_timer_ = std::min({now + kTick, NextCommit(), job_rows_.next_timer()});
+  next_timer_ = std::min(
+      {now + kTick, NextCommit(),
+       progress_loaded_ ? job_rows_.next_timer() : core::TimePoint::max()});
 }
 
 std::vector<StoreCommand> SliceScheduler::PopStoreCommands() {
--- a/packages/jobs/src/table_follower.cc
+++ b/packages/jobs/src/table_follower.cc
@@ -85,6 +85,9 @@
   if (page.more && !page.rows.empty()) {
     // The smallest key that follows the last one of this page.
     read_from_ = page.rows.back().key.key + '\x01';
+    if (options_.by_page) {
+      return TableChanges{.rows = std::exchange(pages_, {})};
+    }
     return std::nullopt;
   }
   version_ = *first_page_version_;
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -127,6 +127,28 @@
   CHECK(follower.Next(now + 200ms).has_value());
 }
 
+// Guards against a new owner that is killed for its memory because it holds the
+// rows of all jobs as text until it has read the last one.
+TEST_CASE("a table is reported page by page if its reader wants it so",
+          "[records]") {
+  constexpr std::size_t kPage = 500;
+  FakeStore store;
+  CallIds ids;
+  TableFollower follower({.table = "t", .part = "p", .by_page = true}, ids);
+  const core::TimePoint now(1h);
+  for (std::size_t i = 0; i < kPage + 1; ++i) {
+    store.Put({.table = "t", .part = "p", .key = std::to_string(i)}, "1");
+  }
+  const auto first = follower.Handle(*store.Run(*follower.Next(now)), now);
+  REQUIRE(first.has_value());
+  CHECK(std::get<TableChanges>(*first).rows.size() == kPage);
+  CHECK_FALSE(follower.synced());
+  const auto last = follower.Handle(*store.Run(*follower.Next(now)), now);
+  REQUIRE(last.has_value());
+  CHECK(std::get<TableSnapshot>(*last).rows.size() == 1);
+  CHECK(follower.synced());
+}
+
 TEST_CASE("the interference of a pair of images is learned", "[records]") {
   constexpr ImageId kServing(0);
   constexpr ImageId kHeavy(1);
