--- a/packages/jobs/src/slice_placement.cc
+++ b/packages/jobs/src/slice_placement.cc
@@ -219,9 +219,10 @@
   std::uint32_t starts = 0;
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     chosen[i]->Release(job.StepOf(group));
-    starts = std::max(starts, members[i].starts);
+    Task& member = members[static_cast<std::ptrdiff_t>(i)];
+    starts = std::max(starts, member.starts);
     if (!complete) {
-      members[i].worker = core::WorkerId();
+      member.worker = core::WorkerId();
     }
   }
   if (!complete) {
--- a/packages/jobs/tests/slice_occurrences_test.cc
+++ b/packages/jobs/tests/slice_occurrences_test.cc
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kSmallJobBytes = 16 * 1024;
+constexpr std::size_t kSmallJobBytes = 16UL * 1024;
 
 TaskAddress Occurrence(std::uint32_t occurrence) {
   return {.job = "j", .occurrence = occurrence};
--- a/packages/jobs/tests/slice_parked_jobs_test.cc
+++ b/packages/jobs/tests/slice_parked_jobs_test.cc
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kLittleMemory = 8 * 1024;
+constexpr std::size_t kLittleMemory = 8UL * 1024;
 constexpr int kJobs = 20;
 
 // The ids sort between that of the first job and those of its parts.
