Soak: leave the ports that the test of the stand-ins takes above the last block

The test makes a stage for each of its cases, 1530 ports in all, and by its process id it had one of the last blocks below 32000.

Change: 60 blocks instead of 75, so that the last one has 2,560 ports.

--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -19,8 +19,9 @@
 from standin import HEARTBEAT_MS, CannotRun, Reset, ms  # noqa: E402,F401
 
 # Each play has a port for each link, besides those of its processes. Those below 20000 are of
-# tests/process, which may run beside a play that is started by hand.
-standin.PORTS = iter(range(20000 + os.getpid() % 75 * 160, 32000))
+# tests/process, which may run beside a play that is started by hand. The last block leaves the
+# 1530 ports that stage_test.py takes.
+standin.PORTS = iter(range(20000 + os.getpid() % 60 * 160, 32000))
 
 EXECUTORS_OF_ZONE = 4
 # The clock that measures leases may be 2% slow.
