Count the memory of jobs as the allocator gives it

Callers would see: an owner killed for its memory although its jobs are within their part of it. Found by measuring what a burst of small jobs takes.

Cause: a job was counted by the sizes of its objects. Containers and the allocator add 1.0 to 1.3 kB for a job, and 33 bytes for a task; 5,000 jobs of one task took 1.66 times what they were counted for, one of 20,000 tasks 1.11 times. The list of steps grew by doubling, so that a job of 20,000 steps took 1.34 times.

--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -14,6 +14,12 @@
 // The stored text, and the payload within it.
 constexpr std::size_t kRowCopies = 2;
 
+// Beside the objects themselves: heads of the allocator, and blocks of
+// containers that are not full.
+constexpr std::size_t kJobOverheadBytes = 1280;
+constexpr std::size_t kStepOverheadBytes = 48;
+constexpr std::size_t kTaskOverheadBytes = 40;
+
 }  // namespace
 
 std::string FirstPartId(std::string_view id) {
@@ -144,19 +150,21 @@
 }
 
 std::size_t FixedBytesOf(const JobSpec& spec, std::size_t row_bytes) {
-  return std::accumulate(spec.steps.begin(), spec.steps.end(),
-                         sizeof(Job) + kRowCopies * row_bytes,
-                         [](std::size_t sum, const StepSpec& step) {
-                           return sum + sizeof(StepSpec) +
-                                  step.after.size() * sizeof(step.after[0]);
-                         });
+  return std::accumulate(
+      spec.steps.begin(), spec.steps.end(),
+      sizeof(Job) + kJobOverheadBytes + kRowCopies * row_bytes,
+      [](std::size_t sum, const StepSpec& step) {
+        return sum + sizeof(StepSpec) + kStepOverheadBytes +
+               step.after.size() * sizeof(step.after[0]);
+      });
 }
 
 std::size_t OccurrenceBytesOf(const JobSpec& spec) {
   return std::accumulate(spec.steps.begin(), spec.steps.end(), std::size_t{0},
                          [](std::size_t sum, const StepSpec& step) {
                            return sum + sizeof(Group) +
-                                  step.count * sizeof(Task);
+                                  step.count *
+                                      (sizeof(Task) + kTaskOverheadBytes);
                          });
 }
 
