Remove the rows of jobs that have ended as fast as jobs are closed

Callers would see: an owner, and each successor that reads its rows, that holds ever more under a steady load of short jobs.

Cause: a write closes up to 16 jobs and removes the rows of 5 that ended status_s ago. What a job that has ended takes (its id twice) was not counted.

Change: 14 each, within the 100 entries of a transaction: 1 for the fence, 70 for jobs, 2 for the roster, 5 for cancellations and 14 for these. Jobs that have ended count 384 bytes. slice_load says what the jobs take, what they may, and how many are parked.

--- a/packages/jobs/include/jobs/slice_scheduler.h
+++ b/packages/jobs/include/jobs/slice_scheduler.h
@@ -131,8 +131,9 @@
   /// nothing before the slice's jobs have been read.
   std::optional<SliceLoad> load();
 
-  /// @returns about how much memory the slice's jobs take.
-  std::size_t job_bytes() const { return jobs_.bytes(); }
+  /// @returns about how much memory the slice's jobs take, with those that have
+  /// ended and can still be queried.
+  std::size_t job_bytes() const;
 
   /// @returns how often a worker was evaluated for a task. These evaluations
   /// take most of the time of placement.
--- a/packages/jobs/src/slice_commits.cc
+++ b/packages/jobs/src/slice_commits.cc
@@ -22,9 +22,11 @@
 constexpr core::Duration kMaxRenewalAge = milliseconds(2000);
 
 // Each job takes up to five entries of a transaction, and the store accepts at
-// most 100 entries.
-constexpr std::size_t kJobsPerCommit = 16;
-constexpr std::size_t kRemovalsPerCommit = 5;
+// most 100 entries. As many rows of jobs that have ended are removed as jobs
+// may be closed, so that the rows do not grow in number.
+constexpr std::size_t kJobsPerCommit = 14;
+constexpr std::size_t kFinalRowsPerCommit = kJobsPerCommit;
+constexpr std::size_t kCancellationsPerCommit = 5;
 
 // Late starts in the roster, of about 45 bytes each. The store's limit for the
 // value of a row is 64 KiB, and several hundred workers take half of that.
@@ -203,7 +205,7 @@
 // the slice that it comes from.
 void SliceScheduler::CollectStrayCancellations(Commit& commit) {
   while (!stray_cancellations_.empty() &&
-         commit.stray_cancellations.size() < kRemovalsPerCommit) {
+         commit.stray_cancellations.size() < kCancellationsPerCommit) {
     std::string id = std::move(
         stray_cancellations_.extract(stray_cancellations_.begin()).value());
     if (jobs_.FindWithParts(id).empty() && !IsParked(id)) {
@@ -214,7 +216,8 @@
 }
 
 void SliceScheduler::CollectRemovals(Commit& commit) {
-  for (std::size_t i = 0; i < kRemovalsPerCommit && !final_jobs_.empty(); ++i) {
+  for (std::size_t i = 0; i < kFinalRowsPerCommit && !final_jobs_.empty();
+       ++i) {
     const auto& [since, id] = final_jobs_.front();
     if (now_ < since + options_.limits.keep_final_jobs) {
       return;
@@ -381,6 +384,9 @@
                    .Add("lasting_millis", long_running)
                    .Add("spare_demand_millis", best_effort_total)
                    .Add("kept_free", nominations_.size())
+                   .Add("job_bytes", job_bytes())
+                   .Add("job_bytes_limit", options_.job_bytes)
+                   .Add("parked", parked_jobs_.size())
                    .Add("considerations", candidates_evaluated_));
 }
 
@@ -405,9 +411,9 @@
   const core::Duration age = now_ - job_rows_.last_answer();
   SliceLoad load{.unix_ms = unix_ms_ - core::ToMillis(age)};
   load.incoming = incoming_version_;
-  std::size_t job_bytes = jobs_.bytes();
+  std::size_t bytes = job_bytes();
   for (const auto& [id, parked] : parked_jobs_) {
-    job_bytes += parked.bytes;
+    bytes += parked.bytes;
     const auto stored = stored_progress_.find(id);
     const bool begun = stored != stored_progress_.end() &&
                        stored->second.progress.phase != JobPhase::kQueued;
@@ -416,7 +422,7 @@
     }
   }
   load.job_room_bytes = static_cast<std::int64_t>(
-      options_.job_bytes - std::min(options_.job_bytes, job_bytes));
+      options_.job_bytes - std::min(options_.job_bytes, bytes));
   // Long-running tasks on a worker that may have failed, or that is draining,
   // will soon need room on other workers.
   const bool needs_room =
--- a/packages/jobs/src/slice_occurrences.cc
+++ b/packages/jobs/src/slice_occurrences.cc
@@ -50,7 +50,7 @@
       job.end_occurrence() < job.occurrence_count() &&
       job.DueUnixMs(job.end_occurrence()) <= unix_ms_ &&
       (job.tasks.size() == 0 ||
-       (parked_jobs_.empty() && jobs_.bytes() + bytes <= options_.job_bytes))) {
+       (parked_jobs_.empty() && job_bytes() + bytes <= options_.job_bytes))) {
     AddLaterOccurrence(job);
   }
 }
--- a/packages/jobs/src/slice_parked_jobs.cc
+++ b/packages/jobs/src/slice_parked_jobs.cc
@@ -8,11 +8,21 @@
 /// at the same time, or an owner with more memory before, may have gone beyond
 /// that of this one.
 namespace hickoryusher::jobs {
+namespace {
+
+// Two copies of an id, in a queue and in a map.
+constexpr std::size_t kFinalJobBytes = 384;
+
+}  // namespace
+
+std::size_t SliceScheduler::job_bytes() const {
+  return jobs_.bytes() + final_jobs_.size() * kFinalJobBytes;
+}
 
 // Returns whether the slice's jobs leave memory for one more. A job that takes
 // more than all of them may is held alone.
 bool SliceScheduler::HasMemoryFor(std::size_t bytes) const {
-  return jobs_.size() == 0 || jobs_.bytes() + bytes <= options_.job_bytes;
+  return jobs_.size() == 0 || job_bytes() + bytes <= options_.job_bytes;
 }
 
 // Returns whether the job, or a part of it, is left in the store.
@@ -33,7 +43,7 @@
                    .Add("job", row.key.key)
                    .Add("slice", options_.slice.name)
                    .Add("bytes", bytes)
-                   .Add("held_bytes", jobs_.bytes())
+                   .Add("held_bytes", job_bytes())
                    .Add("limit_bytes", options_.job_bytes)
                    .Add("parked", parked_jobs_.size()));
 }
--- a/packages/jobs/tests/slice_memory_test.cc
+++ b/packages/jobs/tests/slice_memory_test.cc
@@ -74,5 +74,37 @@
   CHECK(table.bytes() == 0);
 }
 
+// Guards against an owner, and its successor, that holds ever more jobs that
+// have ended: of 16 that a write closed, it removed the rows of 5.
+TEST_CASE("rows of jobs that have ended are removed as fast as jobs are closed",
+          "[memory]") {
+  constexpr int kJobs = 32;
+  SliceWorld world;
+  world.AddWorker("w1");
+  const auto run_jobs = [&](const std::string& name) {
+    for (int i = 0; i < kJobs; ++i) {
+      world.Submit(name + std::to_string(i), "c");
+    }
+    world.Advance(1s);
+    for (int i = 0; i < kJobs; ++i) {
+      world.workers.End(SliceWorld::Task(name + std::to_string(i)),
+                        EndKind::kDone);
+    }
+    world.Advance(2s);
+  };
+  run_jobs("a");
+  const std::size_t bytes = world.owner->job_bytes();
+  CHECK(bytes > 0);
+  world.Advance(125s);
+  run_jobs("b");
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string name = std::to_string(i);
+    INFO(name);
+    CHECK_FALSE(world.store.Find(ProgressRow(kSlice, "a" + name)).has_value());
+    CHECK(world.PhaseOf("b" + name) == JobPhase::kCompleted);
+  }
+  CHECK(world.owner->job_bytes() == bytes);
+}
+
 }  // namespace
 }  // namespace hickoryusher::jobs
