Spread callers that are refused for lack of room over five seconds

Callers saw: Retry-After 5 for all. A burst that is refused comes back as a burst, and with a time that depends on the job only, the same callers would come first each time.

Change: 3 to 7 s, by the path and the time of the refusal; the mean stays 5 s. Also for long-running jobs without room, which the same refusal answers.

Result: "callers that are refused come back spread over some seconds" fails before (one time for 100 callers), and passes.

--- a/packages/jobs/include/jobs/intake.h
+++ b/packages/jobs/include/jobs/intake.h
@@ -98,6 +98,9 @@
   ClientResult result;
 };
 
+/// @returns a number that is the same in every process and on every machine.
+std::uint64_t HashOf(std::string_view text);
+
 /// @returns the indices of the slices that a job may belong to. A job is stored
 /// in one of them, and only if none of the others has it.
 std::vector<std::size_t> CandidateSlices(std::string_view job,
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -28,7 +28,11 @@
 
 // Room becomes free when long-running jobs are cancelled, which happens several
 // times a minute. Memory becomes free when jobs are closed.
-constexpr core::Duration kCapacityRetryAfter = milliseconds(5000);
+constexpr core::Duration kCapacityRetryAfter = milliseconds(3000);
+
+// Callers that are refused together come back over as many seconds, in another
+// order each time.
+constexpr std::uint64_t kCapacityRetrySpreadSeconds = 5;
 
 // The job id is part of row keys, which have at most 200 bytes.
 constexpr std::size_t kMaxJobIdBytes = 100;
@@ -62,7 +66,11 @@
     refused.retry_after = kStoreRetryAfter;
   }
   if (refusal == Refusal::kNoCapacity) {
-    refused.retry_after = kCapacityRetryAfter;
+    const std::uint64_t turn =
+        HashOf(call.path) + static_cast<std::uint64_t>(unix_ms_);
+    refused.retry_after =
+        kCapacityRetryAfter +
+        std::chrono::seconds(turn % kCapacityRetrySpreadSeconds);
   }
   Answer(call, std::move(refused));
 }
--- a/packages/jobs/src/intake_slices.cc
+++ b/packages/jobs/src/intake_slices.cc
@@ -27,15 +27,18 @@
 
 }  // namespace
 
-std::vector<std::size_t> CandidateSlices(std::string_view job,
-                                         std::size_t slice_count) {
-  // FNV-1a: the same in every process and on every machine.
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char c : job) {
+std::uint64_t HashOf(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325U;  // FNV-1a.
+  for (const char c : text) {
     hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
   }
+  return hash;
+}
+
+std::vector<std::size_t> CandidateSlices(std::string_view job,
+                                         std::size_t slice_count) {
   std::vector<std::size_t> candidates;
-  const std::size_t first = (hash >> 32U) % slice_count;
+  const std::size_t first = (HashOf(job) >> 32U) % slice_count;
   for (std::size_t i = 0; i < std::min(kCandidates, slice_count); ++i) {
     candidates.push_back((first + i) % slice_count);
   }
--- a/packages/jobs/tests/intake_test.cc
+++ b/packages/jobs/tests/intake_test.cc
@@ -1,7 +1,9 @@
 #include "jobs/intake.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -254,6 +256,28 @@
   CHECK(std::holds_alternative<CallDone>(world.Take()));
 }
 
+// Guards against callers that are refused together and come back together, the
+// same ones first each time.
+TEST_CASE("callers that are refused come back spread over some seconds",
+          "[intake]") {
+  IntakeWorld world;
+  world.intake().SetLoads(
+      {SliceLoad{.job_room_bytes = 0}, SliceLoad{.job_room_bytes = 0}});
+  world.bytes = 1;
+  std::map<core::Duration, int> callers;
+  for (int i = 0; i < 100; ++i) {
+    world.Call(ClientVerb::kSubmit, "/d/job" + std::to_string(i));
+    const ClientResult refused = world.Take();
+    REQUIRE(std::holds_alternative<CallRefused>(refused));
+    ++callers[std::get<CallRefused>(refused).retry_after.value()];
+  }
+  CHECK(callers.begin()->first >= 3s);
+  CHECK(callers.rbegin()->first <= 7s);
+  CHECK(callers.size() == 5);
+  CHECK(std::ranges::all_of(
+      callers, [](const auto& entry) { return entry.second < 40; }));
+}
+
 TEST_CASE("a lost answer is resolved by the next attempt", "[intake]") {
   IntakeWorld world;
   world.store.SetFault(FakeStore::Fault::kLoseAnswer);
